--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+GO ?= go
+TOOL = $(GO) tool -modfile=tools/go.mod
+
+all: build
+
+build:
+	$(GO) build -o build/ . ./cmd/standin
+
+demo: build
+	@bash scripts/demo.sh
+
+test:
+	$(GO) test -race ./...
+
+lint:
+	@out=$$($(TOOL) gofumpt -l .); if [ -n "$$out" ]; then echo "not formatted: $$out"; exit 1; fi
+	$(GO) vet ./...
+	$(TOOL) revive -set_exit_status ./...
+
+clean:
+	rm -rf build measure-out
+
+.PHONY: all build demo test lint clean
--- /dev/null
+++ b/internal/kernel/fault/fault.go
@@ -0,0 +1,13 @@
+// Package fault adds context to errors that may be nil.
+package fault
+
+import "github.com/go-faster/errors"
+
+// Wrap returns nil for a nil error, unlike errors.Wrap, and the error with
+// context otherwise.
+func Wrap(err error, context string) error {
+	if err == nil {
+		return nil
+	}
+	return errors.Wrap(err, context)
+}
