--- /dev/null
+++ b/internal/agreement/identity/identity.go
@@ -0,0 +1,146 @@
+// Package identity remembers under which id a keeper belongs to the group. A
+// keeper whose data was lost gets a new id and never votes under the old one.
+package identity
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+
+	"github.com/go-faster/errors"
+
+	"egretproxy/internal/agreement/journal"
+	"egretproxy/internal/agreement/record"
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/fault"
+)
+
+// ErrExists tells that the folder already belongs to a member.
+var ErrExists = errors.New("data folder already belongs to a keeper")
+
+const (
+	fileName      = "identity.json"
+	temporaryName = "identity.tmp"
+	suffixBytes   = 6
+	// firstIndex and firstTerm are the position of the first membership.
+	firstIndex = 1
+	firstTerm  = 1
+)
+
+// Identity is the id of a keeper.
+type Identity struct {
+	ID   id.Keeper
+	Name string
+}
+
+// Bootstrap prepares an empty folder for the first start of a group. All
+// keepers of the group must be given the same members.
+func Bootstrap(dir journal.Folder, name string, members []record.Member) error {
+	if _, ok, err := Load(dir); err != nil || ok {
+		return cmpError(err, ErrExists)
+	}
+	own := Identity{ID: FirstID(name), Name: name}
+	j, err := journal.Open(dir)
+	if err != nil {
+		return errors.Wrap(err, "open journal")
+	}
+	var m record.Membership
+	for _, c := range members {
+		c.ID = FirstID(c.Name)
+		c.Voter = true
+		m = m.With(c)
+	}
+	if !m.IsVoter(own.ID) {
+		return errors.Errorf("keeper %s is not among the members", name)
+	}
+	s := &record.Snapshot{Index: firstIndex, Term: firstTerm, Membership: m}
+	if err := j.SaveSnapshot(s, true); err != nil {
+		return errors.Wrap(err, "save first membership")
+	}
+	if err := j.Close(); err != nil {
+		return errors.Wrap(err, "close journal")
+	}
+	return save(dir, own)
+}
+
+// FirstID returns the id of a keeper that takes part in the first start.
+func FirstID(name string) id.Keeper {
+	return id.Keeper(name + "-first")
+}
+
+// Create gives an empty folder a new id, under which the keeper asks to join.
+func Create(dir journal.Folder, name string) (Identity, error) {
+	var b [suffixBytes]byte
+	_, _ = rand.Read(b[:])
+	i := Identity{ID: id.Keeper(name + "-" + hex.EncodeToString(b[:])), Name: name}
+	return i, save(dir, i)
+}
+
+// Load reads the identity. ok is false if the folder has none.
+func Load(dir journal.Folder) (i Identity, ok bool, err error) {
+	names, err := dir.List()
+	if err != nil {
+		return Identity{}, false, errors.Wrap(err, "list data folder")
+	}
+	for _, n := range names {
+		if n != fileName {
+			continue
+		}
+		data, err := dir.Read(fileName)
+		if err != nil {
+			return Identity{}, false, errors.Wrap(err, "read identity")
+		}
+		if err := json.Unmarshal(data, &i); err != nil {
+			return Identity{}, false, errors.Wrap(err, "decode identity")
+		}
+		return i, true, nil
+	}
+	return Identity{}, false, nil
+}
+
+// Discard removes everything in the folder but the lock, so that the keeper
+// can return as a new member.
+func Discard(dir journal.Folder) error {
+	names, err := dir.List()
+	if err != nil {
+		return errors.Wrap(err, "list data folder")
+	}
+	for _, n := range names {
+		if n == "lock" {
+			continue
+		}
+		if err := dir.Remove(n); err != nil {
+			return errors.Wrap(err, "remove "+n)
+		}
+	}
+	return fault.Wrap(dir.Sync(), "sync data folder")
+}
+
+func save(dir journal.Folder, i Identity) error {
+	data, err := json.Marshal(i)
+	if err != nil {
+		return errors.Wrap(err, "encode identity")
+	}
+	f, err := dir.Append(temporaryName)
+	if err != nil {
+		return errors.Wrap(err, "create identity")
+	}
+	defer func() { _ = f.Close() }()
+	if _, err := f.Write(data); err != nil {
+		return errors.Wrap(err, "write identity")
+	}
+	if err := f.Sync(); err != nil {
+		return errors.Wrap(err, "sync identity")
+	}
+	if err := dir.Rename(temporaryName, fileName); err != nil {
+		return errors.Wrap(err, "rename identity")
+	}
+	return fault.Wrap(dir.Sync(), "sync data folder")
+}
+
+func cmpError(err, otherwise error) error {
+	if err != nil {
+		return err
+	}
+	return otherwise
+}
--- /dev/null
+++ b/internal/agreement/journal/journal.go
@@ -0,0 +1,267 @@
+// Package journal keeps a keeper's part of the agreed log on disk: segments
+// of checksummed frames and the newest snapshot.
+package journal
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+
+	"egretproxy/internal/agreement/disk"
+	"egretproxy/internal/agreement/record"
+	"egretproxy/internal/kernel/fault"
+)
+
+// ErrDamaged tells that synced data was lost or altered on the disk. The
+// keeper must return as a new member.
+var ErrDamaged = errors.New("journal is damaged")
+
+const (
+	segmentPrefix  = "log-"
+	segmentSuffix  = ".wal"
+	snapshotPrefix = "snapshot-"
+	snapshotSuffix = ".cbor"
+	temporaryName  = "snapshot.tmp"
+	indexDigits    = 20
+	// segmentBytes is the size at which a new segment is started.
+	segmentBytes = 8 << 20
+)
+
+// Folder is the part of a disk that the journal writes to.
+type Folder interface {
+	Append(name string) (disk.File, error)
+	Read(name string) ([]byte, error)
+	Truncate(name string, size int64) error
+	Rename(from, to string) error
+	Remove(name string) error
+	List() ([]string, error)
+	Sync() error
+}
+
+// batch is the payload of one frame.
+type batch struct {
+	HardState *record.HardState `cbor:",omitempty"`
+	// Truncate is the first position to drop, or zero.
+	Truncate uint64         `cbor:",omitempty"`
+	Entries  []record.Entry `cbor:",omitempty"`
+}
+
+// segment is one file of frames.
+type segment struct {
+	name string
+	// first is the position that the segment was opened for.
+	first uint64
+}
+
+// Journal is the durable state of one member. It is not safe for concurrent
+// use.
+type Journal struct {
+	dir      Folder
+	segments []segment
+	file     disk.File
+	size     int
+	hard     record.HardState
+	snapshot *record.Snapshot
+	entries  []record.Entry
+	// last is the position of the newest stored entry.
+	last uint64
+	// cut is the number of torn bytes that were dropped when opening.
+	cut int
+}
+
+// Open reads the journal. It cuts a torn tail and returns ErrDamaged where
+// data is missing before the tail.
+func Open(dir Folder) (*Journal, error) {
+	j := &Journal{dir: dir}
+	names, err := dir.List()
+	if err != nil {
+		return nil, errors.Wrap(err, "list journal")
+	}
+	if err := j.loadSnapshot(names); err != nil {
+		return nil, err
+	}
+	if err := j.loadSegments(names); err != nil {
+		return nil, err
+	}
+	return j, nil
+}
+
+// State returns what was stored: the hard state, the snapshot or nil, and
+// the entries after it.
+func (j *Journal) State() (record.HardState, *record.Snapshot, []record.Entry) {
+	return j.hard, j.snapshot, j.entries
+}
+
+// TornBytes returns the size of the torn tail that Open cut.
+func (j *Journal) TornBytes() int { return j.cut }
+
+// Save writes and syncs one batch.
+func (j *Journal) Save(hard *record.HardState, truncate uint64, entries []record.Entry) error {
+	if hard == nil && truncate == 0 && len(entries) == 0 {
+		return nil
+	}
+	payload, err := cbor.Marshal(batch{HardState: hard, Truncate: truncate, Entries: entries})
+	if err != nil {
+		return errors.Wrap(err, "encode batch")
+	}
+	if hard != nil {
+		j.hard = *hard
+	}
+	if err := j.rotate(); err != nil {
+		return err
+	}
+	j.noteLast(truncate, entries)
+	return j.write(payload)
+}
+
+// SaveSnapshot writes and syncs a snapshot, then drops the segments that it
+// covers. reset starts an empty log behind it, as for a snapshot from a
+// leader.
+func (j *Journal) SaveSnapshot(s *record.Snapshot, reset bool) error {
+	payload, err := cbor.Marshal(s)
+	if err != nil {
+		return errors.Wrap(err, "encode snapshot")
+	}
+	if err := j.writeSnapshot(s.Index, encodeFrame(payload)); err != nil {
+		return err
+	}
+	old := j.snapshot
+	j.snapshot = s
+	truncate := uint64(0)
+	if reset {
+		truncate = 1
+		j.last = s.Index
+	}
+	if err := j.startSegment(); err != nil {
+		return err
+	}
+	hard := j.hard
+	if err := j.Save(&hard, truncate, nil); err != nil {
+		return err
+	}
+	j.last = max(j.last, s.Index)
+	return j.dropCovered(old)
+}
+
+// Close closes the open segment.
+func (j *Journal) Close() error {
+	if j.file == nil {
+		return nil
+	}
+	return j.file.Close()
+}
+
+func (j *Journal) writeSnapshot(index uint64, frame []byte) error {
+	_ = j.dir.Remove(temporaryName)
+	f, err := j.dir.Append(temporaryName)
+	if err != nil {
+		return errors.Wrap(err, "create snapshot")
+	}
+	if _, err := f.Write(frame); err != nil {
+		_ = f.Close()
+		return errors.Wrap(err, "write snapshot")
+	}
+	if err := f.Sync(); err != nil {
+		_ = f.Close()
+		return errors.Wrap(err, "sync snapshot")
+	}
+	if err := f.Close(); err != nil {
+		return errors.Wrap(err, "close snapshot")
+	}
+	if err := j.dir.Rename(temporaryName, snapshotName(index)); err != nil {
+		return errors.Wrap(err, "rename snapshot")
+	}
+	return fault.Wrap(j.dir.Sync(), "sync folder")
+}
+
+// dropCovered removes segments whose every entry the snapshot covers: those
+// that are followed by a segment that starts at or before its end.
+func (j *Journal) dropCovered(old *record.Snapshot) error {
+	for len(j.segments) > 1 && j.segments[1].first <= j.snapshot.Index+1 {
+		if err := j.dir.Remove(j.segments[0].name); err != nil {
+			return errors.Wrap(err, "remove segment")
+		}
+		j.segments = j.segments[1:]
+	}
+	if old != nil && old.Index != j.snapshot.Index {
+		if err := j.dir.Remove(snapshotName(old.Index)); err != nil {
+			return errors.Wrap(err, "remove snapshot")
+		}
+	}
+	return fault.Wrap(j.dir.Sync(), "sync folder")
+}
+
+func (j *Journal) rotate() error {
+	if j.file != nil && j.size < segmentBytes {
+		return nil
+	}
+	return j.startSegment()
+}
+
+func (j *Journal) noteLast(truncate uint64, entries []record.Entry) {
+	if truncate > 0 {
+		j.last = min(j.last, truncate-1)
+	}
+	if len(entries) > 0 {
+		j.last = entries[len(entries)-1].Index
+	}
+}
+
+// startSegment opens a new file. Segments sort by their first position and,
+// where two share it, by a sequence number.
+func (j *Journal) startSegment() error {
+	first := j.last + 1
+	if j.file != nil {
+		if err := j.file.Close(); err != nil {
+			return errors.Wrap(err, "close segment")
+		}
+	}
+	sequence := 0
+	if n := len(j.segments); n > 0 {
+		last := j.segments[n-1]
+		first = max(first, last.first)
+		if last.first == first {
+			sequence = sequenceOf(last.name) + 1
+		}
+	}
+	name := segmentName(first, sequence)
+	f, err := j.dir.Append(name)
+	if err != nil {
+		return errors.Wrap(err, "create segment")
+	}
+	j.file = f
+	j.size = 0
+	j.segments = append(j.segments, segment{name: name, first: first})
+	return fault.Wrap(j.dir.Sync(), "sync folder")
+}
+
+func (j *Journal) write(payload []byte) error {
+	frame := encodeFrame(payload)
+	if _, err := j.file.Write(frame); err != nil {
+		return errors.Wrap(err, "write journal")
+	}
+	j.size += len(frame)
+	return fault.Wrap(j.file.Sync(), "sync journal")
+}
+
+func snapshotName(index uint64) string {
+	return fmt.Sprintf("%s%0*d%s", snapshotPrefix, indexDigits, index, snapshotSuffix)
+}
+
+func segmentName(first uint64, sequence int) string {
+	return fmt.Sprintf("%s%0*d-%06d%s", segmentPrefix, indexDigits, first, sequence, segmentSuffix)
+}
+
+func sequenceOf(name string) int {
+	parts := strings.Split(strings.TrimSuffix(name, segmentSuffix), "-")
+	n, _ := strconv.Atoi(parts[len(parts)-1])
+	return n
+}
+
+func firstOf(name string) (uint64, error) {
+	parts := strings.Split(name, "-")
+	return strconv.ParseUint(parts[1], 10, 64)
+}
--- /dev/null
+++ b/internal/agreement/journal/load.go
@@ -0,0 +1,137 @@
+package journal
+
+import (
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+
+	"egretproxy/internal/agreement/record"
+	"egretproxy/internal/kernel/fault"
+)
+
+// loadSnapshot reads the newest snapshot. The name of a snapshot exists only
+// after its content was synced, so that a bad one is damage.
+func (j *Journal) loadSnapshot(names []string) error {
+	for _, name := range names {
+		if !strings.HasPrefix(name, snapshotPrefix) || !strings.HasSuffix(name, snapshotSuffix) {
+			continue
+		}
+		data, err := j.dir.Read(name)
+		if err != nil {
+			return errors.Wrapf(err, "read %s", name)
+		}
+		payload, _, ok := decodeFrame(data)
+		if !ok {
+			return errors.Wrapf(ErrDamaged, "%s", name)
+		}
+		var s record.Snapshot
+		if err := cbor.Unmarshal(payload, &s); err != nil {
+			return errors.Wrapf(ErrDamaged, "%s: %v", name, err)
+		}
+		j.snapshot = &s
+	}
+	return nil
+}
+
+func (j *Journal) loadSegments(names []string) error {
+	for _, name := range names {
+		if !strings.HasPrefix(name, segmentPrefix) || !strings.HasSuffix(name, segmentSuffix) {
+			continue
+		}
+		first, err := firstOf(name)
+		if err != nil {
+			return errors.Wrapf(ErrDamaged, "%s: bad name", name)
+		}
+		j.segments = append(j.segments, segment{name: name, first: first})
+	}
+	for i, s := range j.segments {
+		if err := j.loadSegment(s, i == len(j.segments)-1); err != nil {
+			return err
+		}
+	}
+	j.dropSnapshotEntries()
+	j.last = uint64(len(j.entries))
+	if j.snapshot != nil {
+		j.last += j.snapshot.Index
+	}
+	return j.checkOrder()
+}
+
+func (j *Journal) loadSegment(s segment, last bool) error {
+	data, err := j.dir.Read(s.name)
+	if err != nil {
+		return errors.Wrapf(err, "read %s", s.name)
+	}
+	offset := 0
+	for offset < len(data) {
+		payload, size, ok := decodeFrame(data[offset:])
+		if !ok {
+			return j.cutTail(s, data, offset, last)
+		}
+		if err := j.replay(payload); err != nil {
+			return errors.Wrapf(err, "%s at byte %d", s.name, offset)
+		}
+		offset += size
+	}
+	return nil
+}
+
+// cutTail drops a torn write, which can only stand at the end of the last
+// segment.
+func (j *Journal) cutTail(s segment, data []byte, offset int, last bool) error {
+	if !last || hasFrame(data[offset:]) {
+		return errors.Wrapf(ErrDamaged, "%s at byte %d", s.name, offset)
+	}
+	j.cut = len(data) - offset
+	return fault.Wrap(j.dir.Truncate(s.name, int64(offset)), "cut "+s.name)
+}
+
+func (j *Journal) replay(payload []byte) error {
+	var b batch
+	if err := cbor.Unmarshal(payload, &b); err != nil {
+		return errors.Wrap(ErrDamaged, err.Error())
+	}
+	if b.HardState != nil {
+		j.hard = *b.HardState
+	}
+	if b.Truncate > 0 {
+		j.truncate(b.Truncate)
+	}
+	j.entries = append(j.entries, b.Entries...)
+	return nil
+}
+
+func (j *Journal) truncate(index uint64) {
+	for len(j.entries) > 0 && j.entries[len(j.entries)-1].Index >= index {
+		j.entries = j.entries[:len(j.entries)-1]
+	}
+}
+
+func (j *Journal) dropSnapshotEntries() {
+	if j.snapshot == nil {
+		return
+	}
+	for len(j.entries) > 0 && j.entries[0].Index <= j.snapshot.Index {
+		j.entries = j.entries[1:]
+	}
+	// Entries of an older term are what a leader's snapshot replaced.
+	if len(j.entries) > 0 && j.entries[0].Term < j.snapshot.Term {
+		j.entries = nil
+	}
+}
+
+// checkOrder finds segments that were lost as a whole.
+func (j *Journal) checkOrder() error {
+	want := uint64(1)
+	if j.snapshot != nil {
+		want = j.snapshot.Index + 1
+	}
+	for _, e := range j.entries {
+		if e.Index != want {
+			return errors.Wrapf(ErrDamaged, "entry %d is missing", want)
+		}
+		want++
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/agreement/raft/log.go
@@ -0,0 +1,85 @@
+package raft
+
+import "egretproxy/internal/agreement/record"
+
+// log holds the entries after the newest compaction.
+type log struct {
+	// base and baseTerm are the position before the first entry.
+	base     uint64
+	baseTerm uint64
+	// entries[i] has the index base+1+i.
+	entries []record.Entry
+}
+
+func (l *log) reset(index, term uint64) {
+	l.base = index
+	l.baseTerm = term
+	l.entries = nil
+}
+
+func (l *log) last() uint64 {
+	return l.base + uint64(len(l.entries))
+}
+
+func (l *log) lastTerm() uint64 {
+	return l.term(l.last())
+}
+
+// term returns the term at a position, or zero if it is not held.
+func (l *log) term(index uint64) uint64 {
+	if index == l.base {
+		return l.baseTerm
+	}
+	if index < l.base || index > l.last() {
+		return 0
+	}
+	return l.entries[index-l.base-1].Term
+}
+
+func (l *log) append(e record.Entry) {
+	l.entries = append(l.entries, e)
+}
+
+// truncate drops the entries from the position on.
+func (l *log) truncate(index uint64) {
+	l.entries = l.entries[: index-l.base-1 : index-l.base-1]
+}
+
+// from returns the entries from the position on. A limit above zero bounds
+// their number, and their size with maxBytesPerAppend.
+func (l *log) from(index uint64, limit int) []record.Entry {
+	if index > l.last() || index <= l.base {
+		return nil
+	}
+	out := l.entries[index-l.base-1:]
+	if limit == 0 {
+		return out[:len(out):len(out)]
+	}
+	size := 0
+	for i, e := range out {
+		size += len(e.Data)
+		if i > 0 && (i >= limit || size > maxBytesPerAppend) {
+			return out[:i:i]
+		}
+	}
+	return out[:len(out):len(out)]
+}
+
+func (l *log) between(first, last uint64) []record.Entry {
+	if first > last || first <= l.base {
+		return nil
+	}
+	lo, hi := first-l.base-1, last-l.base
+	return l.entries[lo:hi:hi]
+}
+
+func (l *log) compact(index uint64) {
+	if index <= l.base || index > l.last() {
+		return
+	}
+	term := l.term(index)
+	rest := l.entries[index-l.base:]
+	l.entries = append([]record.Entry(nil), rest...)
+	l.base = index
+	l.baseTerm = term
+}
--- /dev/null
+++ b/internal/agreement/raft/replication.go
@@ -0,0 +1,286 @@
+package raft
+
+import (
+	"slices"
+
+	"egretproxy/internal/agreement/record"
+	"egretproxy/internal/fleet/id"
+)
+
+// snapshotTicks is the time in ticks after which an unanswered snapshot is
+// sent again.
+const snapshotTicks = 50
+
+// Step takes in one message from another member.
+func (n *Node) Step(m record.Message) {
+	if m.Kind == record.PreVoteRequest {
+		n.onPreVote(m)
+		return
+	}
+	if m.Kind == record.PreVoteAnswer {
+		n.onPreVoteAnswer(m)
+		return
+	}
+	if m.Kind == record.VoteRequest && m.Term > n.hard.Term && n.hearsLeader() {
+		return
+	}
+	if m.Term > n.hard.Term {
+		n.become(follower, m.Term, "")
+	}
+	if m.Term < n.hard.Term {
+		n.onStale(m)
+		return
+	}
+	switch m.Kind {
+	case record.VoteRequest:
+		n.onVote(m)
+	case record.VoteAnswer:
+		n.onVoteAnswer(m)
+	case record.AppendRequest:
+		n.onAppend(m)
+	case record.AppendAnswer:
+		n.onAppendAnswer(m)
+	case record.SnapshotRequest:
+		n.onSnapshot(m)
+	}
+}
+
+// onStale answers a leader of an older term so that it steps down.
+func (n *Node) onStale(m record.Message) {
+	if m.Kind != record.AppendRequest && m.Kind != record.SnapshotRequest {
+		return
+	}
+	n.send(record.Message{Kind: record.AppendAnswer, To: m.From, Term: n.hard.Term, Reject: true})
+}
+
+func (n *Node) followLeader(m record.Message) {
+	if n.role != follower || n.leader != m.From {
+		n.become(follower, m.Term, m.From)
+	}
+	n.resetTimeout()
+}
+
+func (n *Node) onAppend(m record.Message) {
+	n.followLeader(m)
+	answer := record.Message{Kind: record.AppendAnswer, To: m.From, Term: n.hard.Term, Round: m.Round}
+	if m.Index < n.commit {
+		answer.Index = n.commit
+		n.send(answer)
+		return
+	}
+	if m.Index > n.log.last() || n.log.term(m.Index) != m.LogTerm {
+		answer.Reject = true
+		answer.Index = min(n.log.last(), m.Index-1)
+		n.send(answer)
+		return
+	}
+	n.appendFrom(m.Entries)
+	answer.Index = m.Index + uint64(len(m.Entries))
+	n.raiseCommit(min(m.Commit, answer.Index))
+	n.send(answer)
+}
+
+// appendFrom adds a leader's entries and drops our own that contradict them.
+func (n *Node) appendFrom(entries []record.Entry) {
+	for _, e := range entries {
+		if e.Index <= n.log.last() {
+			if n.log.term(e.Index) == e.Term {
+				continue
+			}
+			n.truncate(e.Index)
+		}
+		n.log.append(e)
+		n.noteMembership(e)
+	}
+}
+
+func (n *Node) truncate(index uint64) {
+	if index <= n.commit {
+		panic("raft: a committed entry would be dropped")
+	}
+	n.log.truncate(index)
+	n.members.truncate(index)
+	if index <= n.stable {
+		n.stable = index - 1
+		if n.out.Truncate == 0 || index < n.out.Truncate {
+			n.out.Truncate = index
+		}
+	}
+}
+
+func (n *Node) raiseCommit(index uint64) {
+	n.commit = max(n.commit, min(index, n.log.last()))
+}
+
+func (n *Node) onSnapshot(m record.Message) {
+	n.followLeader(m)
+	s := m.Snapshot
+	answer := record.Message{Kind: record.AppendAnswer, To: m.From, Term: n.hard.Term, Round: m.Round}
+	if s == nil || s.Index <= n.commit {
+		answer.Index = n.commit
+		n.send(answer)
+		return
+	}
+	if n.log.term(s.Index) == s.Term {
+		n.raiseCommit(s.Index)
+		answer.Index = s.Index
+		n.send(answer)
+		return
+	}
+	n.log.reset(s.Index, s.Term)
+	n.members.reset(s.Index, s.Membership)
+	n.commit = s.Index
+	n.handed = s.Index
+	n.stable = s.Index
+	n.out.Truncate = 0
+	n.out.Snapshot = s
+	answer.Index = s.Index
+	n.send(answer)
+}
+
+func (n *Node) onAppendAnswer(m record.Message) {
+	p := n.peers[m.From]
+	if n.role != leader || p == nil {
+		return
+	}
+	p.active = true
+	p.round = max(p.round, m.Round)
+	n.confirmReads()
+	if m.Reject {
+		p.next = max(p.match+1, min(m.Index+1, p.next-1))
+		n.sendAppend(m.From, p)
+		return
+	}
+	p.pending = 0
+	if m.Index > p.match {
+		p.match = m.Index
+		p.next = max(p.next, m.Index+1)
+		n.advanceCommit()
+	}
+	if p.next <= n.log.last() {
+		n.sendAppend(m.From, p)
+	}
+}
+
+// advanceCommit commits what a quorum stores, in entries of this term only.
+func (n *Node) advanceCommit() {
+	m := n.members.current()
+	var matches []uint64
+	for _, k := range m.Voters() {
+		matches = append(matches, n.matchOf(k))
+	}
+	if len(matches) == 0 {
+		return
+	}
+	slices.Sort(matches)
+	index := matches[len(matches)-m.Quorum()]
+	if index <= n.commit || n.log.term(index) != n.hard.Term {
+		return
+	}
+	n.commit = index
+	n.broadcast()
+	if !m.IsVoter(n.cfg.ID) && n.members.lastIndex() <= n.commit {
+		n.become(follower, n.hard.Term, "")
+	}
+}
+
+func (n *Node) matchOf(k id.Keeper) uint64 {
+	if k == n.cfg.ID {
+		return n.stable
+	}
+	if p := n.peers[k]; p != nil {
+		return p.match
+	}
+	return 0
+}
+
+// syncPeers starts and ends the tracking of members after a change.
+func (n *Node) syncPeers() {
+	m := n.members.current()
+	for _, c := range m.Members {
+		if c.ID != n.cfg.ID && n.peers[c.ID] == nil {
+			n.peers[c.ID] = &progress{next: n.log.last() + 1, active: true}
+		}
+	}
+	for k := range n.peers {
+		if _, ok := m.Find(k); !ok {
+			delete(n.peers, k)
+		}
+	}
+}
+
+// broadcast sends every member what it lacks, or a heartbeat.
+func (n *Node) broadcast() {
+	for _, c := range n.members.current().Members {
+		if p := n.peers[c.ID]; p != nil {
+			n.sendAppend(c.ID, p)
+		}
+	}
+	n.advanceCommitAlone()
+}
+
+// advanceCommitAlone commits in a group whose only voter is this node.
+func (n *Node) advanceCommitAlone() {
+	if len(n.peers) == 0 {
+		n.confirmReads()
+	}
+}
+
+func (n *Node) sendAppend(k id.Keeper, p *progress) {
+	prev := p.next - 1
+	if prev < n.log.base {
+		n.sendSnapshot(k, p)
+		return
+	}
+	m := record.Message{
+		Kind: record.AppendRequest, To: k, Term: n.hard.Term,
+		Index: prev, LogTerm: n.log.term(prev),
+		Entries: n.log.from(p.next, maxEntriesPerAppend),
+		Commit:  n.commit, Round: n.round,
+	}
+	p.next += uint64(len(m.Entries))
+	n.send(m)
+}
+
+func (n *Node) sendSnapshot(k id.Keeper, p *progress) {
+	if p.pending > 0 || n.cfg.Snapshot == nil {
+		n.sendProbe(k)
+		return
+	}
+	s := n.cfg.Snapshot()
+	if s == nil || s.Index < n.log.base {
+		n.sendProbe(k)
+		return
+	}
+	p.pending = snapshotTicks
+	p.next = s.Index + 1
+	n.send(record.Message{Kind: record.SnapshotRequest, To: k, Term: n.hard.Term, Snapshot: s, Round: n.round})
+}
+
+// sendProbe sends a heartbeat at the base of the log, which keeps the member
+// from standing for election while a snapshot is on its way.
+func (n *Node) sendProbe(k id.Keeper) {
+	n.send(record.Message{
+		Kind: record.AppendRequest, To: k, Term: n.hard.Term,
+		Index: n.log.base, LogTerm: n.log.baseTerm, Commit: n.commit, Round: n.round,
+	})
+}
+
+// confirmReads releases the reads whose round a quorum has answered.
+func (n *Node) confirmReads() {
+	m := n.members.current()
+	for len(n.reads) > 0 {
+		r := n.reads[0]
+		count := 0
+		for _, k := range m.Voters() {
+			if k == n.cfg.ID || n.peers[k] != nil && n.peers[k].round >= r.round {
+				count++
+			}
+		}
+		if count < m.Quorum() {
+			return
+		}
+		n.out.Reads = append(n.out.Reads, ReadState{Token: r.token, Index: r.index})
+		n.reads = n.reads[1:]
+	}
+}
--- /dev/null
+++ b/internal/agreement/replica/replica.go
@@ -0,0 +1,415 @@
+// Package replica drives one member of the agreed log: it owns the raft node
+// and the journal, syncs before it answers, and applies what is committed.
+package replica
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"egretproxy/internal/agreement/raft"
+	"egretproxy/internal/agreement/record"
+	"egretproxy/internal/fleet/id"
+)
+
+// Errors of the replica.
+var (
+	// ErrNotLeader tells that another member leads. Nothing was appended.
+	ErrNotLeader = errors.New("this keeper does not lead")
+	// ErrUncertain tells that leadership was lost before the outcome was
+	// known. The command may or may not take effect.
+	ErrUncertain = errors.New("outcome of the change is not known")
+	// ErrStopped tells that the replica has ended.
+	ErrStopped = errors.New("replica has stopped")
+)
+
+const (
+	// DefaultTick is the unit of the protocol's timeouts.
+	DefaultTick = 50 * time.Millisecond
+	// DefaultSnapshotEntries is the number of entries between snapshots.
+	DefaultSnapshotEntries = 10_000
+	// maxBatch bounds the proposals that share one sync.
+	maxBatch = 512
+	// queueLength bounds the proposals and messages that wait.
+	queueLength = 4096
+)
+
+// Machine is the state machine that the log feeds.
+type Machine interface {
+	// Apply executes one command at its position and returns its answer.
+	Apply(index uint64, command []byte) []byte
+	// Snapshot encodes the whole state.
+	Snapshot() ([]byte, error)
+	// Restore replaces the whole state.
+	Restore(data []byte) error
+}
+
+// Journal is the durable storage of the member.
+type Journal interface {
+	Save(hard *record.HardState, truncate uint64, entries []record.Entry) error
+	SaveSnapshot(s *record.Snapshot, reset bool) error
+	State() (record.HardState, *record.Snapshot, []record.Entry)
+}
+
+// Transport carries messages to other members. It may drop them.
+type Transport interface {
+	Send(to record.Member, m record.Message)
+}
+
+// Config sets up a Replica.
+type Config struct {
+	Raft            raft.Config
+	Tick            time.Duration
+	SnapshotEntries uint64
+	// OnApplied is called after each round of applied entries.
+	OnApplied func(index uint64)
+	// OnLead is called when this member starts or ends leading.
+	OnLead func(leads bool)
+}
+
+type outcome struct {
+	answer []byte
+	err    error
+}
+
+type proposal struct {
+	command []byte
+	done    chan outcome
+}
+
+type confirmation struct {
+	done chan outcome
+	// index is filled in before done is signalled.
+	index *uint64
+}
+
+type waiting struct {
+	proposal
+	term uint64
+}
+
+// Status describes the replica at one moment.
+type Status struct {
+	ID         id.Keeper
+	Leader     id.Keeper
+	Leads      bool
+	Term       uint64
+	Commit     uint64
+	Applied    uint64
+	Last       uint64
+	Membership record.Membership
+	// Match is the position that each other member stores, while leading.
+	Match  map[id.Keeper]uint64
+	Failed string
+}
+
+// Replica is one running member. All fields below mu are shared; everything
+// else belongs to the goroutine of Run.
+type Replica struct {
+	cfg       Config
+	node      *raft.Node
+	journal   Journal
+	machine   Machine
+	transport Transport
+
+	proposals chan proposal
+	reads     chan confirmation
+	members   chan memberChange
+	inbox     chan record.Message
+	stopped   chan struct{}
+
+	waiters  map[uint64]waiting
+	pending  map[uint64]confirmation
+	token    uint64
+	snapshot *record.Snapshot
+	led      bool
+
+	mu sync.Mutex
+	// status is replaced after each step.
+	status Status
+	// applied is closed and replaced whenever the applied position grows.
+	applied chan struct{}
+}
+
+type memberChange struct {
+	membership record.Membership
+	done       chan bool
+}
+
+// New returns a replica that resumes from its journal.
+func New(cfg Config, j Journal, m Machine, t Transport) (*Replica, error) {
+	if cfg.Tick == 0 {
+		cfg.Tick = DefaultTick
+	}
+	if cfg.SnapshotEntries == 0 {
+		cfg.SnapshotEntries = DefaultSnapshotEntries
+	}
+	hard, snap, entries := j.State()
+	r := &Replica{
+		cfg: cfg, journal: j, machine: m, transport: t,
+		proposals: make(chan proposal, queueLength),
+		reads:     make(chan confirmation, queueLength),
+		members:   make(chan memberChange),
+		inbox:     make(chan record.Message, queueLength),
+		stopped:   make(chan struct{}),
+		waiters:   map[uint64]waiting{},
+		pending:   map[uint64]confirmation{},
+		snapshot:  snap,
+		applied:   make(chan struct{}),
+	}
+	if snap != nil && len(snap.Data) > 0 {
+		if err := m.Restore(snap.Data); err != nil {
+			return nil, errors.Wrap(err, "restore snapshot")
+		}
+	}
+	r.cfg.Raft.Snapshot = func() *record.Snapshot { return r.snapshot }
+	r.node = raft.New(r.cfg.Raft, hard, snap, entries)
+	if snap != nil {
+		r.status.Applied = snap.Index
+	}
+	r.publish(r.status.Applied)
+	return r, nil
+}
+
+// Run drives the member until the context ends or the disk fails.
+func (r *Replica) Run(ctx context.Context) error {
+	defer r.stop()
+	ticker := time.NewTicker(r.cfg.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			r.node.Tick()
+		case m := <-r.inbox:
+			r.node.Step(m)
+		case p := <-r.proposals:
+			r.propose(p)
+		case c := <-r.reads:
+			r.confirm(c)
+		case c := <-r.members:
+			c.done <- r.node.ProposeMembership(c.membership)
+		}
+		r.drain()
+		if err := r.process(); err != nil {
+			return err
+		}
+	}
+}
+
+// drain takes in what is already waiting, so that it shares one sync.
+func (r *Replica) drain() {
+	for range maxBatch {
+		select {
+		case m := <-r.inbox:
+			r.node.Step(m)
+		case p := <-r.proposals:
+			r.propose(p)
+		case c := <-r.reads:
+			r.confirm(c)
+		default:
+			return
+		}
+	}
+}
+
+func (r *Replica) propose(first proposal) {
+	batch := []proposal{first}
+	for len(batch) < maxBatch {
+		select {
+		case p := <-r.proposals:
+			batch = append(batch, p)
+			continue
+		default:
+		}
+		break
+	}
+	commands := make([][]byte, 0, len(batch))
+	for _, p := range batch {
+		commands = append(commands, p.command)
+	}
+	index, ok := r.node.Propose(commands)
+	for i, p := range batch {
+		if !ok {
+			p.done <- outcome{err: ErrNotLeader}
+			continue
+		}
+		r.waiters[index+uint64(i)] = waiting{proposal: p, term: r.node.Term()}
+	}
+}
+
+func (r *Replica) confirm(first confirmation) {
+	r.token++
+	if !r.node.ReadIndex(r.token) {
+		first.done <- outcome{err: ErrNotLeader}
+		return
+	}
+	r.pending[r.token] = first
+}
+
+// process persists, sends and applies until the node has no more work.
+func (r *Replica) process() error {
+	for r.node.HasReady() {
+		ready := r.node.Ready()
+		if err := r.persist(ready); err != nil {
+			r.fail(err)
+			return err
+		}
+		r.node.Advance(ready)
+		r.sendAll(ready.Messages)
+		if err := r.apply(ready); err != nil {
+			r.fail(err)
+			return err
+		}
+	}
+	r.noteLead()
+	return nil
+}
+
+func (r *Replica) persist(ready raft.Ready) error {
+	if ready.Snapshot != nil {
+		if err := r.journal.SaveSnapshot(ready.Snapshot, true); err != nil {
+			return err
+		}
+		r.snapshot = ready.Snapshot
+	}
+	return r.journal.Save(ready.HardState, ready.Truncate, ready.Entries)
+}
+
+func (r *Replica) sendAll(messages []record.Message) {
+	members := r.node.Membership()
+	for _, m := range messages {
+		if c, ok := members.Find(m.To); ok {
+			r.transport.Send(c, m)
+			continue
+		}
+		r.transport.Send(record.Member{ID: m.To}, m)
+	}
+}
+
+func (r *Replica) apply(ready raft.Ready) error {
+	applied := r.appliedIndex()
+	if ready.Snapshot != nil {
+		if err := r.machine.Restore(ready.Snapshot.Data); err != nil {
+			return errors.Wrap(err, "restore snapshot")
+		}
+		applied = ready.Snapshot.Index
+	}
+	for _, e := range ready.Committed {
+		r.applyOne(e)
+		applied = e.Index
+	}
+	for _, s := range ready.Reads {
+		c := r.pending[s.Token]
+		delete(r.pending, s.Token)
+		*c.index = s.Index
+		c.done <- outcome{}
+	}
+	r.publish(applied)
+	if r.cfg.OnApplied != nil && (len(ready.Committed) > 0 || ready.Snapshot != nil) {
+		r.cfg.OnApplied(applied)
+	}
+	return r.snapshotIfDue(applied)
+}
+
+func (r *Replica) applyOne(e record.Entry) {
+	var answer []byte
+	if e.Kind == record.KindCommand {
+		answer = r.machine.Apply(e.Index, e.Data)
+	}
+	w, ok := r.waiters[e.Index]
+	if !ok {
+		return
+	}
+	delete(r.waiters, e.Index)
+	if w.term != e.Term {
+		w.done <- outcome{err: ErrUncertain}
+		return
+	}
+	w.done <- outcome{answer: answer}
+}
+
+func (r *Replica) snapshotIfDue(applied uint64) error {
+	from := uint64(0)
+	if r.snapshot != nil {
+		from = r.snapshot.Index
+	}
+	if applied < from+r.cfg.SnapshotEntries {
+		return nil
+	}
+	data, err := r.machine.Snapshot()
+	if err != nil {
+		return errors.Wrap(err, "take snapshot")
+	}
+	s := &record.Snapshot{
+		Index: applied, Term: r.node.TermAt(applied),
+		Membership: r.node.MembershipAt(applied), Data: data,
+	}
+	if err := r.journal.SaveSnapshot(s, false); err != nil {
+		return err
+	}
+	r.snapshot = s
+	r.node.Compact(applied)
+	return nil
+}
+
+// noteLead fails everything that waits once leadership is lost.
+func (r *Replica) noteLead() {
+	leads := r.node.IsLeader()
+	if leads == r.led {
+		return
+	}
+	r.led = leads
+	if !leads {
+		r.failWaiting(ErrUncertain)
+	}
+	if r.cfg.OnLead != nil {
+		r.cfg.OnLead(leads)
+	}
+}
+
+func (r *Replica) failWaiting(err error) {
+	for k, w := range r.waiters {
+		w.done <- outcome{err: err}
+		delete(r.waiters, k)
+	}
+	for k, c := range r.pending {
+		c.done <- outcome{err: ErrNotLeader}
+		delete(r.pending, k)
+	}
+}
+
+func (r *Replica) publish(applied uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if applied > r.status.Applied {
+		close(r.applied)
+		r.applied = make(chan struct{})
+	}
+	r.status = Status{
+		ID: r.cfg.Raft.ID, Leader: r.node.Leader(), Leads: r.node.IsLeader(),
+		Term: r.node.Term(), Commit: r.node.Commit(), Applied: applied,
+		Last: r.node.Last(), Membership: r.node.Membership(), Match: r.node.Matches(),
+		Failed: r.status.Failed,
+	}
+}
+
+func (r *Replica) fail(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.status.Failed = err.Error()
+}
+
+func (r *Replica) stop() {
+	close(r.stopped)
+	r.failWaiting(ErrUncertain)
+}
+
+func (r *Replica) appliedIndex() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.status.Applied
+}
