--- /dev/null
+++ b/internal/control/roster/roster.go
@@ -0,0 +1,117 @@
+// Package roster remembers, at the leader only, which processes renew and
+// what agents report. It is soft state: a new leader starts an empty one.
+package roster
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"egretproxy/internal/control/view"
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/wire/api"
+)
+
+// forgetAfter is the silence after which an entry is no longer listed.
+const forgetAfter = 10 * time.Minute
+
+type record struct {
+	api.Subscriber
+	heard time.Time
+}
+
+// Roster is the table of renewing processes. It is safe for concurrent use.
+type Roster struct {
+	mu sync.Mutex
+	// since is the start of this leadership. A target that was not heard
+	// yet counts as heard then.
+	since   time.Time
+	records map[string]record
+}
+
+// Reset forgets everything at the start of a leadership.
+func (r *Roster) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.since = time.Now()
+	r.records = map[string]record{}
+}
+
+// Note takes in renewals.
+func (r *Roster) Note(subscribers []api.Subscriber) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.records == nil {
+		r.records = map[string]record{}
+	}
+	now := time.Now()
+	for _, s := range subscribers {
+		k := s.Role + "/" + s.Name
+		if old, ok := r.records[k]; ok && s.Have < old.Have && s.Session == old.Session {
+			s.Have = old.Have
+		}
+		r.records[k] = record{Subscriber: s, heard: now}
+	}
+}
+
+// Reports returns the newest report of each target's present session.
+func (r *Roster) Reports(targets map[id.Target]view.Target) map[id.Target]api.Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[id.Target]api.Report{}
+	for _, c := range r.records {
+		t, ok := targets[c.Target]
+		if ok && c.Report != nil && c.Session == t.Session {
+			out[c.Target] = *c.Report
+		}
+	}
+	return out
+}
+
+// Silent returns the targets whose agents were silent for the timeout.
+func (r *Roster) Silent(targets map[id.Target]view.Target, timeout time.Duration) []id.Target {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	heard := map[id.Target]time.Time{}
+	for _, c := range r.records {
+		if t, ok := targets[c.Target]; ok && c.Session == t.Session {
+			heard[c.Target] = c.heard
+		}
+	}
+	now := time.Now()
+	var out []id.Target
+	for k := range targets {
+		last, ok := heard[k]
+		if !ok {
+			last = r.since
+		}
+		if now.Sub(last) >= timeout {
+			out = append(out, k)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// List returns all processes by role and name.
+func (r *Roster) List() []api.SubscriberState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	var out []api.SubscriberState
+	for k, c := range r.records {
+		if now.Sub(c.heard) > forgetAfter {
+			delete(r.records, k)
+			continue
+		}
+		out = append(out, api.SubscriberState{
+			Name: c.Name, Role: c.Role, Target: c.Target, Have: c.Have,
+			SilentMilliseconds: now.Sub(c.heard).Milliseconds(), Report: c.Report,
+		})
+	}
+	slices.SortFunc(out, func(a, b api.SubscriberState) int {
+		return strings.Compare(a.Role+"/"+a.Name, b.Role+"/"+b.Name)
+	})
+	return out
+}
