--- /dev/null
+++ b/internal/settings/config/keeper.go
@@ -0,0 +1,64 @@
+package config
+
+import (
+	"fmt"
+	"time"
+
+	"egretproxy/internal/settings/file"
+	"egretproxy/internal/settings/unit"
+)
+
+// Keeper is the section of the keeper role.
+type Keeper struct {
+	// Listen is the RPC address.
+	Listen string
+	// Data is the folder for the log and its snapshots.
+	Data string
+	// Members is the group at its first start.
+	Members []KeeperMember
+	// Tick is the unit of the protocol's timeouts: an election starts after
+	// 10 to 20 ticks without a leader.
+	Tick unit.Duration
+	// SnapshotEntries is the number of log entries between snapshots.
+	SnapshotEntries int
+	// LossTimeout is the silence after which a target is removed.
+	LossTimeout unit.Duration
+}
+
+// KeeperMember is one keeper of the first group.
+type KeeperMember struct {
+	Name    string
+	Address string
+}
+
+const (
+	minTick = 5 * time.Millisecond
+	maxTick = 200 * time.Millisecond
+	// minLossTimeout exceeds the lease, so that a target is removed only
+	// after its agent has stopped acting.
+	minLossTimeout = 3 * time.Second
+)
+
+func defaultKeeper() Keeper {
+	return Keeper{
+		Tick:            unit.Duration(50 * time.Millisecond),
+		SnapshotEntries: 10_000,
+		LossTimeout:     unit.Duration(5 * time.Second),
+	}
+}
+
+func (k *Keeper) check() []file.Problem {
+	var out problems
+	out.address("Keeper.Listen", k.Listen)
+	out.add(k.Listen == "" || k.Data != "", "Keeper.Data", "is missing")
+	out.add(k.Tick.Std() >= minTick && k.Tick.Std() <= maxTick, "Keeper.Tick", "is not between 5ms and 200ms")
+	out.add(k.SnapshotEntries >= 100, "Keeper.SnapshotEntries", "is below 100")
+	out.add(k.LossTimeout.Std() >= minLossTimeout, "Keeper.LossTimeout", "is below 3s")
+	for i, m := range k.Members {
+		key := fmt.Sprintf("Keeper.Members[%d]", i)
+		out.add(m.Name != "", key+".Name", "is missing")
+		out.add(m.Address != "", key+".Address", "is missing")
+		out.address(key+".Address", m.Address)
+	}
+	return out
+}
