--- /dev/null
+++ b/internal/weights/fetch/fetch.go
@@ -0,0 +1,376 @@
+// Package fetch brings the whole content of a manifest to one agent, by the
+// picks of a planner.
+package fetch
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/time/rate"
+
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/weights/bitmap"
+	"egretproxy/internal/weights/manifest"
+	"egretproxy/internal/weights/pace"
+	"egretproxy/internal/weights/planner"
+	"egretproxy/internal/weights/share"
+	"egretproxy/internal/weights/source"
+	"egretproxy/internal/weights/store"
+)
+
+const (
+	// tickInterval is the time between two looks at what to do.
+	tickInterval = 20 * time.Millisecond
+	// memberInterval is the time between two looks at the members.
+	memberInterval = 1 * time.Second
+	// manifestBytes bounds the size of a manifest.
+	manifestBytes = 64 << 20
+	// questionTimeout bounds a question to a peer.
+	questionTimeout = 1 * time.Second
+	// burstBytes is the burst of the rate limits.
+	burstBytes = 64 << 10
+	// busyPause is the time before a busy source is asked again.
+	busyPause = 50 * time.Millisecond
+)
+
+// Peer is an agent that holds or fetches the content.
+type Peer struct {
+	planner.Member
+	// Address is the IP address and port of the agent.
+	Address string
+}
+
+// Counts is what a fetcher has drawn so far, in bytes.
+type Counts struct {
+	Peers    atomic.Int64
+	Crossing atomic.Int64
+	Sources  atomic.Int64
+	Corrupt  atomic.Int64
+	Stalled  atomic.Int64
+}
+
+// Fetcher fetches content. It is safe for one fetch at a time.
+type Fetcher struct {
+	Self    planner.Member
+	Store   *store.Store
+	Client  *http.Client
+	Planner string
+	// Scheme is http or https, for connections to peers.
+	Scheme string
+	// Sources is the weight stores and origins in order of preference.
+	Sources      []*url.URL
+	Parallel     int
+	StallTimeout time.Duration
+	// InstanceRate and RegionRate are in bytes a second. The gateways of a
+	// region share RegionRate.
+	InstanceRate    float64
+	RegionRate      float64
+	OriginPerRegion bool
+	// Peers lists the agents with the same content.
+	Peers func(ctx context.Context, d manifest.Digest) ([]Peer, error)
+	// Counts adds up over all fetches.
+	Counts Counts
+}
+
+// job is one fetch in progress.
+type job struct {
+	*Fetcher
+	digest  manifest.Digest
+	chunks  []manifest.Chunk
+	plan    planner.Planner
+	peers   map[id.Target]Peer
+	limit   *rate.Limiter
+	crossed *rate.Limiter
+	pace    *pace.Pace
+	results chan result
+	answers chan answer
+	members chan []Peer
+	active  int
+	left    int
+}
+
+type result struct {
+	pick planner.Pick
+	err  error
+}
+
+type answer struct {
+	peer id.Target
+	have bitmap.Bitmap
+	rtt  time.Duration
+}
+
+// Fetch returns once every chunk of the manifest is held, or the context
+// ends. The content is pinned on success; Unpin it with the manifest.
+func (f *Fetcher) Fetch(ctx context.Context, d manifest.Digest) (manifest.Manifest, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	peers, err := f.Peers(ctx, d)
+	if err != nil {
+		peers = nil
+	}
+	m, err := f.manifest(ctx, d, peers)
+	if err != nil {
+		return m, err
+	}
+	f.Store.Pin(m)
+	j, err := f.job(d, m)
+	if err != nil {
+		f.Store.Unpin(m)
+		return m, err
+	}
+	j.setMembers(peers)
+	if err := j.run(ctx); err != nil {
+		f.Store.Unpin(m)
+		return m, err
+	}
+	return m, nil
+}
+
+// manifest fetches and holds the manifest itself.
+func (f *Fetcher) manifest(ctx context.Context, d manifest.Digest, peers []Peer) (manifest.Manifest, error) {
+	if data, ok := f.Store.Get(d); ok {
+		return manifest.Decode(data, d)
+	}
+	var last error
+	for {
+		for _, base := range f.places(peers) {
+			data, err := f.source(base).Fetch(ctx, d, manifestBytes)
+			if err != nil {
+				last = err
+				continue
+			}
+			if err := f.Store.Put(d, data); err != nil {
+				return manifest.Manifest{}, errors.Wrap(err, "hold manifest")
+			}
+			return manifest.Decode(data, d)
+		}
+		select {
+		case <-ctx.Done():
+			return manifest.Manifest{}, errors.Wrapf(ctx.Err(), "fetch manifest: %v", last)
+		case <-time.After(busyPause):
+		}
+	}
+}
+
+// places lists where a manifest may be, the own region first.
+func (f *Fetcher) places(peers []Peer) []*url.URL {
+	var out []*url.URL
+	for _, p := range peers {
+		if p.Region == f.Self.Region && len(out) < 3 {
+			out = append(out, f.peerURL(p))
+		}
+	}
+	return append(out, f.Sources...)
+}
+
+func (f *Fetcher) peerURL(p Peer) *url.URL {
+	return &url.URL{Scheme: f.Scheme, Host: p.Address}
+}
+
+func (f *Fetcher) source(base *url.URL, limits ...*rate.Limiter) *source.Source {
+	return &source.Source{Base: base, Client: f.Client, StallTimeout: f.StallTimeout, Limits: limits}
+}
+
+func (f *Fetcher) job(d manifest.Digest, m manifest.Manifest) (*job, error) {
+	j := &job{
+		Fetcher: f, digest: d, chunks: m.Chunks(), peers: map[id.Target]Peer{},
+		limit:   rate.NewLimiter(rate.Limit(f.InstanceRate), burstBytes),
+		crossed: rate.NewLimiter(rate.Limit(f.RegionRate), burstBytes),
+		pace:    &pace.Pace{Max: f.RegionRate},
+		results: make(chan result, f.Parallel), answers: make(chan answer, 64),
+		members: make(chan []Peer, 1),
+	}
+	var err error
+	j.plan, err = planner.New(f.Planner, planner.Config{
+		Self: f.Self, Chunks: len(j.chunks), Manifest: string(d),
+		Seed: uint64(time.Now().UnixNano()), OriginPerRegion: f.OriginPerRegion,
+		Patience: f.StallTimeout,
+	})
+	if err != nil {
+		return nil, err
+	}
+	for i, c := range j.chunks {
+		if f.Store.Has(c.Digest) {
+			j.plan.Held(i)
+			continue
+		}
+		j.left++
+	}
+	return j, nil
+}
+
+func (j *job) run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	members := time.NewTicker(memberInterval)
+	defer members.Stop()
+	for j.left > 0 {
+		j.start(ctx)
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "fetch")
+		case r := <-j.results:
+			if err := j.finish(r); err != nil {
+				return err
+			}
+		case a := <-j.answers:
+			j.plan.PeerHolds(a.peer, a.have, time.Now())
+			j.sample(a)
+		case peers := <-j.members:
+			j.setMembers(peers)
+		case <-members.C:
+			go j.refresh(ctx)
+		case <-ticker.C:
+			j.ask(ctx)
+		}
+	}
+	return nil
+}
+
+func (j *job) start(ctx context.Context) {
+	for _, p := range j.plan.Next(j.Parallel-j.active, time.Now()) {
+		j.active++
+		base := j.peerURL(j.peers[p.Peer])
+		go func() {
+			err := j.transfer(ctx, p, base)
+			j.results <- result{pick: p, err: err}
+		}()
+	}
+}
+
+// transfer brings one chunk from a peer, or from the first source that has
+// it.
+func (j *job) transfer(ctx context.Context, p planner.Pick, base *url.URL) error {
+	c := j.chunks[p.Chunk]
+	if p.Peer == "" {
+		return j.fromSources(ctx, c)
+	}
+	limits := []*rate.Limiter{j.limit}
+	if p.Crossing {
+		limits = append(limits, j.crossed)
+	}
+	data, err := j.source(base, limits...).Fetch(ctx, c.Digest, c.Size)
+	if err != nil {
+		return err
+	}
+	j.Counts.Peers.Add(int64(len(data)))
+	if p.Crossing {
+		j.Counts.Crossing.Add(int64(len(data)))
+	}
+	return j.Store.Put(c.Digest, data)
+}
+
+func (j *job) fromSources(ctx context.Context, c manifest.Chunk) error {
+	last := source.ErrMissing
+	for _, base := range j.Sources {
+		data, err := j.source(base, j.limit).Fetch(ctx, c.Digest, c.Size)
+		if err != nil {
+			last = err
+			continue
+		}
+		j.Counts.Sources.Add(int64(len(data)))
+		return j.Store.Put(c.Digest, data)
+	}
+	return last
+}
+
+func (j *job) finish(r result) error {
+	j.active--
+	now := time.Now()
+	switch {
+	case r.err == nil:
+		j.left--
+		j.plan.Finished(r.pick, now)
+	case errors.Is(r.err, store.ErrFull):
+		return r.err
+	default:
+		lie := errors.Is(r.err, source.ErrCorrupt)
+		if lie {
+			j.Counts.Corrupt.Add(1)
+		}
+		if errors.Is(r.err, source.ErrStalled) {
+			j.Counts.Stalled.Add(1)
+		}
+		j.plan.Failed(r.pick, lie, now)
+	}
+	return nil
+}
+
+func (j *job) setMembers(peers []Peer) {
+	members := make([]planner.Member, 0, len(peers))
+	next := map[id.Target]Peer{}
+	for _, p := range peers {
+		next[p.Target] = p
+		members = append(members, p.Member)
+	}
+	j.peers = next
+	j.plan.SetMembers(members)
+	j.pace.SetMax(j.RegionRate / float64(j.plan.Crossers()))
+	j.crossed.SetLimit(rate.Limit(j.pace.Rate()))
+}
+
+func (j *job) refresh(ctx context.Context) {
+	peers, err := j.Peers(ctx, j.digest)
+	if err != nil {
+		return
+	}
+	select {
+	case j.members <- peers:
+	default:
+	}
+}
+
+func (j *job) ask(ctx context.Context) {
+	for _, q := range j.plan.Queries(time.Now()) {
+		p, ok := j.peers[q.Peer]
+		if !ok {
+			continue
+		}
+		go j.question(ctx, p, q)
+	}
+}
+
+func (j *job) question(ctx context.Context, p Peer, q planner.Query) {
+	ctx, cancel := context.WithTimeout(ctx, questionTimeout)
+	defer cancel()
+	body, err := json.Marshal(share.Question{Manifest: j.digest, Chunks: q.Chunks})
+	if err != nil {
+		return
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, j.peerURL(p).JoinPath("have").String(), bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	sent := time.Now()
+	w, err := j.Client.Do(r)
+	if err != nil {
+		return
+	}
+	defer func() { _ = w.Body.Close() }()
+	var a share.Answer
+	if json.NewDecoder(io.LimitReader(w.Body, manifestBytes)).Decode(&a) != nil {
+		return
+	}
+	select {
+	case j.answers <- answer{peer: p.Target, have: a.Have, rtt: time.Since(sent)}:
+	case <-ctx.Done():
+	}
+}
+
+// sample lets the round trips to other regions set the pace between them.
+func (j *job) sample(a answer) {
+	p, ok := j.peers[a.peer]
+	if !ok || p.Region == j.Self.Region {
+		return
+	}
+	j.pace.Sample(a.rtt, time.Now())
+	j.crossed.SetLimit(rate.Limit(j.pace.Rate()))
+}
--- /dev/null
+++ b/internal/weights/share/share.go
@@ -0,0 +1,143 @@
+// Package share serves the chunks that an agent holds to its peers, and whole
+// content to its own target.
+package share
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/alexedwards/flow"
+
+	"egretproxy/internal/weights/bitmap"
+	"egretproxy/internal/weights/manifest"
+	"egretproxy/internal/weights/store"
+)
+
+const (
+	// uploads bounds the chunks that are served at a time.
+	uploads = 16
+	// maxQuestion bounds the body of a question.
+	maxQuestion = 1 << 20
+)
+
+// Question asks which chunks of a manifest are held.
+type Question struct {
+	Manifest manifest.Digest
+	// Chunks is the numbers of the chunks, or empty for all.
+	Chunks []int
+}
+
+// Answer tells which chunks are held.
+type Answer struct {
+	Have bitmap.Bitmap
+}
+
+// Share serves from a store.
+type Share struct {
+	// Store holds the chunks.
+	Store *store.Store
+
+	active atomic.Int64
+	// served counts the bytes sent to peers.
+	served atomic.Int64
+}
+
+// Served returns the bytes sent to peers.
+func (s *Share) Served() int64 { return s.served.Load() }
+
+// Mount adds the pages for peers.
+func (s *Share) Mount(mux *flow.Mux) {
+	mux.HandleFunc("/chunks/:digest", s.chunk, http.MethodGet)
+	mux.HandleFunc("/have", s.have, http.MethodPost)
+}
+
+// MountContent adds the page from which the target reads whole content.
+func (s *Share) MountContent(mux *flow.Mux) {
+	mux.HandleFunc("/content/:manifest", s.content, http.MethodGet)
+}
+
+func (s *Share) chunk(w http.ResponseWriter, r *http.Request) {
+	if s.active.Add(1) > uploads {
+		s.active.Add(-1)
+		http.Error(w, "too many uploads", http.StatusServiceUnavailable)
+		return
+	}
+	defer s.active.Add(-1)
+	data, ok := s.Store.Get(manifest.Digest(r.PathValue("digest")))
+	if !ok {
+		http.Error(w, "chunk is not held", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	n, _ := w.Write(data)
+	s.served.Add(int64(n))
+}
+
+func (s *Share) have(w http.ResponseWriter, r *http.Request) {
+	var q Question
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxQuestion)).Decode(&q); err != nil {
+		http.Error(w, "question is not valid: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	m, ok := s.manifest(q.Manifest)
+	if !ok {
+		_ = json.NewEncoder(w).Encode(Answer{})
+		return
+	}
+	chunks := m.Chunks()
+	have := bitmap.New(len(chunks))
+	if len(q.Chunks) == 0 {
+		for i, c := range chunks {
+			if s.Store.Has(c.Digest) {
+				have.Set(i)
+			}
+		}
+	}
+	for _, i := range q.Chunks {
+		if i >= 0 && i < len(chunks) && s.Store.Has(chunks[i].Digest) {
+			have.Set(i)
+		}
+	}
+	_ = json.NewEncoder(w).Encode(Answer{Have: have})
+}
+
+// content streams the files of a manifest one after the other.
+func (s *Share) content(w http.ResponseWriter, r *http.Request) {
+	m, ok := s.manifest(manifest.Digest(r.PathValue("manifest")))
+	if !ok || !s.whole(m) {
+		http.Error(w, "content is not held", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.FormatInt(m.Size(), 10))
+	for _, f := range m.Files {
+		for _, c := range f.Chunks {
+			data, ok := s.Store.Get(c.Digest)
+			if !ok {
+				panic(http.ErrAbortHandler)
+			}
+			if _, err := w.Write(data); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func (s *Share) whole(m manifest.Manifest) bool {
+	for _, c := range m.Chunks() {
+		if !s.Store.Has(c.Digest) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Share) manifest(d manifest.Digest) (manifest.Manifest, bool) {
+	data, ok := s.Store.Get(d)
+	if !ok {
+		return manifest.Manifest{}, false
+	}
+	m, err := manifest.Decode(data, d)
+	return m, err == nil
+}
