--- /dev/null
+++ b/internal/target/engine/engine.go
@@ -0,0 +1,116 @@
+// Package engine speaks the model engines' protocol.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"egretproxy/internal/control/view"
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/target/backend"
+)
+
+const (
+	statusTimeout = 1 * time.Second
+	orderTimeout  = 5 * time.Second
+	maxStatus     = 64 << 10
+)
+
+func init() {
+	backend.Register("engine", func(host string) backend.Backend { return &Engine{host: host} })
+}
+
+// Engine is one model engine.
+type Engine struct {
+	host   string
+	client http.Client
+}
+
+// status is the engine's own report.
+type status struct {
+	Start   string
+	Version string
+	Model   string
+	Digest  string
+	Loading bool
+	Running int
+	Waiting int
+}
+
+// order is the engine's order to load.
+type order struct {
+	Fence   uint64
+	Version string
+	Model   string
+	Digest  string
+	Source  string
+}
+
+// Kind implements backend.Backend.
+func (e *Engine) Kind() view.TargetKind { return view.TargetEngine }
+
+// Base implements backend.Backend.
+func (e *Engine) Base() *url.URL { return &url.URL{Scheme: "http", Host: e.host} }
+
+// Status implements backend.Backend.
+func (e *Engine) Status(ctx context.Context) (backend.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, e.Base().JoinPath("status").String(), nil)
+	if err != nil {
+		return backend.Status{}, errors.Wrap(err, "build status request")
+	}
+	w, err := e.client.Do(r)
+	if err != nil {
+		return backend.Status{}, errors.Wrap(err, "ask engine")
+	}
+	defer func() { _ = w.Body.Close() }()
+	if w.StatusCode != http.StatusOK {
+		return backend.Status{}, errors.Errorf("engine answers %s", w.Status)
+	}
+	var s status
+	if err := json.NewDecoder(io.LimitReader(w.Body, maxStatus)).Decode(&s); err != nil {
+		return backend.Status{}, errors.Wrap(err, "decode engine status")
+	}
+	return backend.Status{
+		Start: s.Start, Bundle: id.Bundle(s.Version), Model: id.Model(s.Model),
+		Manifest: s.Digest, Loading: s.Loading, Running: s.Running, Waiting: s.Waiting,
+	}, nil
+}
+
+// Load implements backend.Backend.
+func (e *Engine) Load(ctx context.Context, o backend.Order) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	body, err := json.Marshal(order{
+		Fence: uint64(o.Fence), Version: string(o.Bundle), Model: string(o.Model),
+		Digest: o.Manifest, Source: o.Source,
+	})
+	if err != nil {
+		return errors.Wrap(err, "encode order")
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, e.Base().JoinPath("orders/load").String(), bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "build order")
+	}
+	w, err := e.client.Do(r)
+	if err != nil {
+		return errors.Wrap(err, "order engine")
+	}
+	defer func() { _ = w.Body.Close() }()
+	switch w.StatusCode {
+	case http.StatusAccepted:
+		return nil
+	case http.StatusConflict:
+		return backend.ErrStaleFence
+	default:
+		return errors.Errorf("engine answers %s to an order", w.Status)
+	}
+}
--- /dev/null
+++ b/internal/target/gate/gate.go
@@ -0,0 +1,182 @@
+// Package gate is the one place where work enters a target. It holds exactly
+// what several entries together could break.
+package gate
+
+import (
+	"sync"
+
+	"egretproxy/internal/control/view"
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/request/refusal"
+)
+
+// maxAttempts bounds the attempts that are remembered.
+const maxAttempts = 65_536
+
+// Lease tells whether what the agent believes is confirmed.
+type Lease interface {
+	Valid() bool
+}
+
+// Limit tells how many requests the target bears now.
+type Limit interface {
+	Limit() int
+}
+
+// Request is what the gate needs to know of a request.
+type Request struct {
+	Attempt id.Request
+	// Model is empty for plain services.
+	Model id.Model
+	// Bundle is set if only this version may answer.
+	Bundle id.Bundle
+}
+
+// Ticket is the permission for one request.
+type Ticket struct {
+	// Installed is the content that the target serves.
+	Installed view.Assignment
+	gate      *Gate
+	once      sync.Once
+}
+
+// Release gives the permission back.
+func (t *Ticket) Release() {
+	t.once.Do(t.gate.release)
+}
+
+// Gate admits requests to one target.
+type Gate struct {
+	lease Lease
+	limit Limit
+
+	mu sync.Mutex
+	// inService is false while the failure domain is withdrawn.
+	inService bool
+	phase     view.Phase
+	installed view.Assignment
+	inFlight  int
+	// peak is the highest number of requests in progress.
+	peak int
+	// seen is the attempts taken, the oldest first in order.
+	seen  map[id.Request]struct{}
+	order []id.Request
+	// idle is closed when the last request ends. It is nil while nobody
+	// waits.
+	idle chan struct{}
+}
+
+// New returns a gate that is closed until a phase is set.
+func New(lease Lease, limit Limit) *Gate {
+	return &Gate{lease: lease, limit: limit, seen: map[id.Request]struct{}{}}
+}
+
+// SetInService says whether the failure domain may receive new work.
+func (g *Gate) SetInService(v bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inService = v
+}
+
+// SetPhase says what the target does and which content it serves.
+func (g *Gate) SetPhase(p view.Phase, installed view.Assignment) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.phase = p
+	g.installed = installed
+}
+
+// Admit takes in a request or tells why not.
+func (g *Gate) Admit(r Request) (*Ticket, *refusal.Refusal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if reason := g.check(r); reason != "" {
+		return nil, refusal.Busy(reason, "target takes no work: "+string(reason), 0)
+	}
+	g.remember(r.Attempt)
+	g.inFlight++
+	g.peak = max(g.peak, g.inFlight)
+	return &Ticket{Installed: g.installed, gate: g}, nil
+}
+
+func (g *Gate) check(r Request) refusal.Reason {
+	if !g.lease.Valid() {
+		return refusal.LeaseExpired
+	}
+	if !g.inService {
+		return refusal.DomainWithdrawn
+	}
+	switch g.phase {
+	case view.PhaseServing, view.PhaseWarming:
+	case view.PhaseDraining:
+		return refusal.TargetDraining
+	case view.PhaseLeaving:
+		return refusal.TargetLeaving
+	default:
+		return refusal.TargetNotServing
+	}
+	if r.Model != g.installed.Model {
+		return refusal.OtherModel
+	}
+	if r.Bundle != "" && r.Bundle != g.installed.Bundle {
+		return refusal.OtherBundle
+	}
+	if _, ok := g.seen[r.Attempt]; ok && r.Attempt != "" {
+		return refusal.AttemptSeen
+	}
+	if g.inFlight >= g.limit.Limit() {
+		return refusal.TargetFull
+	}
+	return ""
+}
+
+func (g *Gate) remember(a id.Request) {
+	if a == "" {
+		return
+	}
+	g.seen[a] = struct{}{}
+	g.order = append(g.order, a)
+	if len(g.order) > maxAttempts {
+		delete(g.seen, g.order[0])
+		g.order = g.order[1:]
+	}
+}
+
+func (g *Gate) release() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inFlight--
+	if g.inFlight == 0 && g.idle != nil {
+		close(g.idle)
+		g.idle = nil
+	}
+}
+
+// Idle returns a channel that is closed once no request is in progress.
+func (g *Gate) Idle() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.inFlight == 0 {
+		done := make(chan struct{})
+		close(done)
+		return done
+	}
+	if g.idle == nil {
+		g.idle = make(chan struct{})
+	}
+	return g.idle
+}
+
+// InFlight returns the requests in progress.
+func (g *Gate) InFlight() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.inFlight
+}
+
+// Peak returns the highest number of requests that were in progress.
+func (g *Gate) Peak() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.peak
+}
--- /dev/null
+++ b/internal/target/proxy/proxy.go
@@ -0,0 +1,326 @@
+// Package proxy passes admitted requests on to the target and its answers
+// back, whole and from one version.
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"egretproxy/internal/control/view"
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/metrics"
+	"egretproxy/internal/request/refusal"
+	"egretproxy/internal/target/gate"
+	"egretproxy/internal/target/ramp"
+	"egretproxy/internal/target/stream"
+	"egretproxy/internal/wire/header"
+)
+
+const (
+	// maxBody bounds a request's body.
+	maxBody = 64 << 20
+	// maxAnswer bounds an answer that is held until it is whole. Longer
+	// ones are passed on as they come.
+	maxAnswer  = 8 << 20
+	readBytes  = 32 << 10
+	fullRetry  = 1 * time.Second
+	eventsType = "text/event-stream"
+)
+
+// Proxy is the way through the agent to its target.
+type Proxy struct {
+	Target  id.Target
+	Base    *url.URL
+	Kind    view.TargetKind
+	Gate    *gate.Gate
+	Ramp    *ramp.Ramp
+	Metrics *metrics.Set
+	// Client keeps connections, and Once opens a new one for each request
+	// that may not be repeated.
+	Client *http.Client
+	Once   *http.Client
+	// OnCold is called when an answer shows that the target turned cold.
+	OnCold func()
+	// OnFailure is called when the target fails a request.
+	OnFailure func()
+}
+
+// exchange is one request on its way.
+type exchange struct {
+	*Proxy
+	w       http.ResponseWriter
+	r       *http.Request
+	request id.Request
+	ticket  *gate.Ticket
+	once    bool
+	// connected tells that a connection to the target was there, so that
+	// the request may have reached it.
+	connected bool
+	sent      time.Time
+}
+
+// ServeHTTP takes in one request from an entry.
+func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{
+		Proxy: p, w: w, r: r,
+		request: id.Request(r.Header.Get(header.RequestID)),
+		once:    r.Header.Get(header.Once) != "",
+	}
+	w.Header().Set(header.Target, string(p.Target))
+	w.Header().Set(header.RequestID, string(x.request))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		x.refuse(refusal.New(http.StatusBadRequest, refusal.BadRequest, "body was not read: "+err.Error()))
+		return
+	}
+	ticket, ref := p.Gate.Admit(gate.Request{
+		Attempt: id.Request(r.Header.Get(header.Attempt)),
+		Model:   id.Model(r.Header.Get(header.Model)),
+		Bundle:  id.Bundle(r.Header.Get(header.PinBundle)),
+	})
+	if ref != nil {
+		x.refuse(ref)
+		return
+	}
+	defer ticket.Release()
+	x.ticket = ticket
+	x.run(body)
+}
+
+func (x *exchange) refuse(r *refusal.Refusal) {
+	x.Metrics.CountReason("Refusal", string(r.Reason))
+	x.load()
+	r.Write(x.w, x.request)
+}
+
+func (x *exchange) load() {
+	x.w.Header().Set(header.Load, strconv.Itoa(x.Gate.InFlight())+"/"+strconv.Itoa(x.Ramp.Limit()))
+}
+
+func (x *exchange) run(body []byte) {
+	out, err := x.outgoing(body)
+	if err != nil {
+		x.refuse(refusal.New(http.StatusBadRequest, refusal.BadRequest, err.Error()))
+		return
+	}
+	client := x.Client
+	if x.once {
+		client = x.Once
+	}
+	x.sent = time.Now()
+	answer, err := client.Do(out)
+	if err != nil {
+		x.failed(err)
+		return
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if ref := x.mismatch(answer); ref != nil {
+		x.refuse(ref)
+		return
+	}
+	if strings.HasPrefix(answer.Header.Get("Content-Type"), eventsType) {
+		x.stream(answer)
+		return
+	}
+	x.whole(answer)
+}
+
+// outgoing builds the request to the target. Its body can't be rewound, so
+// that the HTTP client never sends it twice by itself.
+func (x *exchange) outgoing(body []byte) (*http.Request, error) {
+	path := strings.TrimPrefix(x.r.URL.EscapedPath(), header.DispatchPath)
+	u, err := x.Base.Parse(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "target path")
+	}
+	u.RawQuery = x.r.URL.RawQuery
+	ctx := httptrace.WithClientTrace(x.r.Context(), &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { x.connected = true },
+	})
+	out, err := http.NewRequestWithContext(ctx, x.r.Method, u.String(), oneWay{bytes.NewReader(body)})
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	out.ContentLength = int64(len(body))
+	if len(body) == 0 && !x.once {
+		out.Body = http.NoBody
+	}
+	copyHeaders(out.Header, x.r.Header)
+	out.Header.Set(header.EnginePriority, x.r.Header.Get(header.Priority))
+	if n := x.r.Header.Get(header.ResumeTokens); n != "" {
+		out.Header.Set(header.EngineResume, n)
+	}
+	return out, nil
+}
+
+// oneWay hides everything but reading, so that net/http can't rewind it.
+type oneWay struct{ r io.Reader }
+
+// Read implements io.Reader.
+func (o oneWay) Read(p []byte) (int, error) { return o.r.Read(p) }
+
+func copyHeaders(to, from http.Header) {
+	for k, v := range from {
+		if strings.HasPrefix(k, header.OwnPrefix) || hopByHop[k] {
+			continue
+		}
+		to[k] = v
+	}
+}
+
+var hopByHop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
+	"Authorization": true, "Accept-Encoding": true,
+}
+
+// failed answers a request to which the target gave no answer.
+func (x *exchange) failed(err error) {
+	if x.r.Context().Err() != nil {
+		x.Metrics.Count("CallerGone")
+		panic(http.ErrAbortHandler)
+	}
+	x.OnFailure()
+	if !x.connected {
+		x.refuse(refusal.Busy(refusal.TargetUnreachable, "target can't be reached", fullRetry))
+		return
+	}
+	x.refuse(refusal.Lost(refusal.TargetFailed, "target gave no answer: "+err.Error()))
+}
+
+// mismatch refuses an answer that belongs to another request or version.
+func (x *exchange) mismatch(answer *http.Response) *refusal.Refusal {
+	if echo := answer.Header.Get(header.RequestID); echo != "" && echo != string(x.request) {
+		return refusal.Lost(refusal.AnswerCrossed, "target answered another request")
+	}
+	version := answer.Header.Get(header.EngineVersion)
+	if x.Kind == view.TargetEngine && version != "" && version != string(x.ticket.Installed.Bundle) {
+		return refusal.Lost(refusal.VersionChanged, "target answered from version "+version)
+	}
+	return nil
+}
+
+func (x *exchange) begin(answer *http.Response) {
+	h := x.w.Header()
+	for k, v := range answer.Header {
+		if hopByHop[k] || k == header.RequestID || strings.HasPrefix(k, header.OwnPrefix) {
+			continue
+		}
+		h[k] = v
+	}
+	if x.Kind == view.TargetEngine {
+		h.Set(header.Bundle, string(x.ticket.Installed.Bundle))
+	}
+	x.load()
+}
+
+// whole holds an answer until it is complete.
+func (x *exchange) whole(answer *http.Response) {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer+1))
+	if err != nil {
+		x.failed(err)
+		return
+	}
+	if x.Kind == view.TargetEngine {
+		if err := stream.Check(body, string(x.ticket.Installed.Bundle)); err != nil {
+			x.refuse(refusal.Lost(refusal.VersionChanged, err.Error()))
+			return
+		}
+	}
+	x.note(answer.StatusCode)
+	x.begin(answer)
+	if len(body) <= maxAnswer {
+		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	x.w.WriteHeader(answer.StatusCode)
+	if _, err := x.w.Write(body); err != nil {
+		return
+	}
+	if len(body) <= maxAnswer {
+		return
+	}
+	if _, err := io.Copy(x.w, answer.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// note takes the end of an answer as a sign of how the target does.
+func (x *exchange) note(status int) {
+	if status >= http.StatusInternalServerError {
+		x.OnFailure()
+		return
+	}
+	x.Ramp.Done()
+}
+
+// stream passes a stream of events on. It breaks the connection, so that the
+// entry sees the break, unless the stream came to its end.
+func (x *exchange) stream(answer *http.Response) {
+	inspector := &stream.Inspector{Version: string(x.ticket.Installed.Bundle)}
+	buffer := make([]byte, readBytes)
+	begun := false
+	for {
+		n, err := answer.Body.Read(buffer)
+		if n > 0 {
+			begun = x.part(answer, inspector, buffer[:n], begun)
+		}
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			x.broken(begun, err)
+			return
+		}
+	}
+	if !inspector.Whole() {
+		x.broken(begun, io.ErrUnexpectedEOF)
+		return
+	}
+	x.note(answer.StatusCode)
+}
+
+func (x *exchange) part(answer *http.Response, i *stream.Inspector, part []byte, begun bool) bool {
+	whole, err := i.Take(part)
+	if err != nil {
+		x.Metrics.CountReason("StreamBroken", string(refusal.VersionChanged))
+		x.OnFailure()
+		panic(http.ErrAbortHandler)
+	}
+	if len(whole) == 0 {
+		return begun
+	}
+	if !begun {
+		if x.Ramp.FirstToken(time.Since(x.sent)) {
+			x.OnCold()
+		}
+		x.begin(answer)
+		x.w.WriteHeader(answer.StatusCode)
+	}
+	x.Ramp.Token()
+	if _, err := x.w.Write(whole); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_ = http.NewResponseController(x.w).Flush()
+	return true
+}
+
+func (x *exchange) broken(begun bool, err error) {
+	if !begun {
+		x.failed(err)
+		return
+	}
+	if !errors.Is(err, context.Canceled) {
+		x.OnFailure()
+	}
+	x.Metrics.Count("StreamBroken")
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/internal/target/service/service.go
@@ -0,0 +1,65 @@
+// Package service speaks to plain services, which load no weights.
+package service
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"egretproxy/internal/control/view"
+	"egretproxy/internal/target/backend"
+)
+
+const (
+	healthTimeout = 1 * time.Second
+	maxStart      = 256
+)
+
+func init() {
+	backend.Register("service", func(host string) backend.Backend { return &Service{host: host} })
+}
+
+// Service is one plain service.
+type Service struct {
+	host   string
+	client http.Client
+}
+
+// Kind implements backend.Backend.
+func (s *Service) Kind() view.TargetKind { return view.TargetService }
+
+// Base implements backend.Backend.
+func (s *Service) Base() *url.URL { return &url.URL{Scheme: "http", Host: s.host} }
+
+// Status implements backend.Backend. The body of the health page, if any, is
+// the start number.
+func (s *Service) Status(ctx context.Context) (backend.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, s.Base().JoinPath("healthz").String(), nil)
+	if err != nil {
+		return backend.Status{}, errors.Wrap(err, "build health request")
+	}
+	w, err := s.client.Do(r)
+	if err != nil {
+		return backend.Status{}, errors.Wrap(err, "ask service")
+	}
+	defer func() { _ = w.Body.Close() }()
+	if w.StatusCode != http.StatusOK {
+		return backend.Status{}, errors.Errorf("service answers %s", w.Status)
+	}
+	start, err := io.ReadAll(io.LimitReader(w.Body, maxStart))
+	if err != nil {
+		return backend.Status{}, errors.Wrap(err, "read health page")
+	}
+	return backend.Status{Start: string(start)}, nil
+}
+
+// Load implements backend.Backend. A plain service takes no orders.
+func (s *Service) Load(context.Context, backend.Order) error {
+	return errors.New("a plain service takes no orders")
+}
