--- /dev/null
+++ b/internal/admission/pool/pool.go
@@ -0,0 +1,302 @@
+// Package pool admits requests at an entry: it knows what each target can
+// take, lets requests wait in fair order, and refuses early what can't be
+// borne.
+package pool
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"egretproxy/internal/admission/fairqueue"
+	"egretproxy/internal/control/view"
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/request/refusal"
+	"egretproxy/internal/routing/policy"
+)
+
+const (
+	// pumpInterval is the time between two looks at waiting requests.
+	pumpInterval = 20 * time.Millisecond
+	// rateWindow is the time over which the rate of answers is smoothed.
+	rateWindow = 2 * time.Second
+	// minRetryAfter and maxRetryAfter bound the advice to callers.
+	minRetryAfter = 1 * time.Second
+	maxRetryAfter = 30 * time.Second
+)
+
+// Request is what the pool needs to know of a request.
+type Request struct {
+	Organisation id.Organisation
+	// Weight is the organisation's share.
+	Weight int
+	// Cost is the expected work in tokens.
+	Cost float64
+	// Model or Service is set.
+	Model   id.Model
+	Service id.Service
+	// Bundle is set if only this version may answer.
+	Bundle id.Bundle
+	Prefix uint64
+	// Exclude is the targets that were tried already.
+	Exclude map[id.Target]bool
+	// Retry tells that the request was admitted before.
+	Retry bool
+}
+
+// Config sets up a Pool.
+type Config struct {
+	MaxQueue int
+	MaxWait  time.Duration
+	Policy   policy.Policy
+	Rand     *rand.Rand
+}
+
+// waiter is a request that waits.
+type waiter struct {
+	request Request
+	granted chan *Grant
+	refused chan *refusal.Refusal
+}
+
+// Pool is the admission of one entry. It is safe for concurrent use.
+type Pool struct {
+	cfg Config
+
+	mu      sync.Mutex
+	view    view.View
+	targets map[id.Target]*state
+	queue   fairqueue.Queue
+	// rate is the smoothed answers a second as of rateAt.
+	rate   float64
+	rateAt time.Time
+	// closed is set at a graceful shutdown.
+	closed bool
+}
+
+// New returns a pool without targets.
+func New(c Config) *Pool {
+	return &Pool{cfg: c, targets: map[id.Target]*state{}}
+}
+
+// Run lets waiting requests go on until the context ends.
+func (p *Pool) Run(ctx context.Context) {
+	ticker := time.NewTicker(pumpInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.mu.Lock()
+			p.pump()
+			p.mu.Unlock()
+		}
+	}
+}
+
+// SetView takes in a new version of the agreed state.
+func (p *Pool) SetView(v view.View) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view = v
+	for k, t := range v.Targets {
+		s := p.targets[k]
+		if s == nil {
+			s = &state{}
+			p.targets[k] = s
+		}
+		s.take(t)
+	}
+	for k := range p.targets {
+		if _, ok := v.Targets[k]; !ok {
+			delete(p.targets, k)
+		}
+	}
+	p.pump()
+}
+
+// SetPolicy replaces the routing policy.
+func (p *Pool) SetPolicy(c policy.Policy) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cfg.Policy = c
+}
+
+// Waiting returns the number of requests that wait.
+func (p *Pool) Waiting() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queue.Len()
+}
+
+// Acquire waits for a target that can take the request.
+func (p *Pool) Acquire(ctx context.Context, r Request) (*Grant, *refusal.Refusal) {
+	w := &waiter{request: r, granted: make(chan *Grant, 1), refused: make(chan *refusal.Refusal, 1)}
+	item := &fairqueue.Item{Organisation: r.Organisation, Weight: r.Weight, Cost: r.Cost, Value: w}
+	if r.Retry {
+		item.Cost = 0
+	}
+	if ref := p.enter(r, item); ref != nil {
+		return nil, ref
+	}
+	timer := time.NewTimer(p.cfg.MaxWait)
+	defer timer.Stop()
+	select {
+	case g := <-w.granted:
+		return g, nil
+	case ref := <-w.refused:
+		return nil, ref
+	case <-ctx.Done():
+		return p.giveUp(item, w, refusal.New(http.StatusServiceUnavailable, refusal.CallerGone, "caller has gone"))
+	case <-timer.C:
+		return p.giveUp(item, w, p.busy(refusal.QueueTimeout, "no target became free in time"))
+	}
+}
+
+// enter puts a request into the queue and grants what can be granted.
+func (p *Pool) enter(r Request, item *fairqueue.Item) *refusal.Refusal {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if ref := p.hopeless(r); ref != nil {
+		return ref
+	}
+	p.queue.Push(item)
+	p.pump()
+	if granted(item) || p.queue.Len() <= p.cfg.MaxQueue {
+		return nil
+	}
+	p.queue.Remove(item)
+	victim := p.queue.Evict(r.Organisation, r.Weight)
+	if victim == nil {
+		return p.busy(refusal.QueueFull, "too many requests wait")
+	}
+	victim.Value.(*waiter).refused <- p.busy(refusal.QueueFull, "too many requests of the organisation wait")
+	p.queue.Push(item)
+	return nil
+}
+
+func granted(i *fairqueue.Item) bool {
+	return len(i.Value.(*waiter).granted) > 0
+}
+
+// hopeless refuses at once what would wait in vain.
+func (p *Pool) hopeless(r Request) *refusal.Refusal {
+	if p.closed {
+		return refusal.Busy(refusal.ShuttingDown, "this entry shuts down", minRetryAfter)
+	}
+	if !p.serves(r) {
+		return refusal.Busy(refusal.NoTarget, "no target serves this now", minRetryAfter)
+	}
+	wait := p.expectedWait(r)
+	if r.Retry || wait <= p.cfg.MaxWait {
+		return nil
+	}
+	return refusal.Busy(refusal.QueueFull, "the wait would be too long", clampRetry(wait))
+}
+
+// serves reports whether any target may come to take the request.
+func (p *Pool) serves(r Request) bool {
+	for _, s := range p.targets {
+		if s.fits(r) {
+			return true
+		}
+	}
+	return false
+}
+
+// expectedWait estimates the wait from the backlog and the rate of answers.
+func (p *Pool) expectedWait(r Request) time.Duration {
+	rate := p.currentRate(time.Now()) * p.queue.Share(r.Organisation, r.Weight)
+	backlog := p.queue.Backlog(r.Organisation)
+	if backlog == 0 || rate <= 0 {
+		return 0
+	}
+	seconds := min(float64(backlog)/rate, maxRetryAfter.Seconds())
+	return time.Duration(seconds * float64(time.Second))
+}
+
+func (p *Pool) busy(reason refusal.Reason, text string) *refusal.Refusal {
+	rate := p.currentRate(time.Now())
+	after := minRetryAfter
+	if rate > 0 {
+		after = time.Duration(float64(p.queue.Len()) / rate * float64(time.Second))
+	}
+	return refusal.Busy(reason, text, clampRetry(after))
+}
+
+func clampRetry(d time.Duration) time.Duration {
+	return min(max(d, minRetryAfter), maxRetryAfter)
+}
+
+// giveUp ends a wait, unless the request was granted in the same moment.
+func (p *Pool) giveUp(item *fairqueue.Item, w *waiter, ref *refusal.Refusal) (*Grant, *refusal.Refusal) {
+	p.mu.Lock()
+	waiting := p.queue.Remove(item)
+	p.mu.Unlock()
+	if waiting {
+		return nil, ref
+	}
+	select {
+	case g := <-w.granted:
+		return g, nil
+	case ref := <-w.refused:
+		return nil, ref
+	}
+}
+
+// pump grants targets to waiting requests. The caller holds mu.
+func (p *Pool) pump() {
+	now := time.Now()
+	for p.queue.Len() > 0 {
+		var g *Grant
+		item := p.queue.Pop(func(i *fairqueue.Item) bool {
+			g = p.choose(i.Value.(*waiter).request, now)
+			return g != nil
+		})
+		if item == nil {
+			return
+		}
+		item.Value.(*waiter).granted <- g
+	}
+}
+
+// choose reserves a place at a target, or returns nil.
+func (p *Pool) choose(r Request, now time.Time) *Grant {
+	var candidates []policy.Candidate
+	var states []*state
+	for _, s := range p.targets {
+		if !s.fits(r) || !s.free(now) || r.Exclude[s.ID] || !p.view.InService(s.Domain) {
+			continue
+		}
+		states = append(states, s)
+		candidates = append(candidates, policy.Candidate{
+			Target: s.ID, Domain: s.Domain, InFlight: s.own + s.others(now), Limit: s.limit,
+		})
+	}
+	if len(candidates) == 0 {
+		return nil
+	}
+	s := states[p.cfg.Policy.Pick(policy.Request{Prefix: r.Prefix}, candidates)]
+	s.own++
+	return &Grant{Target: s.Target, pool: p, state: s, since: now}
+}
+
+// Close refuses new requests from now on.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+}
+
+func (p *Pool) currentRate(now time.Time) float64 {
+	return p.rate * math.Exp(-now.Sub(p.rateAt).Seconds()/rateWindow.Seconds())
+}
+
+func (p *Pool) noteAnswer(now time.Time) {
+	p.rate = p.currentRate(now) + 1/rateWindow.Seconds()
+	p.rateAt = now
+}
--- /dev/null
+++ b/internal/request/organisation/organisation.go
@@ -0,0 +1,62 @@
+// Package organisation finds the customer that a caller's key belongs to.
+package organisation
+
+import (
+	"crypto/sha256"
+	"net/http"
+	"strings"
+
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/settings/file"
+)
+
+// minKey is the shortest key in characters.
+const minKey = 8
+
+// keyFile is the file with the keys.
+type keyFile struct {
+	Organisations []keyEntry
+}
+
+type keyEntry struct {
+	ID  id.Organisation
+	Key string
+}
+
+// Check implements file.Checker.
+func (k *keyFile) Check() []file.Problem {
+	for _, e := range k.Organisations {
+		if e.ID == "" || len(e.Key) < minKey {
+			return []file.Problem{{Key: "Organisations", Reason: "each needs an ID and a key of at least 8 characters"}}
+		}
+	}
+	return nil
+}
+
+// Directory maps keys to organisations. It holds digests of keys only.
+type Directory struct {
+	byKey map[[sha256.Size]byte]id.Organisation
+}
+
+// Load reads the file of keys.
+func Load(name string) (*Directory, error) {
+	var k keyFile
+	if err := file.Load(name, &k); err != nil {
+		return nil, err
+	}
+	d := &Directory{byKey: map[[sha256.Size]byte]id.Organisation{}}
+	for _, e := range k.Organisations {
+		d.byKey[sha256.Sum256([]byte(e.Key))] = e.ID
+	}
+	return d, nil
+}
+
+// Find returns the organisation of a request by its bearer token.
+func (d *Directory) Find(r *http.Request) (id.Organisation, bool) {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return "", false
+	}
+	o, ok := d.byKey[sha256.Sum256([]byte(key))]
+	return o, ok
+}
