--- /dev/null
+++ b/internal/role/agent/agent.go
@@ -0,0 +1,268 @@
+// Package agent is the role beside each target. All work for the target and
+// all orders to it pass through its agent.
+package agent
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/alexedwards/flow"
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"egretproxy/internal/control/lease"
+	"egretproxy/internal/control/lifecycle"
+	"egretproxy/internal/control/view"
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/metrics"
+	"egretproxy/internal/kernel/process"
+	"egretproxy/internal/settings/config"
+	"egretproxy/internal/target/backend"
+	"egretproxy/internal/target/gate"
+	"egretproxy/internal/target/proxy"
+	"egretproxy/internal/target/ramp"
+	"egretproxy/internal/weights/fetch"
+	"egretproxy/internal/weights/planner"
+	"egretproxy/internal/weights/share"
+	"egretproxy/internal/weights/source"
+	"egretproxy/internal/weights/store"
+	"egretproxy/internal/wire/frame"
+	"egretproxy/internal/wire/header"
+	"egretproxy/internal/wire/keepers"
+	"egretproxy/internal/wire/security"
+)
+
+// ErrReplaced tells that a newer agent speaks for the target.
+var ErrReplaced = errors.New("a newer session of the target exists")
+
+const (
+	headerTimeout = 5 * time.Second
+	dialTimeout   = 2 * time.Second
+	// idleTimeout is below the time after which targets close idle
+	// connections.
+	idleTimeout = 5 * time.Second
+	idlePerHost = 64
+	closeGrace  = 2 * time.Second
+)
+
+// Agent is one running agent.
+type Agent struct {
+	cfg      config.Config
+	identity security.Identity
+	metrics  *metrics.Set
+	keepers  *keepers.Client
+	backend  backend.Backend
+	lease    lease.Lease
+	gate     *gate.Gate
+	ramp     *ramp.Ramp
+	store    *store.Store
+	share    *share.Share
+	fetcher  *fetch.Fetcher
+	// local is the address from which the own engine reads content.
+	local string
+
+	mu sync.Mutex
+	// view holds the own target, the failure domains and the bundles.
+	view    view.View
+	session id.Fence
+	// quietUntil is the time until which an older session may still act.
+	quietUntil time.Time
+	phase      view.Phase
+	installed  view.Assignment
+	held       view.Assignment
+	reason     string
+	start      string
+	// failedAt is the time when the phase became Failed.
+	failedAt time.Time
+	// failures counts failed answers since the content was installed.
+	failures int
+	// leaving is set at a graceful shutdown.
+	leaving bool
+	// changed is signalled when the orders may have changed.
+	changed chan struct{}
+}
+
+// Run serves until the context ends, then leaves and drains.
+func Run(ctx context.Context, cfg config.Config, set *metrics.Set) error {
+	a, err := newAgent(cfg, set)
+	if err != nil {
+		return err
+	}
+	defer a.keepers.Close()
+	public, err := net.Listen("tcp", cfg.Agent.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	local, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.Wrap(err, "listen for the own target")
+	}
+	a.local = local.Addr().String()
+	return a.run(ctx, public, local)
+}
+
+func newAgent(cfg config.Config, set *metrics.Set) (*Agent, error) {
+	identity, err := security.Load(cfg.Security.Authority, cfg.Security.Certificate, cfg.Security.Key)
+	if err != nil {
+		return nil, err
+	}
+	if err := identity.CheckListen(cfg.Agent.Listen); err != nil {
+		return nil, err
+	}
+	b, err := backend.New(cfg.Agent.Target.Address)
+	if err != nil {
+		return nil, err
+	}
+	t := cfg.Agent.Target
+	a := &Agent{
+		cfg: cfg, identity: identity, metrics: set, backend: b,
+		ramp:    &ramp.Ramp{Slots: t.Slots, ColdSlots: t.ColdSlots},
+		store:   &store.Store{Limit: int64(cfg.Agent.Weights.Memory)},
+		changed: make(chan struct{}, 1),
+		phase:   view.PhaseEmpty,
+	}
+	a.gate = gate.New(&a.lease, a.ramp)
+	a.share = &share.Share{Store: a.store}
+	codec := frame.Codec{Sent: set.SentBytes(), Received: set.ReceivedBytes()}
+	a.keepers = keepers.New(cfg.Keepers.Addresses, identity.Client(), codec, os.Getpid())
+	a.fetcher, err = a.newFetcher()
+	return a, err
+}
+
+func (a *Agent) newFetcher() (*fetch.Fetcher, error) {
+	w := a.cfg.Agent.Weights
+	var sources []*url.URL
+	for _, s := range w.Sources {
+		u, err := source.Parse(s)
+		if err != nil {
+			return nil, err
+		}
+		sources = append(sources, u)
+	}
+	scheme := "http"
+	if a.identity.Enabled() {
+		scheme = "https"
+	}
+	return &fetch.Fetcher{
+		Self:  planner.Member{Target: a.cfg.Agent.Target.ID, Region: a.cfg.Process.Region},
+		Store: a.store, Client: a.client(false), Planner: w.Planner, Scheme: scheme,
+		Sources: sources, Parallel: w.Parallel, StallTimeout: w.StallTimeout.Std(),
+		InstanceRate: w.InstanceRate.BytesPerSecond(), RegionRate: w.RegionRate.BytesPerSecond(),
+		OriginPerRegion: w.OriginPerRegion, Peers: a.peers,
+	}, nil
+}
+
+// client returns an HTTP client. A single one opens a new connection for each
+// request.
+func (a *Agent) client(single bool) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, TLSClientConfig: a.identity.Client(),
+		TLSHandshakeTimeout: dialTimeout, IdleConnTimeout: idleTimeout,
+		MaxIdleConnsPerHost: idlePerHost, DisableCompression: true, DisableKeepAlives: single,
+	}}
+}
+
+func (a *Agent) run(ctx context.Context, public, local net.Listener) error {
+	// The work goes on after ctx ends, until the target is drained.
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, work := errgroup.WithContext(work)
+	g.Go(func() error { return process.Serve(work, a.publicServer(), public, closeGrace) })
+	g.Go(func() error { return process.Serve(work, a.localServer(), local, closeGrace) })
+	g.Go(func() error { return a.renew(work) })
+	g.Go(func() error { return a.watch(work) })
+	g.Go(func() error { return a.stage(work) })
+	g.Go(func() error { return a.follow(work) })
+	g.Go(func() error { return process.Admin(work, a.cfg.Process.AdminListen, a.metrics, a.ready) })
+	klog.InfoS("Agent runs", "Target", a.cfg.Agent.Target.ID, "Listen", a.cfg.Agent.Listen)
+	select {
+	case <-ctx.Done():
+		a.leave(work)
+	case <-work.Done():
+	}
+	stop()
+	return g.Wait()
+}
+
+func (a *Agent) publicServer() *http.Server {
+	mux := flow.New()
+	a.share.Mount(mux)
+	once := a.client(true)
+	mux.HandleFunc("/alive", func(http.ResponseWriter, *http.Request) {}, http.MethodGet)
+	mux.Handle(header.DispatchPath+"/...", &proxy.Proxy{
+		Target: a.cfg.Agent.Target.ID, Base: a.backend.Base(), Kind: a.backend.Kind(),
+		Gate: a.gate, Ramp: a.ramp, Metrics: a.metrics, Client: a.client(false), Once: once,
+		OnCold: a.onCold, OnFailure: a.onFailure,
+	})
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, TLSConfig: a.identity.Server()}
+}
+
+func (a *Agent) localServer() *http.Server {
+	mux := flow.New()
+	a.share.MountContent(mux)
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+}
+
+func (a *Agent) ready() error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.leaving {
+		return errors.New("leaving")
+	}
+	if !a.lease.Valid() {
+		return errors.New("lease has expired")
+	}
+	if a.phase != view.PhaseServing {
+		return fmt.Errorf("target is in phase %s", a.phase)
+	}
+	return nil
+}
+
+// onCold is called when an answer shows that the target turned cold.
+func (a *Agent) onCold() {
+	a.metrics.Count("TargetTurnedCold")
+	klog.InfoS("Target turned cold", "Target", a.cfg.Agent.Target.ID)
+}
+
+func (a *Agent) onFailure() {
+	a.metrics.Count("TargetFailure")
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.failures++
+	if a.failures >= maxFailures && a.phase == view.PhaseServing && !a.ramp.Warm() {
+		a.move(lifecycle.Fail, view.Assignment{Fence: a.installed.Fence}, "answers fail after the load")
+		a.failedAt = time.Now()
+	}
+}
+
+// signal wakes the goroutines that follow orders.
+func (a *Agent) signal() {
+	select {
+	case a.changed <- struct{}{}:
+	default:
+	}
+}
+
+// move changes the phase by a trigger, together with the gate. It reports
+// whether the phase permits the trigger. The caller holds mu.
+func (a *Agent) move(t lifecycle.Trigger, installed view.Assignment, reason string) bool {
+	next, err := lifecycle.Target(a.phase, t)
+	if err != nil {
+		return false
+	}
+	klog.InfoS("Target phase", "Target", a.cfg.Agent.Target.ID, "From", a.phase, "To", next,
+		"Bundle", installed.Bundle, "Reason", reason)
+	a.phase = next
+	a.installed = installed
+	a.reason = reason
+	a.gate.SetPhase(next, installed)
+	return true
+}
--- /dev/null
+++ b/internal/role/agent/orders.go
@@ -0,0 +1,295 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+	"time"
+
+	"github.com/go-faster/errors"
+	"k8s.io/klog/v2"
+
+	"egretproxy/internal/control/lifecycle"
+	"egretproxy/internal/control/view"
+	"egretproxy/internal/target/backend"
+	"egretproxy/internal/weights/manifest"
+)
+
+const (
+	watchInterval = 250 * time.Millisecond
+	// maxMisses is the number of unanswered status requests in a row after
+	// which the target counts as gone.
+	maxMisses    = 2
+	followPause  = 100 * time.Millisecond
+	loadTimeout  = 10 * time.Minute
+	loadPoll     = 50 * time.Millisecond
+	retryFailure = 10 * time.Second
+	// maxFailures is the number of failed answers soon after a load that
+	// makes the load count as failed.
+	maxFailures = 5
+)
+
+// watch notices restarts of the target.
+func (a *Agent) watch(ctx context.Context) error {
+	misses := 0
+	for pause(ctx, watchInterval) {
+		s, err := a.backend.Status(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			misses++
+			if misses >= maxMisses {
+				a.noteGone()
+			}
+			continue
+		}
+		misses = 0
+		a.noteStatus(s)
+	}
+	return nil
+}
+
+func (a *Agent) noteGone() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.phase == view.PhaseServing {
+		a.metrics.Count("TargetGone")
+		a.move(lifecycle.Drop, view.Assignment{}, "target does not answer")
+	}
+}
+
+func (a *Agent) noteStatus(s backend.Status) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if s.Start != a.start {
+		a.ramp.Cool()
+		a.metrics.Count("TargetRestarted")
+		klog.InfoS("Target restarted", "Target", a.cfg.Agent.Target.ID, "Start", s.Start)
+		a.start = s.Start
+		a.dropInstalled("target restarted")
+	}
+	if a.phase == view.PhaseServing && a.backend.Kind() == view.TargetEngine &&
+		(s.Bundle != a.installed.Bundle || s.Manifest != a.installed.Manifest) {
+		a.dropInstalled("target holds other content")
+	}
+	if a.phase == view.PhaseEmpty && a.backend.Kind() == view.TargetService {
+		a.move(lifecycle.Ready, view.Assignment{}, "")
+	}
+}
+
+// dropInstalled closes the gate until the content is installed again. The
+// caller holds mu.
+func (a *Agent) dropInstalled(reason string) {
+	if a.move(lifecycle.Drop, view.Assignment{}, reason) {
+		a.signal()
+	}
+}
+
+// stage fetches the staged content, and stops at once when it is replaced.
+func (a *Agent) stage(ctx context.Context) error {
+	if a.backend.Kind() != view.TargetEngine {
+		return nil
+	}
+	pinned := map[string]manifest.Manifest{}
+	for ctx.Err() == nil {
+		want := a.wanted()
+		a.unpinOthers(pinned, want.Manifest)
+		if want.Manifest == "" || a.holds(want) {
+			pause(ctx, followPause)
+			continue
+		}
+		fetchCtx, cancel := context.WithCancel(ctx)
+		go a.cancelWhenReplaced(fetchCtx, cancel, want)
+		m, err := a.fetcher.Fetch(fetchCtx, manifest.Digest(want.Manifest))
+		cancel()
+		if err != nil {
+			klog.V(1).InfoS("Content was not fetched", "Manifest", want.Manifest, "Error", err.Error())
+			pause(ctx, followPause)
+			continue
+		}
+		pinned[want.Manifest] = m
+		a.mu.Lock()
+		a.held = want
+		a.mu.Unlock()
+		klog.InfoS("Content is held", "Target", a.cfg.Agent.Target.ID, "Bundle", want.Bundle)
+		a.signal()
+	}
+	return nil
+}
+
+// unpinOthers lets go of content that is neither wanted nor installed.
+func (a *Agent) unpinOthers(pinned map[string]manifest.Manifest, wanted string) {
+	a.mu.Lock()
+	installed := a.installed.Manifest
+	a.mu.Unlock()
+	for d, m := range pinned {
+		if d != wanted && d != installed {
+			a.store.Unpin(m)
+			delete(pinned, d)
+		}
+	}
+}
+
+// wanted returns the content to fetch: what is staged, which is also what
+// will be assigned.
+func (a *Agent) wanted() view.Assignment {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t := a.view.Targets[a.cfg.Agent.Target.ID]
+	if t.Assigned.Fence > t.Staged.Fence {
+		return t.Assigned
+	}
+	return t.Staged
+}
+
+func (a *Agent) holds(want view.Assignment) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.held.Manifest == want.Manifest {
+		a.held = want
+	}
+	return a.held.Same(want)
+}
+
+func (a *Agent) cancelWhenReplaced(ctx context.Context, cancel context.CancelFunc, want view.Assignment) {
+	for pause(ctx, followPause) {
+		if !a.wanted().Same(want) {
+			cancel()
+			return
+		}
+	}
+}
+
+// follow carries out orders: it drains the target, loads the content, checks
+// that the target holds the whole of it, warms it up and opens the gate.
+func (a *Agent) follow(ctx context.Context) error {
+	if a.backend.Kind() != view.TargetEngine {
+		return nil
+	}
+	for ctx.Err() == nil {
+		order, ok := a.nextOrder()
+		if !ok {
+			select {
+			case <-a.changed:
+			case <-time.After(followPause):
+			case <-ctx.Done():
+			}
+			continue
+		}
+		if err := a.install(ctx, order); err != nil && ctx.Err() == nil {
+			a.metrics.Count("InstallFailed")
+			klog.ErrorS(err, "Content was not installed", "Bundle", order.Bundle)
+			a.fail(order, err)
+		}
+	}
+	return nil
+}
+
+// nextOrder returns the assignment if it is held but not installed, and was
+// not tried in vain just now.
+func (a *Agent) nextOrder() (view.Assignment, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t := a.view.Targets[a.cfg.Agent.Target.ID]
+	order := t.Assigned
+	if a.leaving || order.Manifest == "" || !a.held.Same(order) || !a.lease.Valid() {
+		return order, false
+	}
+	recent := time.Since(a.failedAt) < retryFailure
+	if a.phase == view.PhaseFailed && a.installed.Fence == order.Fence && recent {
+		return order, false
+	}
+	if a.installed.Same(order) && a.phase == view.PhaseServing {
+		return order, false
+	}
+	return order, true
+}
+
+func (a *Agent) install(ctx context.Context, order view.Assignment) error {
+	if err := a.drain(ctx); err != nil {
+		return err
+	}
+	if err := a.load(ctx, order); err != nil {
+		return err
+	}
+	a.mu.Lock()
+	a.ramp.Cool()
+	a.failures = 0
+	ok := a.move(lifecycle.Loaded, order, "")
+	a.mu.Unlock()
+	if !ok {
+		return nil
+	}
+	if err := a.warm(ctx, order); err != nil {
+		return errors.Wrap(err, "warm up")
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.phase == view.PhaseWarming {
+		a.move(lifecycle.Warmed, order, "")
+	}
+	return nil
+}
+
+// drain closes the gate, waits for requests in progress, which are never cut
+// off, and leaves the target ready to be loaded.
+func (a *Agent) drain(ctx context.Context) error {
+	a.mu.Lock()
+	a.move(lifecycle.Drain, a.installed, "")
+	a.mu.Unlock()
+	select {
+	case <-a.gate.Idle():
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.move(lifecycle.Drained, view.Assignment{}, "") || a.move(lifecycle.Order, view.Assignment{}, "") {
+		return nil
+	}
+	return errors.Errorf("target is in phase %s", a.phase)
+}
+
+// load orders the target to load and waits until it holds the whole content.
+func (a *Agent) load(ctx context.Context, order view.Assignment) error {
+	a.mu.Lock()
+	start := a.start
+	a.mu.Unlock()
+	if !a.lease.Valid() {
+		return errors.New("lease has expired")
+	}
+	s, err := a.backend.Status(ctx)
+	if err == nil && s.Bundle == order.Bundle && s.Manifest == order.Manifest {
+		return nil
+	}
+	source := url.URL{Scheme: "http", Host: a.local, Path: "/content/" + order.Manifest}
+	if err := a.backend.Load(ctx, backend.Order{Assignment: order, Source: source.String()}); err != nil {
+		return errors.Wrap(err, "order load")
+	}
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	for pause(ctx, loadPoll) {
+		s, err := a.backend.Status(ctx)
+		if err != nil || s.Loading {
+			continue
+		}
+		if s.Start != start {
+			return errors.New("target restarted during the load")
+		}
+		if s.Manifest != order.Manifest || s.Bundle != order.Bundle {
+			return fmt.Errorf("target holds %s with digest %s", s.Bundle, s.Manifest)
+		}
+		return nil
+	}
+	return errors.Wrap(ctx.Err(), "wait for load")
+}
+
+// fail reports a failed order. It is tried again only under a new fence.
+func (a *Agent) fail(order view.Assignment, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.move(lifecycle.Fail, view.Assignment{Fence: order.Fence}, err.Error()) {
+		a.failedAt = time.Now()
+	}
+}
--- /dev/null
+++ b/internal/role/entry/dispatch.go
@@ -0,0 +1,254 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"egretproxy/internal/admission/pool"
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/request/refusal"
+	"egretproxy/internal/wire/header"
+)
+
+const (
+	// maxAnswer bounds an answer that is held until it is whole.
+	maxAnswer     = 8 << 20
+	readBytes     = 32 << 10
+	minRetryAfter = 1 * time.Second
+	eventsType    = "text/event-stream"
+)
+
+// dispatch sends the request to the agent of the granted target and passes
+// the answer on.
+func (x *exchange) dispatch(ctx context.Context, g *pool.Grant) try {
+	ctx, watch, done := x.watchdog.watch(ctx, g.Target.Address)
+	defer done()
+	connected := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected = true },
+	})
+	out, err := x.outgoing(ctx, g)
+	if err != nil {
+		g.Cancelled()
+		return try{refusal: refusal.New(http.StatusBadRequest, refusal.BadRequest, err.Error()), final: true}
+	}
+	client := x.client
+	if x.once {
+		client = x.single
+	}
+	answer, err := client.Do(out)
+	if err != nil {
+		return x.unanswered(ctx, g, err, connected)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	watch.touch()
+	noteLoad(g, answer.Header)
+	if ref, ok := refusal.FromHeader(answer.Header, answer.StatusCode); ok {
+		return x.refusedBy(g, ref)
+	}
+	if echo := answer.Header.Get(header.RequestID); echo != string(x.caller.request) {
+		x.mayHaveRun = true
+		g.Failed()
+		return x.lost(refusal.AnswerCrossed, "agent answered another request")
+	}
+	if strings.HasPrefix(answer.Header.Get("Content-Type"), eventsType) {
+		return x.passStream(ctx, g, answer, watch)
+	}
+	return x.passWhole(ctx, g, answer)
+}
+
+// outgoing builds the request to the agent. Its body can't be rewound, so
+// that the HTTP client never sends it twice by itself.
+func (x *exchange) outgoing(ctx context.Context, g *pool.Grant) (*http.Request, error) {
+	u := &url.URL{Scheme: x.scheme(), Host: g.Target.Address}
+	u, err := u.Parse(header.DispatchPath + x.r.URL.EscapedPath())
+	if err != nil {
+		return nil, errors.Wrap(err, "target path")
+	}
+	u.RawQuery = x.r.URL.RawQuery
+	out, err := http.NewRequestWithContext(ctx, x.r.Method, u.String(), oneWay{bytes.NewReader(x.caller.body)})
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	out.ContentLength = int64(len(x.caller.body))
+	if len(x.caller.body) == 0 && !x.once {
+		out.Body = http.NoBody
+	}
+	x.setHeaders(out.Header)
+	return out, nil
+}
+
+// oneWay hides everything but reading, so that net/http can't rewind it.
+type oneWay struct{ r io.Reader }
+
+// Read implements io.Reader.
+func (o oneWay) Read(p []byte) (int, error) { return o.r.Read(p) }
+
+func (x *exchange) setHeaders(h http.Header) {
+	for k, v := range x.r.Header {
+		if !strings.HasPrefix(k, header.OwnPrefix) && !private[k] {
+			h[k] = v
+		}
+	}
+	h.Set(header.RequestID, string(x.caller.request))
+	h.Set(header.Organisation, string(x.caller.organisation))
+	h.Set(header.Priority, strconv.Itoa(x.caller.limits.Priority))
+	h.Set(header.Attempt, string(id.NewRequest()))
+	if x.need.Model != "" {
+		h.Set(header.Model, string(x.need.Model))
+	}
+	if x.need.Bundle != "" {
+		h.Set(header.PinBundle, string(x.need.Bundle))
+	}
+	if x.events > 0 {
+		h.Set(header.ResumeTokens, strconv.Itoa(x.events))
+	}
+	if x.once {
+		h.Set(header.Once, "1")
+	}
+}
+
+// private is the headers of callers that are not passed on.
+var private = map[string]bool{
+	"Authorization": true, "Connection": true, "Keep-Alive": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Accept-Encoding": true,
+	"Proxy-Authorization": true, "Proxy-Authenticate": true,
+}
+
+// unanswered handles a dispatch to which no answer began.
+func (x *exchange) unanswered(ctx context.Context, g *pool.Grant, err error, connected bool) try {
+	gone := errors.Is(context.Cause(ctx), errAgentGone)
+	if ctx.Err() != nil && !gone {
+		g.Cancelled()
+		x.mayHaveRun = x.mayHaveRun || connected
+		return try{refusal: refusal.Lost(refusal.TargetFailed, "request ended before its answer"), final: true}
+	}
+	g.Failed()
+	x.exclude(g.Target.ID)
+	if !connected {
+		return try{refusal: refusal.Busy(refusal.AgentUnreachable, "target can't be reached", minRetryAfter)}
+	}
+	x.mayHaveRun = true
+	return x.lost(refusal.AgentUnreachable, "target's agent gave no answer: "+err.Error())
+}
+
+// lost ends a try whose outcome is unknown. Only requests that may be
+// repeated are tried again.
+func (x *exchange) lost(reason refusal.Reason, text string) try {
+	return try{refusal: refusal.Lost(reason, text), final: x.once}
+}
+
+// refusedBy handles the refusal of an agent.
+func (x *exchange) refusedBy(g *pool.Grant, ref *refusal.Refusal) try {
+	if ref.Outcome == refusal.NotRun {
+		g.Refused(ref.Reason)
+		return try{refusal: ref, final: ref.Reason == refusal.BadRequest}
+	}
+	g.Failed()
+	x.exclude(g.Target.ID)
+	x.mayHaveRun = true
+	return x.lost(ref.Reason, ref.Message)
+}
+
+// passWhole holds an answer until it is complete and passes it on.
+func (x *exchange) passWhole(ctx context.Context, g *pool.Grant, answer *http.Response) try {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer+1))
+	if err != nil {
+		x.mayHaveRun = true
+		return x.brokenAnswer(ctx, g, err)
+	}
+	g.Answered()
+	x.settle(answer, body)
+	x.begin(answer)
+	if _, err := x.w.Write(body); err != nil {
+		return try{}
+	}
+	if len(body) <= maxAnswer {
+		return try{}
+	}
+	if _, err := io.Copy(x.w, answer.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	return try{}
+}
+
+func (x *exchange) brokenAnswer(ctx context.Context, g *pool.Grant, err error) try {
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errAgentGone) {
+		g.Cancelled()
+		return try{refusal: refusal.Lost(refusal.AnswerBroken, "request ended before its answer"), final: true}
+	}
+	g.Failed()
+	x.exclude(g.Target.ID)
+	return x.lost(refusal.AnswerBroken, "answer broke off: "+err.Error())
+}
+
+// passStream passes events on as they come. A stream that breaks off is
+// resumed on the same version by the next try.
+func (x *exchange) passStream(ctx context.Context, g *pool.Grant, answer *http.Response, watch *watched) try {
+	check := inspector(answer)
+	x.need.Bundle = id.Bundle(check.Version)
+	x.mayHaveRun = true
+	buffer := make([]byte, readBytes)
+	for {
+		n, err := answer.Body.Read(buffer)
+		if n > 0 {
+			watch.touch()
+			whole, bad := check.Take(buffer[:n])
+			if bad != nil {
+				g.Failed()
+				return try{refusal: refusal.Lost(refusal.VersionChanged, bad.Error()), final: true}
+			}
+			if !x.passEvents(answer, whole) {
+				g.Cancelled()
+				return try{refusal: refusal.Lost(refusal.CallerGone, "caller has gone"), final: true}
+			}
+		}
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			x.events += check.Events()
+			return x.brokenAnswer(ctx, g, err)
+		}
+	}
+	if !check.Whole() {
+		x.events += check.Events()
+		return x.brokenAnswer(ctx, g, io.ErrUnexpectedEOF)
+	}
+	g.Answered()
+	return try{}
+}
+
+// passEvents writes whole events. It reports whether the caller is there.
+func (x *exchange) passEvents(answer *http.Response, whole []byte) bool {
+	if len(whole) == 0 {
+		return true
+	}
+	if !x.begun {
+		x.begin(answer)
+		x.begun = true
+	}
+	if _, err := x.w.Write(whole); err != nil {
+		return false
+	}
+	_ = http.NewResponseController(x.w).Flush()
+	return true
+}
+
+func encode(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return []byte("{}")
+	}
+	return data
+}
--- /dev/null
+++ b/internal/role/entry/entry.go
@@ -0,0 +1,318 @@
+// Package entry is the role between callers and agents. It admits, orders and
+// routes requests, and holds nothing that must survive.
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/alexedwards/flow"
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"egretproxy/internal/admission/pool"
+	"egretproxy/internal/control/lease"
+	"egretproxy/internal/control/view"
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/metrics"
+	"egretproxy/internal/kernel/process"
+	"egretproxy/internal/request/budget"
+	"egretproxy/internal/request/organisation"
+	"egretproxy/internal/request/refusal"
+	"egretproxy/internal/routing/policy"
+	"egretproxy/internal/settings/config"
+	"egretproxy/internal/wire/api"
+	"egretproxy/internal/wire/frame"
+	"egretproxy/internal/wire/header"
+	"egretproxy/internal/wire/keepers"
+	"egretproxy/internal/wire/security"
+)
+
+const (
+	// DefaultPolicy is the routing policy where operators name none.
+	DefaultPolicy = "Affinity"
+
+	headerTimeout  = 10 * time.Second
+	maxHeaderBytes = 64 << 10
+	dialTimeout    = 2 * time.Second
+	idleTimeout    = 30 * time.Second
+	idlePerHost    = 256
+	retryPause     = 50 * time.Millisecond
+	roleName       = "Entry"
+	settleWait     = 2 * time.Second
+)
+
+// Entry is one running entry.
+type Entry struct {
+	cfg       config.Config
+	identity  security.Identity
+	metrics   *metrics.Set
+	keepers   *keepers.Client
+	directory *organisation.Directory
+	pool      *pool.Pool
+	budget    budget.Budget
+	// client keeps connections, and single opens a new one for each request
+	// that may not be repeated.
+	client   *http.Client
+	single   *http.Client
+	watchdog *watchdog
+	// background counts claims that are settled or released after the
+	// answer.
+	background sync.WaitGroup
+
+	mu   sync.Mutex
+	view view.View
+	// fresh is the time of the newest confirmation.
+	fresh time.Time
+	// active counts requests in progress by organisation.
+	active map[id.Organisation]int
+	// stopping is set at a graceful shutdown.
+	stopping bool
+}
+
+// Run serves until the context ends, then lets requests in progress end.
+func Run(ctx context.Context, cfg config.Config, set *metrics.Set) error {
+	e, err := newEntry(cfg, set)
+	if err != nil {
+		return err
+	}
+	defer e.keepers.Close()
+	l, err := net.Listen("tcp", cfg.Entry.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	return e.run(ctx, l)
+}
+
+func newEntry(cfg config.Config, set *metrics.Set) (*Entry, error) {
+	identity, err := security.Load(cfg.Security.Authority, cfg.Security.Certificate, cfg.Security.Key)
+	if err != nil {
+		return nil, err
+	}
+	if err := identity.CheckListen(cfg.Entry.Listen); err != nil {
+		return nil, err
+	}
+	directory, err := organisation.Load(cfg.Entry.OrganisationKeys)
+	if err != nil {
+		return nil, err
+	}
+	random := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), uint64(os.Getpid())))
+	first, err := policy.New(DefaultPolicy, random)
+	if err != nil {
+		return nil, err
+	}
+	codec := frame.Codec{Sent: set.SentBytes(), Received: set.ReceivedBytes()}
+	e := &Entry{
+		cfg: cfg, identity: identity, metrics: set, directory: directory,
+		keepers: keepers.New(cfg.Keepers.Addresses, identity.Client(), codec, os.Getpid()),
+		pool: pool.New(pool.Config{
+			MaxQueue: cfg.Entry.MaxQueue, MaxWait: cfg.Entry.MaxWait.Std(), Policy: first, Rand: random,
+		}),
+		budget: budget.Budget{Ratio: cfg.Entry.RetryRatio},
+		client: newClient(identity, false), single: newClient(identity, true),
+		active: map[id.Organisation]int{},
+	}
+	e.watchdog = newWatchdog(e.client, e.scheme())
+	set.Gauge("entry_waiting_requests", "Requests that wait for a target.", func() float64 {
+		return float64(e.pool.Waiting())
+	})
+	return e, nil
+}
+
+func newClient(identity security.Identity, single bool) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, TLSClientConfig: identity.Client(),
+		TLSHandshakeTimeout: dialTimeout, IdleConnTimeout: idleTimeout,
+		MaxIdleConnsPerHost: idlePerHost, DisableCompression: true, DisableKeepAlives: single,
+	}}
+}
+
+func (e *Entry) scheme() string {
+	if e.identity.Enabled() {
+		return "https"
+	}
+	return "http"
+}
+
+func (e *Entry) run(ctx context.Context, l net.Listener) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, work := errgroup.WithContext(work)
+	serving, stopServing := context.WithCancel(work)
+	defer stopServing()
+	g.Go(func() error {
+		return process.Serve(serving, e.server(), l, e.cfg.Entry.RequestTimeout.Std())
+	})
+	g.Go(func() error { return e.renew(work) })
+	g.Go(func() error { e.pool.Run(work); return nil })
+	g.Go(func() error { e.watchdog.run(work); return nil })
+	g.Go(func() error { return process.Admin(work, e.cfg.Process.AdminListen, e.metrics, e.ready) })
+	klog.InfoS("Entry runs", "Listen", e.cfg.Entry.Listen)
+	select {
+	case <-ctx.Done():
+		e.shutdown(stopServing)
+	case <-work.Done():
+	}
+	stop()
+	return g.Wait()
+}
+
+// shutdown takes readiness away, waits until the balancer has noticed, and
+// lets requests in progress end.
+func (e *Entry) shutdown(stopServing context.CancelFunc) {
+	e.mu.Lock()
+	e.stopping = true
+	e.mu.Unlock()
+	time.Sleep(e.cfg.Entry.DrainDelay.Std())
+	stopServing()
+	for e.inProgress() > 0 {
+		time.Sleep(retryPause)
+	}
+	e.background.Wait()
+}
+
+func (e *Entry) inProgress() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, c := range e.active {
+		n += c
+	}
+	return n
+}
+
+func (e *Entry) server() *http.Server {
+	mux := flow.New()
+	mux.NotFound = e.unknownRoute()
+	mux.MethodNotAllowed = e.wrongMethod()
+	mux.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {}, http.MethodGet)
+	mux.HandleFunc("/readyz", e.readyPage, http.MethodGet)
+	mux.HandleFunc("/v1/models", e.models, http.MethodGet)
+	mux.HandleFunc("/v1/completions", e.complete, http.MethodPost)
+	mux.HandleFunc("/v1/chat/completions", e.complete, http.MethodPost)
+	for _, route := range e.cfg.Entry.Routes {
+		mux.HandleFunc(route.Prefix, e.serviceHandler(route))
+		mux.HandleFunc(route.Prefix+"/...", e.serviceHandler(route))
+	}
+	return &http.Server{
+		Handler: mux, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: nil,
+	}
+}
+
+// ready reports why the balancer should send no requests, or nil.
+func (e *Entry) ready() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.stopping {
+		return errors.New("shutting down")
+	}
+	if e.view.Version == 0 {
+		return errors.New("no agreed state was received yet")
+	}
+	if time.Since(e.fresh) > lease.Duration {
+		return errors.New("agreed state is not confirmed")
+	}
+	return nil
+}
+
+func (e *Entry) readyPage(w http.ResponseWriter, _ *http.Request) {
+	if err := e.ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	}
+}
+
+// renew keeps the agreed state up to date. An entry acts on it without a
+// lease, since agents refuse what is no longer permitted.
+func (e *Entry) renew(ctx context.Context) error {
+	for ctx.Err() == nil {
+		wait := lease.RenewInterval
+		if err := e.renewOnce(ctx); err != nil {
+			e.metrics.Count("RenewalFailed")
+			wait = retryPause
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+	return nil
+}
+
+func (e *Entry) renewOnce(ctx context.Context) error {
+	sent := time.Now()
+	call, cancel := context.WithTimeout(ctx, lease.Duration)
+	defer cancel()
+	e.mu.Lock()
+	in := api.Renew{Subscriber: api.Subscriber{
+		Name: e.cfg.Process.Name, Role: roleName, Have: e.view.Version,
+	}}
+	e.mu.Unlock()
+	var out api.Renewed
+	if err := e.keepers.Call(call, api.MethodRenew, in, &out); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	before := e.view
+	e.view = e.view.With(out.Delta)
+	after := e.view
+	e.fresh = sent
+	e.mu.Unlock()
+	if after.Policy.Routing != before.Policy.Routing {
+		e.usePolicy(after.Policy.Routing)
+	}
+	e.pool.SetView(after)
+	return nil
+}
+
+func (e *Entry) usePolicy(name string) {
+	if name == "" {
+		name = DefaultPolicy
+	}
+	c, err := policy.New(name, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	if err != nil {
+		klog.ErrorS(err, "Routing policy stays as it is")
+		return
+	}
+	e.pool.SetPolicy(c)
+}
+
+func (e *Entry) currentView() view.View {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.view
+}
+
+// requestID returns the caller's request id, or a new one.
+func requestID(r *http.Request) id.Request {
+	const longest = 128
+	if s := r.Header.Get(header.RequestID); s != "" && len(s) <= longest {
+		return id.Request(s)
+	}
+	return id.NewRequest()
+}
+
+func (e *Entry) refuse(w http.ResponseWriter, request id.Request, r *refusal.Refusal) {
+	e.metrics.CountReason("Refusal", string(r.Reason))
+	klog.V(1).InfoS("Request refused", "RequestID", request, "Outcome", r.Outcome, "Reason", r.Reason)
+	r.Write(w, request)
+}
+
+func (e *Entry) unknownRoute() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.refuse(w, requestID(r), refusal.New(http.StatusNotFound, refusal.UnknownRoute, "no such path"))
+	})
+}
+
+func (e *Entry) wrongMethod() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.refuse(w, requestID(r), refusal.New(http.StatusMethodNotAllowed, refusal.MethodNotAllowed, r.Method+" is not allowed here"))
+	})
+}
--- /dev/null
+++ b/internal/role/entry/watchdog.go
@@ -0,0 +1,151 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// errAgentGone ends exchanges with an agent that no longer answers.
+var errAgentGone = errors.New("agent no longer answers")
+
+const (
+	// quietTime is the silence of an exchange after which its agent is
+	// asked whether it is alive.
+	quietTime     = 1500 * time.Millisecond
+	watchInterval = 500 * time.Millisecond
+	probeTimeout  = 750 * time.Millisecond
+	// maxProbes is the unanswered probes in a row after which an agent
+	// counts as gone.
+	maxProbes = 2
+)
+
+// watched is one exchange under watch.
+type watched struct {
+	address string
+	cancel  context.CancelCauseFunc
+
+	mu   sync.Mutex
+	last time.Time
+}
+
+// touch notes that the exchange made progress.
+func (w *watched) touch() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.last = time.Now()
+}
+
+func (w *watched) quiet() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Since(w.last) > quietTime
+}
+
+// watchdog notices agents that are cut off without a word, so that requests
+// do not wait for them until their own timeout.
+type watchdog struct {
+	client *http.Client
+	scheme string
+
+	mu        sync.Mutex
+	exchanges map[*watched]struct{}
+	// misses counts unanswered probes in a row by address.
+	misses map[string]int
+}
+
+func newWatchdog(client *http.Client, scheme string) *watchdog {
+	return &watchdog{
+		client: client, scheme: scheme,
+		exchanges: map[*watched]struct{}{}, misses: map[string]int{},
+	}
+}
+
+// watch cancels the returned context when the agent is gone. The returned
+// function ends the watch.
+func (d *watchdog) watch(ctx context.Context, address string) (context.Context, *watched, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	w := &watched{address: address, cancel: cancel, last: time.Now()}
+	d.mu.Lock()
+	d.exchanges[w] = struct{}{}
+	d.mu.Unlock()
+	return ctx, w, func() {
+		d.mu.Lock()
+		delete(d.exchanges, w)
+		d.mu.Unlock()
+		cancel(nil)
+	}
+}
+
+func (d *watchdog) run(ctx context.Context) {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		var wg sync.WaitGroup
+		for _, address := range d.quietAddresses() {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				d.probe(ctx, address)
+			}()
+		}
+		wg.Wait()
+	}
+}
+
+func (d *watchdog) quietAddresses() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	seen := map[string]bool{}
+	var out []string
+	for w := range d.exchanges {
+		if w.quiet() && !seen[w.address] {
+			seen[w.address] = true
+			out = append(out, w.address)
+		}
+	}
+	return out
+}
+
+func (d *watchdog) probe(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	u := url.URL{Scheme: d.scheme, Host: address, Path: "/alive"}
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return
+	}
+	w, err := d.client.Do(r)
+	if err == nil {
+		_ = w.Body.Close()
+	}
+	d.note(address, err == nil)
+}
+
+func (d *watchdog) note(address string, alive bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if alive {
+		delete(d.misses, address)
+		return
+	}
+	d.misses[address]++
+	if d.misses[address] < maxProbes {
+		return
+	}
+	delete(d.misses, address)
+	for w := range d.exchanges {
+		if w.address == address {
+			w.cancel(errAgentGone)
+		}
+	}
+}
--- /dev/null
+++ b/internal/role/keeper/conduct.go
@@ -0,0 +1,176 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"egretproxy/internal/agreement/record"
+	"egretproxy/internal/control/ledger"
+	"egretproxy/internal/control/rollout"
+	"egretproxy/internal/control/view"
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/wire/api"
+)
+
+const (
+	// conductInterval is the time between two looks at rollouts and targets.
+	conductInterval = 100 * time.Millisecond
+	// conductTimeout bounds one change that the leader makes by itself.
+	conductTimeout = 2 * time.Second
+	// catchUpEntries is the lag at which a learner becomes a voter.
+	catchUpEntries = 64
+	systemOperator = "egretproxy"
+)
+
+// conduct does the leader's own work until the context ends.
+func (k *Keeper) conduct(ctx context.Context) error {
+	ticker := time.NewTicker(conductInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if !k.replica.Status().Leads {
+			continue
+		}
+		k.admitMembers(ctx)
+		k.removeSilent(ctx)
+		k.recordReports(ctx)
+		k.advanceRollout(ctx)
+	}
+}
+
+func (k *Keeper) viewCopy() view.View {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return copyView(k.ledger.View())
+}
+
+// change makes a change on behalf of the system.
+func (k *Keeper) change(ctx context.Context, name string, c ledger.Change) {
+	e, err := ledger.Encode(name, c)
+	if err != nil {
+		klog.ErrorS(err, "Change can't be encoded", "Change", name)
+		return
+	}
+	e.Operator = systemOperator
+	ctx, cancel := context.WithTimeout(ctx, conductTimeout)
+	defer cancel()
+	a, err := k.submit(ctx, e)
+	if err != nil {
+		klog.V(1).InfoS("Change was not made", "Change", name, "Error", err.Error())
+		return
+	}
+	if a.Code != ledger.CodeDone {
+		klog.V(1).InfoS("Change was refused", "Change", name, "Code", a.Code, "Text", a.Text)
+	}
+}
+
+// admitMembers takes one step of a membership change: a member that asked to
+// join becomes a learner, then a voter, and then replaces the one whose disk
+// was lost.
+func (k *Keeper) admitMembers(ctx context.Context) {
+	s := k.replica.Status()
+	k.mu.Lock()
+	joiners := make([]record.Member, 0, len(k.joiners))
+	for _, m := range k.joiners {
+		joiners = append(joiners, m)
+	}
+	k.mu.Unlock()
+	for _, j := range joiners {
+		next, ok := nextMembership(s.Membership, j, s.Match[j.ID]+catchUpEntries >= s.Last)
+		if !ok {
+			k.mu.Lock()
+			delete(k.joiners, j.Address)
+			k.mu.Unlock()
+			continue
+		}
+		if k.replica.ChangeMembership(ctx, next) {
+			klog.InfoS("Membership changes", "Joiner", j.ID, "Members", len(next.Members))
+		}
+		return
+	}
+}
+
+// nextMembership returns the membership after the next step for a joiner. ok
+// is false when nothing is left to do.
+func nextMembership(m record.Membership, j record.Member, caughtUp bool) (record.Membership, bool) {
+	c, known := m.Find(j.ID)
+	if !known {
+		return m.With(j), true
+	}
+	if !c.Voter {
+		if !caughtUp {
+			return m, true
+		}
+		c.Voter = true
+		return m.With(c), true
+	}
+	for _, old := range m.Members {
+		if old.Name == j.Name && old.ID != j.ID {
+			return m.Without(old.ID), true
+		}
+	}
+	return m, false
+}
+
+// removeSilent removes targets whose agents no longer renew.
+func (k *Keeper) removeSilent(ctx context.Context) {
+	v := k.viewCopy()
+	var gone ledger.RemoveTargets
+	for _, t := range k.roster.Silent(v.Targets, k.cfg.Keeper.LossTimeout.Std()) {
+		gone.Targets = append(gone.Targets, ledger.TargetSession{Target: t, Session: v.Targets[t].Session})
+	}
+	if len(gone.Targets) == 0 {
+		return
+	}
+	klog.InfoS("Targets are silent and removed", "Count", len(gone.Targets))
+	k.metrics.CountBy("TargetsRemoved", "Silent", len(gone.Targets))
+	k.change(ctx, "RemoveTargets", &gone)
+}
+
+// recordReports writes down what agents report where it differs from what is
+// known.
+func (k *Keeper) recordReports(ctx context.Context) {
+	v := k.viewCopy()
+	var out ledger.ReportTargets
+	for t, r := range k.roster.Reports(v.Targets) {
+		known := v.Targets[t]
+		same := known.Phase == r.Phase && known.Installed == r.Installed &&
+			known.Start == r.Start && known.Reason == r.Reason
+		if same {
+			continue
+		}
+		out.Reports = append(out.Reports, ledger.TargetReport{
+			TargetSession: ledger.TargetSession{Target: t, Session: known.Session},
+			Phase:         r.Phase, Installed: r.Installed, Start: r.Start, Reason: r.Reason,
+		})
+	}
+	if len(out.Reports) > 0 {
+		k.change(ctx, "ReportTargets", &out)
+	}
+}
+
+// advanceRollout gives the next orders.
+func (k *Keeper) advanceRollout(ctx context.Context) {
+	v := k.viewCopy()
+	step := rollout.Plan(&v, k.reports(v))
+	switch {
+	case step.Halt != "":
+		klog.InfoS("Rollout is halted", "Bundle", v.Rollout.Next, "Reason", step.Halt)
+		k.change(ctx, "HaltRollout", &ledger.HaltRollout{Bundle: v.Rollout.Next, Reason: step.Halt})
+	case len(step.Orders) > 0:
+		k.change(ctx, "OrderTargets", &ledger.OrderTargets{Rollout: v.Rollout.Changed, Orders: step.Orders})
+	case step.Complete:
+		klog.InfoS("Rollout is complete", "Bundle", v.Rollout.Next)
+		k.change(ctx, "CompleteRollout", &ledger.CompleteRollout{Bundle: v.Rollout.Next})
+	}
+}
+
+func (k *Keeper) reports(v view.View) map[id.Target]api.Report {
+	return k.roster.Reports(v.Targets)
+}
--- /dev/null
+++ b/internal/role/keeper/keeper.go
@@ -0,0 +1,246 @@
+// Package keeper is the role that holds the agreed state on disk and drives
+// rollouts while it leads.
+package keeper
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"egretproxy/internal/agreement/courier"
+	"egretproxy/internal/agreement/disk"
+	"egretproxy/internal/agreement/identity"
+	"egretproxy/internal/agreement/journal"
+	"egretproxy/internal/agreement/raft"
+	"egretproxy/internal/agreement/record"
+	"egretproxy/internal/agreement/replica"
+	"egretproxy/internal/control/ledger"
+	"egretproxy/internal/control/roster"
+	"egretproxy/internal/kernel/metrics"
+	"egretproxy/internal/kernel/process"
+	"egretproxy/internal/settings/config"
+	"egretproxy/internal/wire/api"
+	"egretproxy/internal/wire/frame"
+	"egretproxy/internal/wire/rpc"
+	"egretproxy/internal/wire/security"
+)
+
+// Keeper is one running keeper. Lock order: mu before the roster's lock.
+type Keeper struct {
+	cfg      config.Config
+	identity security.Identity
+	metrics  *metrics.Set
+	replica  *replica.Replica
+	roster   roster.Roster
+	courier  *courier.Courier
+	confirms *batcher
+
+	mu sync.Mutex
+	// ledger is changed by the replica's goroutine only, under mu.
+	ledger ledger.Ledger
+	// leadBase and leadSince give the time of the log while leading.
+	leadBase  int64
+	leadSince time.Time
+	// forwards holds clients of other keepers by address.
+	forwards map[string]*rpc.Client
+	// joiners is the members that asked to join, by address.
+	joiners map[string]record.Member
+}
+
+// Bootstrap prepares the data folder for the first start of a group.
+func Bootstrap(cfg config.Config) error {
+	dir, err := disk.Open(cfg.Keeper.Data)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = dir.Close() }()
+	var members []record.Member
+	for _, m := range cfg.Keeper.Members {
+		members = append(members, record.Member{Name: m.Name, Address: m.Address})
+	}
+	return identity.Bootstrap(dir, cfg.Process.Name, members)
+}
+
+// Run serves until the context ends.
+func Run(ctx context.Context, cfg config.Config, set *metrics.Set) error {
+	k := &Keeper{
+		cfg: cfg, metrics: set,
+		forwards: map[string]*rpc.Client{}, joiners: map[string]record.Member{},
+	}
+	var err error
+	k.identity, err = security.Load(cfg.Security.Authority, cfg.Security.Certificate, cfg.Security.Key)
+	if err != nil {
+		return err
+	}
+	if err := k.identity.CheckListen(cfg.Keeper.Listen); err != nil {
+		return err
+	}
+	dir, err := disk.Open(cfg.Keeper.Data)
+	if err != nil {
+		return errors.Wrap(err, cfg.Keeper.Data)
+	}
+	defer func() { _ = dir.Close() }()
+	own, j, err := k.open(dir)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = j.Close() }()
+	return k.run(ctx, own, j)
+}
+
+// open loads the identity and the journal. A damaged journal is discarded and
+// the keeper returns as a new member.
+func (k *Keeper) open(dir *disk.Folder) (identity.Identity, *journal.Journal, error) {
+	own, ok, err := identity.Load(dir)
+	if err != nil {
+		return own, nil, err
+	}
+	if !ok {
+		return k.restart(dir, "data folder is empty")
+	}
+	j, err := journal.Open(dir)
+	if errors.Is(err, journal.ErrDamaged) {
+		k.metrics.Count("JournalDamaged")
+		if err := identity.Discard(dir); err != nil {
+			return own, nil, err
+		}
+		return k.restart(dir, err.Error())
+	}
+	if err != nil {
+		return own, nil, err
+	}
+	if n := j.TornBytes(); n > 0 {
+		klog.InfoS("Journal tail was torn and cut", "Bytes", n)
+	}
+	return own, j, nil
+}
+
+func (k *Keeper) restart(dir *disk.Folder, reason string) (identity.Identity, *journal.Journal, error) {
+	own, err := identity.Create(dir, k.cfg.Process.Name)
+	if err != nil {
+		return own, nil, err
+	}
+	klog.InfoS("Keeper joins as a new member", "Member", own.ID, "Reason", reason)
+	j, err := journal.Open(dir)
+	return own, j, err
+}
+
+func (k *Keeper) run(ctx context.Context, own identity.Identity, j *journal.Journal) error {
+	g, ctx := errgroup.WithContext(ctx)
+	codec := frame.Codec{Sent: k.metrics.SentBytes(), Received: k.metrics.ReceivedBytes()}
+	k.courier = courier.New(ctx, k.identity.Client(), codec)
+	k.confirms = newBatcher(k.confirmBatch)
+	var err error
+	k.replica, err = replica.New(replica.Config{
+		Raft: raft.Config{
+			ID:   own.ID,
+			Rand: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), uint64(os.Getpid()))),
+		},
+		Tick:            k.cfg.Keeper.Tick.Std(),
+		SnapshotEntries: uint64(k.cfg.Keeper.SnapshotEntries),
+		OnLead:          k.onLead,
+	}, j, k, k.courier)
+	if err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", k.cfg.Keeper.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	server := &rpc.Server{
+		Handlers: k.handlers(), TLS: k.identity.Server(), Codec: codec,
+		OnBadFrame: func(error) { k.metrics.Count("BadFrame") },
+	}
+	g.Go(func() error { return k.replica.Run(ctx) })
+	g.Go(func() error { return server.Serve(ctx, l) })
+	g.Go(func() error { return k.conduct(ctx) })
+	g.Go(func() error { k.confirms.run(ctx); return nil })
+	g.Go(func() error { return k.join(ctx, own) })
+	g.Go(func() error { return process.Admin(ctx, k.cfg.Process.AdminListen, k.metrics, k.ready) })
+	klog.InfoS("Keeper runs", "Member", own.ID, "Listen", k.cfg.Keeper.Listen)
+	return g.Wait()
+}
+
+// ready reports why this keeper is not useful yet, or nil.
+func (k *Keeper) ready() error {
+	s := k.replica.Status()
+	if s.Leader == "" {
+		return errors.New("no leader is known")
+	}
+	if !s.Membership.IsVoter(s.ID) {
+		return errors.New("not a voter yet")
+	}
+	return nil
+}
+
+func (k *Keeper) onLead(leads bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.leadBase = k.ledger.Now()
+	k.leadSince = time.Now()
+	if leads {
+		k.roster.Reset()
+		k.metrics.Count("LeadershipWon")
+	}
+	klog.InfoS("Leadership changed", "Leads", leads)
+}
+
+// stamp returns the time of the log. It counts only while a keeper leads.
+func (k *Keeper) stamp() int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.leadBase + time.Since(k.leadSince).Milliseconds()
+}
+
+// join asks the other keepers for membership until this one is a voter.
+func (k *Keeper) join(ctx context.Context, own identity.Identity) error {
+	self := record.Member{ID: own.ID, Name: own.Name, Address: k.cfg.Keeper.Listen}
+	ticker := time.NewTicker(joinInterval)
+	defer ticker.Stop()
+	for {
+		if k.replica.Status().Membership.IsVoter(own.ID) {
+			return nil
+		}
+		for _, m := range k.cfg.Keeper.Members {
+			if m.Address == self.Address {
+				continue
+			}
+			call, cancel := context.WithTimeout(ctx, forwardTimeout)
+			_ = k.forward(m.Address).Call(call, api.MethodJoin, api.Join{Member: self}, &api.Joined{})
+			cancel()
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// Apply implements replica.Machine.
+func (k *Keeper) Apply(index uint64, command []byte) []byte {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return encodeAnswer(k.ledger.Apply(index, command))
+}
+
+// Snapshot implements replica.Machine.
+func (k *Keeper) Snapshot() ([]byte, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.ledger.Snapshot()
+}
+
+// Restore implements replica.Machine.
+func (k *Keeper) Restore(data []byte) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.ledger.Restore(data)
+}
--- /dev/null
+++ b/internal/role/keeper/service.go
@@ -0,0 +1,290 @@
+package keeper
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+
+	"egretproxy/internal/agreement/record"
+	"egretproxy/internal/agreement/replica"
+	"egretproxy/internal/control/lease"
+	"egretproxy/internal/control/ledger"
+	"egretproxy/internal/control/view"
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/wire/api"
+	"egretproxy/internal/wire/rpc"
+)
+
+const (
+	// forwardTimeout bounds a call that is passed on to the leader.
+	forwardTimeout = 1 * time.Second
+	// submitTimeout bounds the wait for a change to be applied.
+	submitTimeout = 1200 * time.Millisecond
+	joinInterval  = 500 * time.Millisecond
+)
+
+func (k *Keeper) handlers() map[string]rpc.Handler {
+	return map[string]rpc.Handler{
+		api.MethodSubmit:  k.handleSubmit,
+		api.MethodRenew:   k.handleRenew,
+		api.MethodConfirm: k.handleConfirm,
+		api.MethodPeers:   k.handlePeers,
+		api.MethodStatus:  k.handleStatus,
+		api.MethodJoin:    k.handleJoin,
+		api.MethodRaft:    k.handleRaft,
+	}
+}
+
+func (k *Keeper) handleRaft(_ context.Context, params json.RawMessage) (any, error) {
+	var m record.Message
+	if err := json.Unmarshal(params, &m); err != nil {
+		return nil, rpc.BadParams(err)
+	}
+	k.replica.Deliver(m)
+	return nil, nil
+}
+
+func (k *Keeper) handleSubmit(ctx context.Context, params json.RawMessage) (any, error) {
+	var in api.Submit
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, rpc.BadParams(err)
+	}
+	if !ledger.Known(in.Change.Name) {
+		return ledger.Answer{Code: ledger.CodeInvalid, Text: "unknown change " + in.Change.Name}, nil
+	}
+	if !k.replica.Status().Leads && !in.Forwarded {
+		in.Forwarded = true
+		var out ledger.Answer
+		err := k.callLeader(ctx, api.MethodSubmit, in, &out)
+		return out, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	return k.submit(ctx, in.Change)
+}
+
+// submit stamps a change and appends it to the log.
+func (k *Keeper) submit(ctx context.Context, e ledger.Envelope) (ledger.Answer, error) {
+	e.Stamp = k.stamp()
+	data, err := ledger.Marshal(e)
+	if err != nil {
+		return ledger.Answer{}, err
+	}
+	answer, err := k.replica.Propose(ctx, data)
+	if err != nil {
+		return ledger.Answer{}, toRPC(err)
+	}
+	return decodeAnswer(answer)
+}
+
+func (k *Keeper) handleRenew(ctx context.Context, params json.RawMessage) (any, error) {
+	var in api.Renew
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, rpc.BadParams(err)
+	}
+	index, err := k.confirms.confirm(ctx, in.Subscriber)
+	if err != nil {
+		return nil, err
+	}
+	wait, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	if err := k.replica.Await(wait, index); err != nil {
+		return nil, rpc.Fail(rpc.CodeUnavailable, "this keeper lags behind")
+	}
+	return k.renewed(in.Subscriber), nil
+}
+
+func (k *Keeper) renewed(s api.Subscriber) api.Renewed {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	v := k.ledger.View()
+	if s.Target == "" {
+		return api.Renewed{Delta: v.Since(s.Have, "")}
+	}
+	t, ok := v.Targets[s.Target]
+	return api.Renewed{
+		Delta:    v.Since(s.Have, s.Target),
+		Unknown:  !ok || t.Session < s.Session,
+		Replaced: ok && t.Session > s.Session,
+	}
+}
+
+// confirmBatch confirms for many subscribers at once, at the leader.
+func (k *Keeper) confirmBatch(ctx context.Context, batch []api.Subscriber) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	if !k.replica.Status().Leads {
+		var out api.Confirmed
+		err := k.callLeader(ctx, api.MethodConfirm, api.Confirm{Subscribers: batch}, &out)
+		return out.Index, err
+	}
+	index, err := k.replica.Confirm(ctx)
+	if err != nil {
+		return 0, toRPC(err)
+	}
+	k.roster.Note(batch)
+	return index, nil
+}
+
+func (k *Keeper) handleConfirm(ctx context.Context, params json.RawMessage) (any, error) {
+	var in api.Confirm
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, rpc.BadParams(err)
+	}
+	if !k.replica.Status().Leads {
+		return nil, rpc.Fail(rpc.CodeNotLeader, replica.ErrNotLeader.Error())
+	}
+	index, err := k.confirmBatch(ctx, in.Subscribers)
+	return api.Confirmed{Index: index}, err
+}
+
+func (k *Keeper) handlePeers(_ context.Context, params json.RawMessage) (any, error) {
+	var in api.Peers
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, rpc.BadParams(err)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var out api.PeerList
+	for _, t := range k.ledger.View().Targets {
+		holds := t.Staged.Manifest == in.Manifest || t.Installed.Manifest == in.Manifest
+		if t.ID == in.Target || !holds {
+			continue
+		}
+		out.Peers = append(out.Peers, api.Peer{
+			Target: t.ID, Domain: t.Domain, Region: t.Region, Address: t.Address,
+		})
+	}
+	return out, nil
+}
+
+func (k *Keeper) handleStatus(ctx context.Context, params json.RawMessage) (any, error) {
+	if !k.replica.Status().Leads {
+		if string(params) == forwardedMark {
+			return nil, rpc.Fail(rpc.CodeNotLeader, replica.ErrNotLeader.Error())
+		}
+		var out api.Status
+		err := k.callLeader(ctx, api.MethodStatus, json.RawMessage(forwardedMark), &out)
+		return out, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	index, err := k.replica.Confirm(ctx)
+	if err != nil {
+		return nil, toRPC(err)
+	}
+	if err := k.replica.Await(ctx, index); err != nil {
+		return nil, toRPC(err)
+	}
+	return k.status(), nil
+}
+
+// forwardedMark is the parameter of a status call that was passed on.
+const forwardedMark = `"Forwarded"`
+
+func (k *Keeper) status() api.Status {
+	s := k.replica.Status()
+	k.mu.Lock()
+	v := copyView(k.ledger.View())
+	claims := k.ledger.Claims()
+	k.mu.Unlock()
+	return api.Status{
+		View: v, Leader: string(s.Leader), Members: s.Membership.Members,
+		Subscribers: k.roster.List(), Claims: claims,
+		LeaseMilliseconds: lease.Duration.Milliseconds(),
+	}
+}
+
+func (k *Keeper) handleJoin(ctx context.Context, params json.RawMessage) (any, error) {
+	var in api.Join
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, rpc.BadParams(err)
+	}
+	if !k.replica.Status().Leads {
+		return nil, rpc.Fail(rpc.CodeNotLeader, replica.ErrNotLeader.Error())
+	}
+	if in.Member.ID == "" || in.Member.Name == "" || in.Member.Address == "" {
+		return nil, rpc.Fail(rpc.CodeUnavailable, "a member needs an id, a name and an address")
+	}
+	in.Member.Voter = false
+	k.mu.Lock()
+	k.joiners[in.Member.Address] = in.Member
+	k.mu.Unlock()
+	return api.Joined{Members: k.replica.Status().Membership.Members}, ctx.Err()
+}
+
+// callLeader passes a call on to the known leader.
+func (k *Keeper) callLeader(ctx context.Context, method string, params, result any) error {
+	s := k.replica.Status()
+	m, ok := s.Membership.Find(s.Leader)
+	if !ok || s.Leader == s.ID {
+		return rpc.Fail(rpc.CodeNotLeader, "no leader is known")
+	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	err := k.forward(m.Address).Call(ctx, method, params, result)
+	if err == nil {
+		return nil
+	}
+	if code := rpc.CodeOf(err); code != 0 {
+		return err
+	}
+	if errors.Is(err, rpc.ErrNotSent) {
+		return rpc.Fail(rpc.CodeNotLeader, err.Error())
+	}
+	return rpc.Fail(rpc.CodeUncertain, err.Error())
+}
+
+func (k *Keeper) forward(address string) *rpc.Client {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	c := k.forwards[address]
+	if c == nil {
+		c = &rpc.Client{
+			Address: address, TLS: k.identity.Client(), DialTimeout: forwardTimeout,
+		}
+		k.forwards[address] = c
+	}
+	return c
+}
+
+func toRPC(err error) error {
+	switch {
+	case errors.Is(err, replica.ErrNotLeader):
+		return rpc.Fail(rpc.CodeNotLeader, err.Error())
+	case errors.Is(err, replica.ErrUncertain), errors.Is(err, replica.ErrStopped):
+		return rpc.Fail(rpc.CodeUncertain, err.Error())
+	default:
+		return rpc.Fail(rpc.CodeUnavailable, err.Error())
+	}
+}
+
+func encodeAnswer(a ledger.Answer) []byte {
+	data, err := cbor.Marshal(a)
+	if err != nil {
+		panic("keeper: encode answer: " + err.Error())
+	}
+	return data
+}
+
+func decodeAnswer(data []byte) (ledger.Answer, error) {
+	var a ledger.Answer
+	if err := cbor.Unmarshal(data, &a); err != nil {
+		return a, errors.Wrap(err, "decode answer")
+	}
+	return a, nil
+}
+
+// copyView copies the maps of a view, whose values never change in place.
+func copyView(v *view.View) view.View {
+	out := *v
+	out.Bundles = maps.Clone(v.Bundles)
+	out.Domains = maps.Clone(v.Domains)
+	out.Targets = make(map[id.Target]view.Target, len(v.Targets))
+	maps.Copy(out.Targets, v.Targets)
+	return out
+}
