--- /dev/null
+++ b/internal/command/bundle/approve.go
@@ -0,0 +1,40 @@
+package bundle
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"egretproxy/internal/command/operator"
+	"egretproxy/internal/control/ledger"
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/registry"
+)
+
+func init() { registry.Register(approveCommand{}) }
+
+// approveCommand signs a bundle off.
+type approveCommand struct{}
+
+func (approveCommand) Path() []string      { return []string{"bundle", "approve"} }
+func (approveCommand) Aliases() []string   { return nil }
+func (approveCommand) Usage() string       { return "sign a bundle off" }
+func (approveCommand) Description() string { return "Only an approved bundle can be rolled." }
+func (approveCommand) Arguments() string   { return "BUNDLE" }
+func (approveCommand) Flags() []cli.Flag   { return operator.ChangeFlags() }
+
+func (approveCommand) Execute(ctx context.Context, c *cli.Command) error {
+	s, err := operator.Open(c)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	b := id.Bundle(c.Args().First())
+	st, err := s.Status(ctx)
+	if err != nil {
+		return err
+	}
+	return s.Change(ctx, "ApproveBundle", &ledger.ApproveBundle{
+		Bundle: b, Base: operator.Base(c, st.View.Bundles[b].Author.Version),
+	})
+}
--- /dev/null
+++ b/internal/command/bundle/create.go
@@ -0,0 +1,141 @@
+package bundle
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
+
+	"egretproxy/internal/command/operator"
+	"egretproxy/internal/control/ledger"
+	"egretproxy/internal/control/view"
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/registry"
+	"egretproxy/internal/weights/manifest"
+	"egretproxy/internal/weights/source"
+)
+
+const publishTimeout = 5 * time.Minute
+
+func init() { registry.Register(createCommand{}) }
+
+// createCommand cuts and publishes weights and creates a bundle of them.
+type createCommand struct{}
+
+func (createCommand) Path() []string    { return []string{"bundle", "create"} }
+func (createCommand) Aliases() []string { return nil }
+func (createCommand) Usage() string     { return "create a bundle from folders of weights" }
+func (createCommand) Arguments() string { return "BUNDLE" }
+
+func (createCommand) Description() string {
+	return "Each --model names a model, a folder with its files, and the number of replicas or 0 for all that remain: guide=weights/guide:0. The files are cut into chunks and published to each --publish address. Files below a folder named adapters are the model's adapters."
+}
+
+func (createCommand) Flags() []cli.Flag {
+	return append(operator.ChangeFlags(),
+		&cli.StringSliceFlag{Name: "model", Required: true, Usage: "MODEL=FOLDER[:REPLICAS]"},
+		&cli.StringSliceFlag{Name: "publish", Usage: "origin://IP:PORT or store://IP:PORT to send the chunks to"},
+		&cli.IntFlag{Name: "chunk-bytes", Value: manifest.DefaultChunkBytes, Usage: "size of a chunk"},
+	)
+}
+
+// Execute publishes the weights and creates the bundle.
+func (createCommand) Execute(ctx context.Context, c *cli.Command) error {
+	s, err := operator.Open(c)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	change := &ledger.CreateBundle{Bundle: id.Bundle(c.Args().First())}
+	for _, text := range c.StringSlice("model") {
+		spec, err := publish(ctx, c, text)
+		if err != nil {
+			return err
+		}
+		change.Models = append(change.Models, spec)
+	}
+	return s.Change(ctx, "CreateBundle", change)
+}
+
+// publish cuts one model's files, sends the chunks out and returns what the
+// bundle says of the model.
+func publish(ctx context.Context, c *cli.Command, text string) (view.ModelSpec, error) {
+	spec, folder, err := parseModel(text)
+	if err != nil {
+		return spec, err
+	}
+	var places []*url.URL
+	for _, p := range c.StringSlice("publish") {
+		u, err := source.Parse(p)
+		if err != nil {
+			return spec, err
+		}
+		places = append(places, u)
+	}
+	m, err := manifest.Cut(os.DirFS(folder), c.Int("chunk-bytes"), func(d manifest.Digest, data []byte) error {
+		return put(ctx, places, d, data)
+	})
+	if err != nil {
+		return spec, errors.Wrap(err, folder)
+	}
+	data, digest, err := m.Encode()
+	if err != nil {
+		return spec, err
+	}
+	spec.Manifest = string(digest)
+	for _, f := range m.Files {
+		if strings.HasPrefix(f.Name, "adapters/") {
+			spec.Adapters = append(spec.Adapters, strings.TrimPrefix(f.Name, "adapters/"))
+		}
+	}
+	fmt.Fprintf(os.Stderr, "model %s: %d files, %d bytes, manifest %s\n", spec.Name, len(m.Files), m.Size(), digest)
+	return spec, put(ctx, places, digest, data)
+}
+
+func parseModel(text string) (view.ModelSpec, string, error) {
+	name, rest, ok := strings.Cut(text, "=")
+	if !ok || name == "" || rest == "" {
+		return view.ModelSpec{}, "", errors.Errorf("--model %q is no MODEL=FOLDER[:REPLICAS]", text)
+	}
+	spec := view.ModelSpec{Name: id.Model(name)}
+	folder, replicas, ok := strings.Cut(rest, ":")
+	if !ok {
+		return spec, folder, nil
+	}
+	n, err := strconv.Atoi(replicas)
+	if err != nil || n < 0 {
+		return spec, "", errors.Errorf("--model %q: %q is no number of replicas", text, replicas)
+	}
+	spec.Replicas = n
+	return spec, folder, nil
+}
+
+func put(ctx context.Context, places []*url.URL, d manifest.Digest, data []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	for _, p := range places {
+		r, err := http.NewRequestWithContext(ctx, http.MethodPut, p.JoinPath("chunks", string(d)).String(), bytes.NewReader(data))
+		if err != nil {
+			return errors.Wrap(err, "build upload")
+		}
+		w, err := http.DefaultClient.Do(r)
+		if err != nil {
+			return errors.Wrap(err, "publish chunk")
+		}
+		_, _ = io.Copy(io.Discard, w.Body)
+		_ = w.Body.Close()
+		if w.StatusCode/100 != 2 {
+			return errors.Errorf("%s answers %s", p.Host, w.Status)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/command/bundle/doc.go
@@ -0,0 +1,6 @@
+// Package bundle holds the operators' commands for bundles.
+package bundle
+
+import "egretproxy/internal/kernel/registry"
+
+func init() { registry.Describe("bundle", "create, approve, roll, supersede and show bundles") }
--- /dev/null
+++ b/internal/command/config/apply.go
@@ -0,0 +1,77 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"github.com/urfave/cli/v3"
+
+	"egretproxy/internal/command/operator"
+	"egretproxy/internal/control/ledger"
+	"egretproxy/internal/control/view"
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/registry"
+	"egretproxy/internal/settings/file"
+)
+
+func init() { registry.Register(applyCommand{}) }
+
+// routings are the routing policies that operators may name.
+var routings = []string{"", "Affinity", "LeastLoaded", "RoundRobin"}
+
+// policyFile is the policy of all entries, as operators write it.
+type policyFile struct {
+	Routing       string
+	Organisations map[id.Organisation]view.Limits
+}
+
+// Check implements file.Checker.
+func (p *policyFile) Check() []file.Problem {
+	var out []file.Problem
+	if !slices.Contains(routings, p.Routing) {
+		out = append(out, file.Problem{Key: "Routing", Reason: "is none of Affinity, LeastLoaded, RoundRobin"})
+	}
+	for k, o := range p.Organisations {
+		if o.Weight < 1 {
+			out = append(out, file.Problem{Key: fmt.Sprintf("Organisations.%s.Weight", k), Reason: "is below 1"})
+		}
+		if o.Concurrent < 0 {
+			out = append(out, file.Problem{Key: fmt.Sprintf("Organisations.%s.Concurrent", k), Reason: "is negative"})
+		}
+	}
+	return out
+}
+
+// applyCommand replaces the policy of all entries.
+type applyCommand struct{}
+
+func (applyCommand) Path() []string    { return []string{"config", "apply"} }
+func (applyCommand) Aliases() []string { return nil }
+func (applyCommand) Usage() string     { return "replace the policy of all entries" }
+func (applyCommand) Arguments() string { return "FILE" }
+func (applyCommand) Flags() []cli.Flag { return operator.ChangeFlags() }
+
+func (applyCommand) Description() string {
+	return "The file is JSON with comments: Routing, and Organisations with Weight, Concurrent and Priority."
+}
+
+func (applyCommand) Execute(ctx context.Context, c *cli.Command) error {
+	var p policyFile
+	if err := file.Load(c.Args().First(), &p); err != nil {
+		return cli.Exit(err.Error(), 1)
+	}
+	s, err := operator.Open(c)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	st, err := s.Status(ctx)
+	if err != nil {
+		return err
+	}
+	return s.Change(ctx, "ApplyPolicy", &ledger.ApplyPolicy{
+		Organisations: p.Organisations, Routing: p.Routing,
+		Base: operator.Base(c, st.View.Policy.Author.Version),
+	})
+}
--- /dev/null
+++ b/internal/command/domain/doc.go
@@ -0,0 +1,6 @@
+// Package domain holds the operators' commands for failure domains.
+package domain
+
+import "egretproxy/internal/kernel/registry"
+
+func init() { registry.Describe("domain", "withdraw, return and show failure domains") }
--- /dev/null
+++ b/internal/command/domain/return.go
@@ -0,0 +1,42 @@
+package domain
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"egretproxy/internal/command/operator"
+	"egretproxy/internal/control/ledger"
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/registry"
+)
+
+func init() { registry.Register(returnCommand{}) }
+
+// returnCommand brings a failure domain back into service.
+type returnCommand struct{}
+
+func (returnCommand) Path() []string    { return []string{"domain", "return"} }
+func (returnCommand) Aliases() []string { return nil }
+func (returnCommand) Usage() string     { return "bring a failure domain back into service" }
+func (returnCommand) Description() string {
+	return "The load returns in step with what its targets bear."
+}
+func (returnCommand) Arguments() string { return "DOMAIN" }
+func (returnCommand) Flags() []cli.Flag { return operator.ChangeFlags() }
+
+func (returnCommand) Execute(ctx context.Context, c *cli.Command) error {
+	s, err := operator.Open(c)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	d := id.Domain(c.Args().First())
+	st, err := s.Status(ctx)
+	if err != nil {
+		return err
+	}
+	return s.Change(ctx, "ReturnDomain", &ledger.ReturnDomain{
+		Domain: d, Base: operator.Base(c, st.View.Domains[d].Author.Version),
+	})
+}
--- /dev/null
+++ b/internal/command/domain/withdraw.go
@@ -0,0 +1,42 @@
+package domain
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"egretproxy/internal/command/operator"
+	"egretproxy/internal/control/ledger"
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/registry"
+)
+
+func init() { registry.Register(withdrawCommand{}) }
+
+// withdrawCommand takes a failure domain out of service.
+type withdrawCommand struct{}
+
+func (withdrawCommand) Path() []string    { return []string{"domain", "withdraw"} }
+func (withdrawCommand) Aliases() []string { return nil }
+func (withdrawCommand) Usage() string     { return "take a failure domain out of service" }
+func (withdrawCommand) Description() string {
+	return "No target of the domain gets new work after three seconds. Requests in progress end."
+}
+func (withdrawCommand) Arguments() string { return "DOMAIN" }
+func (withdrawCommand) Flags() []cli.Flag { return operator.ChangeFlags() }
+
+func (withdrawCommand) Execute(ctx context.Context, c *cli.Command) error {
+	s, err := operator.Open(c)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	d := id.Domain(c.Args().First())
+	st, err := s.Status(ctx)
+	if err != nil {
+		return err
+	}
+	return s.Change(ctx, "WithdrawDomain", &ledger.WithdrawDomain{
+		Domain: d, Base: operator.Base(c, st.View.Domains[d].Author.Version),
+	})
+}
--- /dev/null
+++ b/internal/command/operator/operator.go
@@ -0,0 +1,233 @@
+// Package operator is what the operators' commands share: the connection to
+// the keepers, the output, and the wait until a change is in force.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
+
+	"egretproxy/internal/control/ledger"
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/settings/config"
+	"egretproxy/internal/wire/api"
+	"egretproxy/internal/wire/frame"
+	"egretproxy/internal/wire/keepers"
+	"egretproxy/internal/wire/security"
+)
+
+// Exit codes besides 0 and 1.
+const (
+	// ExitRefused means that the keepers refused the change.
+	ExitRefused = 2
+	// ExitConflict means that another change came first.
+	ExitConflict = 3
+	// ExitUncertain means that the outcome is not known. Resend with the
+	// same --request.
+	ExitUncertain = 4
+)
+
+const (
+	callTimeout = 10 * time.Second
+	forceWait   = 30 * time.Second
+	poll        = 200 * time.Millisecond
+)
+
+// Session is one operator command's connection to the keepers.
+type Session struct {
+	client   *keepers.Client
+	operator id.Operator
+	request  id.Request
+	json     bool
+	wait     bool
+}
+
+// Flags returns the flags that all operator commands take.
+func Flags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "config", Aliases: []string{"c"}, Usage: "settings file with Keepers and Security"},
+		&cli.StringSliceFlag{Name: "keeper", Usage: "address of a keeper, in place of a settings file"},
+		&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Value: "table", Usage: "table or json"},
+	}
+}
+
+// ChangeFlags returns the flags of commands that change something.
+func ChangeFlags() []cli.Flag {
+	return append(Flags(),
+		&cli.StringFlag{Name: "operator", Sources: cli.EnvVars("USER"), Usage: "name that stands beside the change"},
+		&cli.StringFlag{Name: "request", Usage: "request id; a resend under the same id has one effect"},
+		&cli.IntFlag{Name: "based-on", Value: -1, Usage: "version that the change is based on; the newest if left out"},
+		&cli.BoolFlag{Name: "no-wait", Usage: "return once the change is agreed, before it is in force everywhere"},
+	)
+}
+
+// Open connects to the keepers.
+func Open(c *cli.Command) (*Session, error) {
+	var cfg config.Config
+	if name := c.String("config"); name != "" {
+		loaded, err := config.Load(name)
+		if err != nil {
+			return nil, err
+		}
+		cfg = loaded
+	}
+	addresses := cfg.Keepers.Addresses
+	if list := c.StringSlice("keeper"); len(list) > 0 {
+		addresses = list
+	}
+	if len(addresses) == 0 {
+		return nil, errors.New("name the keepers with --config or --keeper")
+	}
+	s := cfg.Security
+	identity, err := security.Load(s.Authority, s.Certificate, s.Key)
+	if err != nil {
+		return nil, err
+	}
+	if o := c.String("output"); o != "table" && o != "json" {
+		return nil, errors.Errorf("--output is table or json, not %q", o)
+	}
+	request := id.Request(c.String("request"))
+	if request == "" {
+		request = id.NewRequest()
+	}
+	return &Session{
+		client:   keepers.New(addresses, identity.Client(), frame.Codec{}, 0),
+		operator: id.Operator(c.String("operator")), request: request,
+		json: c.String("output") == "json", wait: !c.Bool("no-wait"),
+	}, nil
+}
+
+// Close ends the connection.
+func (s *Session) Close() { s.client.Close() }
+
+// Status asks for the agreed state and the processes that follow it.
+func (s *Session) Status(ctx context.Context) (api.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var out api.Status
+	err := s.client.CallAny(ctx, api.MethodStatus, nil, &out)
+	return out, err
+}
+
+// Base returns the version that a change is based on: the one of the flag, or
+// the newest.
+func Base(c *cli.Command, newest id.Version) id.Version {
+	if v := c.Int("based-on"); v >= 0 {
+		return id.Version(v)
+	}
+	return newest
+}
+
+// Change makes a change and waits until it is in force everywhere.
+func (s *Session) Change(ctx context.Context, name string, change ledger.Change) error {
+	e, err := ledger.Encode(name, change)
+	if err != nil {
+		return err
+	}
+	e.Request = s.request
+	e.Operator = s.operator
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	a, err := s.client.Submit(call, e)
+	if err != nil {
+		return cli.Exit(fmt.Sprintf("%v; resend with --request %s", err, s.request), ExitUncertain)
+	}
+	if a.Code != ledger.CodeDone {
+		return s.refused(a)
+	}
+	if !s.wait {
+		return s.Print(a, [][]string{{"AGREED AT", "REQUEST"}, {fmt.Sprint(a.Version), string(s.request)}})
+	}
+	return s.inForce(ctx, a)
+}
+
+func (s *Session) refused(a ledger.Answer) error {
+	text := string(a.Code) + ": " + a.Text
+	if a.Winner != nil {
+		text += fmt.Sprintf(" (by %s: %s, version %d)", a.Winner.Operator, a.Winner.What, a.Winner.Version)
+	}
+	if s.json {
+		_ = json.NewEncoder(os.Stdout).Encode(a)
+	}
+	if a.Code == ledger.CodeConflict {
+		return cli.Exit(text, ExitConflict)
+	}
+	return cli.Exit(text, ExitRefused)
+}
+
+// Force tells how far a version is in force.
+type Force struct {
+	Version id.Version
+	// Confirmed is the processes that act on the version.
+	Confirmed int
+	// Lapsed names processes that are silent for longer than the lease, and
+	// so act no longer.
+	Lapsed []string
+	// Waiting names processes that may still act on an older version.
+	Waiting []string
+}
+
+// Measure works out how far a version is in force.
+func Measure(st api.Status, v id.Version) Force {
+	f := Force{Version: v, Lapsed: []string{}, Waiting: []string{}}
+	for _, p := range st.Subscribers {
+		switch {
+		case p.Have >= v:
+			f.Confirmed++
+		case p.SilentMilliseconds > st.LeaseMilliseconds:
+			f.Lapsed = append(f.Lapsed, p.Role+"/"+p.Name)
+		default:
+			f.Waiting = append(f.Waiting, p.Role+"/"+p.Name)
+		}
+	}
+	return f
+}
+
+// inForce waits until no process can act on an older version.
+func (s *Session) inForce(ctx context.Context, a ledger.Answer) error {
+	ctx, cancel := context.WithTimeout(ctx, forceWait)
+	defer cancel()
+	for {
+		st, err := s.Status(ctx)
+		if err != nil {
+			return cli.Exit("agreed, but it is not known whether it is in force: "+err.Error(), 1)
+		}
+		f := Measure(st, a.Version)
+		if len(f.Waiting) == 0 {
+			return s.Print(f, [][]string{
+				{"IN FORCE AT", "CONFIRMED", "LAPSED"},
+				{fmt.Sprint(f.Version), fmt.Sprint(f.Confirmed), fmt.Sprint(len(f.Lapsed))},
+			})
+		}
+		fmt.Fprintf(os.Stderr, "version %d: %d confirmed, %d to go\n", f.Version, f.Confirmed, len(f.Waiting))
+		select {
+		case <-time.After(poll):
+		case <-ctx.Done():
+			return cli.Exit(fmt.Sprintf("agreed, but not confirmed by %v", f.Waiting), 1)
+		}
+	}
+}
+
+// Print writes a value as JSON or as a table, whose first row is its head.
+func (s *Session) Print(v any, rows [][]string) error {
+	if s.json {
+		return json.NewEncoder(os.Stdout).Encode(v)
+	}
+	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		for i, cell := range row {
+			if i > 0 {
+				_, _ = fmt.Fprint(t, "\t")
+			}
+			_, _ = fmt.Fprint(t, cell)
+		}
+		_, _ = fmt.Fprintln(t)
+	}
+	return t.Flush()
+}
--- /dev/null
+++ b/internal/command/role/role.go
@@ -0,0 +1,39 @@
+// Package role holds the commands that run the roles.
+package role
+
+import (
+	"context"
+	"os"
+
+	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
+
+	"egretproxy/internal/kernel/logs"
+	"egretproxy/internal/kernel/metrics"
+	"egretproxy/internal/settings/config"
+)
+
+// runner is the main function of a role.
+type runner func(ctx context.Context, cfg config.Config, set *metrics.Set) error
+
+func configFlag() cli.Flag {
+	return &cli.StringFlag{Name: "config", Aliases: []string{"c"}, Usage: "settings file of the process"}
+}
+
+func load(c *cli.Command) (config.Config, error) {
+	name := c.String("config")
+	if name == "" {
+		return config.Config{}, errors.New("name the settings file with --config")
+	}
+	return config.Load(name)
+}
+
+// start loads the settings, sets up the log and runs the role.
+func start(ctx context.Context, c *cli.Command, name string, run runner) error {
+	cfg, err := load(c)
+	if err != nil {
+		return err
+	}
+	logs.Init(os.Stderr, cfg.Process.LogLevel)
+	return run(ctx, cfg, metrics.New(name))
+}
--- /dev/null
+++ b/internal/command/target/doc.go
@@ -0,0 +1,6 @@
+// Package target holds the operators' commands for targets.
+package target
+
+import "egretproxy/internal/kernel/registry"
+
+func init() { registry.Describe("target", "show targets") }
