--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,312 @@
+// Package engine is a stand-in for a model engine: it batches continuously,
+// caches prefixes, honours priorities, turns cold and falls over, loads
+// versions, and reports late.
+package engine
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Config is how a stand-in engine behaves.
+type Config struct {
+	// Slots and ColdSlots are the requests borne when warm and when cold.
+	Slots     int
+	ColdSlots int
+	// WarmRequests is the whole answers after which the engine is warm.
+	WarmRequests int
+	// TokenInterval is the time between two steps of the batch.
+	TokenInterval time.Duration
+	// PrefillPerKB is the time to read one KB of a prompt that is not
+	// cached.
+	PrefillPerKB time.Duration
+	// ColdFactor slows a cold engine's prefill.
+	ColdFactor int
+	// CacheBlocks bounds the prefix cache.
+	CacheBlocks int
+	// ReportLag is the age of what /status tells about load.
+	ReportLag time.Duration
+	// EventLag is the delay of cache events, and EventGap the number of
+	// events after which one is left out.
+	EventLag time.Duration
+	EventGap int
+	// Fencing makes the engine refuse orders with an old fencing number.
+	Fencing bool
+	// FallOverFactor is the ratio of work to what is borne at which the
+	// engine falls over.
+	FallOverFactor float64
+	// LoadTime is the time to load content after it was read.
+	LoadTime time.Duration
+	// FailLoad makes every load of this version fail.
+	FailLoad string
+}
+
+// Counts is what the stand-in has seen.
+type Counts struct {
+	// Requests is the requests taken in, and Answered those answered whole.
+	Requests int
+	Answered int
+	// Overloads is the requests taken in above what the engine bore.
+	Overloads int
+	FellOver  int
+	Cancelled int
+	// AfterMark is the requests taken in while marked.
+	AfterMark int
+	CacheHits int
+	CacheMiss int
+	// LoadedAt is the time, in Unix milliseconds, when each version was
+	// loaded first.
+	LoadedAt map[string]int64
+}
+
+// request is one request in the engine.
+type request struct {
+	prompt   string
+	priority int
+	sequence int
+	tokens   int
+	// next is the number of the next token.
+	next int
+	// ready is the time when the prefill ends.
+	ready time.Time
+	// out gets one value for each token and is closed at the end.
+	out chan int
+	// broken is closed when the engine falls over.
+	broken  chan struct{}
+	version string
+	ctx     context.Context
+}
+
+// report is a load report with the time when it was made.
+type report struct {
+	at      time.Time
+	running int
+	waiting int
+}
+
+// Engine is one stand-in engine.
+type Engine struct {
+	cfg Config
+
+	mu      sync.Mutex
+	start   string
+	version string
+	model   string
+	role    string
+	digest  string
+	loading bool
+	// fence is the newest fencing number seen.
+	fence uint64
+	// served is the whole answers since the engine was last cold.
+	served   int
+	running  []*request
+	waiting  []*request
+	sequence int
+	cache    cache
+	events   []event
+	reports  []report
+	counts   Counts
+	marked   bool
+}
+
+const startBytes = 6
+
+// New returns an engine that holds no version.
+func New(c Config) *Engine {
+	e := &Engine{cfg: c, start: newStart(), role: "Mixed"}
+	e.counts.LoadedAt = map[string]int64{}
+	e.cache.limit = c.CacheBlocks
+	return e
+}
+
+func newStart() string {
+	var b [startBytes]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// Run steps the batch until the context ends.
+func (e *Engine) Run(ctx context.Context) {
+	ticker := time.NewTicker(e.cfg.TokenInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			e.step(time.Now())
+		}
+	}
+}
+
+// bears returns the requests that the engine bears now.
+func (e *Engine) bears() int {
+	if e.served >= e.cfg.WarmRequests {
+		return e.cfg.Slots
+	}
+	return e.cfg.ColdSlots + (e.cfg.Slots-e.cfg.ColdSlots)*e.served/e.cfg.WarmRequests
+}
+
+func (e *Engine) cold() bool { return e.served < e.cfg.WarmRequests }
+
+// submit takes a request in. It returns nil if the engine serves nothing.
+func (e *Engine) submit(ctx context.Context, prompt string, priority, tokens, resume int) *request {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.version == "" || e.loading {
+		return nil
+	}
+	e.counts.Requests++
+	if e.marked {
+		e.counts.AfterMark++
+	}
+	e.sequence++
+	r := &request{
+		prompt: prompt, priority: priority, sequence: e.sequence, tokens: tokens, next: resume,
+		out: make(chan int, tokens+1), broken: make(chan struct{}), version: e.version, ctx: ctx,
+	}
+	e.waiting = append(e.waiting, r)
+	work := len(e.waiting) + len(e.running)
+	if work > e.bears() {
+		e.counts.Overloads++
+	}
+	if float64(work) > e.cfg.FallOverFactor*float64(e.bears()) {
+		e.fallOver()
+	}
+	return r
+}
+
+// fallOver breaks all requests off and restarts the engine without content.
+func (e *Engine) fallOver() {
+	e.counts.FellOver++
+	e.restart()
+}
+
+func (e *Engine) restart() {
+	for _, r := range append(e.running, e.waiting...) {
+		close(r.broken)
+	}
+	e.running, e.waiting = nil, nil
+	e.version, e.model, e.digest = "", "", ""
+	e.served = 0
+	e.cache.clear()
+	e.start = newStart()
+}
+
+// Cool makes the engine cold without a word.
+func (e *Engine) Cool() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.served = 0
+	e.cache.clear()
+}
+
+// Restart makes the engine lose its content.
+func (e *Engine) Restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.restart()
+}
+
+// Mark makes the engine count the requests that it takes in from now on, or
+// no longer.
+func (e *Engine) Mark(on bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.marked = on
+}
+
+// Counts returns what the stand-in has seen.
+func (e *Engine) Counts() Counts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := e.counts
+	out.LoadedAt = map[string]int64{}
+	for k, v := range e.counts.LoadedAt {
+		out.LoadedAt[k] = v
+	}
+	return out
+}
+
+// step gives each running request one token and lets waiting ones in.
+func (e *Engine) step(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.drop()
+	e.admit(now)
+	kept := e.running[:0]
+	for _, r := range e.running {
+		if now.Before(r.ready) {
+			kept = append(kept, r)
+			continue
+		}
+		r.out <- r.next
+		r.next++
+		if r.next < r.tokens {
+			kept = append(kept, r)
+			continue
+		}
+		close(r.out)
+		e.served++
+		e.counts.Answered++
+		e.remember(r.prompt, now)
+	}
+	clear(e.running[len(kept):])
+	e.running = kept
+	e.note(now)
+}
+
+// drop removes requests whose callers have left.
+func (e *Engine) drop() {
+	gone := func(r *request) bool {
+		if r.ctx.Err() == nil {
+			return false
+		}
+		e.counts.Cancelled++
+		return true
+	}
+	e.running = slices.DeleteFunc(e.running, gone)
+	e.waiting = slices.DeleteFunc(e.waiting, gone)
+}
+
+// admit moves waiting requests into the batch, the most urgent first.
+func (e *Engine) admit(now time.Time) {
+	slices.SortStableFunc(e.waiting, func(a, b *request) int {
+		if a.priority != b.priority {
+			return b.priority - a.priority
+		}
+		return a.sequence - b.sequence
+	})
+	for len(e.waiting) > 0 && len(e.running) < e.cfg.Slots {
+		r := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		r.ready = now.Add(e.prefill(r.prompt))
+		e.running = append(e.running, r)
+	}
+}
+
+// prefill returns the time to read the part of a prompt that is not cached.
+func (e *Engine) prefill(prompt string) time.Duration {
+	blocks, hit := e.cache.match(prompt)
+	if hit > 0 {
+		e.counts.CacheHits += hit
+	}
+	e.counts.CacheMiss += blocks - hit
+	d := e.cfg.PrefillPerKB * time.Duration((blocks-hit)*blockBytes) / 1024
+	if e.cold() {
+		d *= time.Duration(e.cfg.ColdFactor)
+	}
+	return d
+}
+
+// note keeps load reports until they are old enough to be told.
+func (e *Engine) note(now time.Time) {
+	e.reports = append(e.reports, report{at: now, running: len(e.running), waiting: len(e.waiting)})
+	for len(e.reports) > 1 && now.Sub(e.reports[1].at) >= e.cfg.ReportLag {
+		e.reports = e.reports[1:]
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/orders.go
@@ -0,0 +1,113 @@
+package engine
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/zeebo/blake3"
+)
+
+// order asks the engine to load a version.
+type order struct {
+	Fence   uint64
+	Version string
+	Model   string
+	// Digest names the content. The engine reports it once the content was
+	// read whole.
+	Digest string
+	// Source is the URL of the content.
+	Source string
+}
+
+// Status is the engine's report. Load figures lag.
+type Status struct {
+	Start   string
+	Version string
+	Model   string
+	Role    string
+	Digest  string
+	Loading bool
+	Running int
+	Waiting int
+}
+
+const loadTimeout = 10 * time.Minute
+
+// take accepts an order, unless its fence is old and the engine checks that.
+func (e *Engine) take(ctx context.Context, o order) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cfg.Fencing && o.Fence < e.fence {
+		return false
+	}
+	e.fence = max(e.fence, o.Fence)
+	e.loading = true
+	for _, r := range append(e.running, e.waiting...) {
+		close(r.broken)
+	}
+	e.running, e.waiting = nil, nil
+	go e.load(ctx, o)
+	return true
+}
+
+// load reads the content and serves it from then on, cold.
+func (e *Engine) load(ctx context.Context, o order) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	err := read(ctx, o.Source)
+	select {
+	case <-time.After(e.cfg.LoadTime):
+	case <-ctx.Done():
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loading = false
+	e.version, e.model, e.digest = "", "", ""
+	e.served = 0
+	e.cache.clear()
+	if err != nil || o.Version == e.cfg.FailLoad {
+		return
+	}
+	e.version, e.model, e.digest = o.Version, o.Model, o.Digest
+	if _, ok := e.counts.LoadedAt[o.Version]; !ok {
+		e.counts.LoadedAt[o.Version] = time.Now().UnixMilli()
+	}
+}
+
+// read reads the content whole.
+func read(ctx context.Context, source string) error {
+	if source == "" {
+		return nil
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, source, nil)
+	if err != nil {
+		return err
+	}
+	w, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = w.Body.Close() }()
+	if w.StatusCode != http.StatusOK {
+		return io.ErrUnexpectedEOF
+	}
+	_, err = io.Copy(blake3.New(), w.Body)
+	return err
+}
+
+// Status returns the report of the engine.
+func (e *Engine) Status() Status {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := Status{
+		Start: e.start, Version: e.version, Model: e.model, Role: e.role,
+		Digest: e.digest, Loading: e.loading,
+	}
+	if len(e.reports) > 0 {
+		s.Running = e.reports[0].running
+		s.Waiting = e.reports[0].waiting
+	}
+	return s
+}
