--- a/internal/agreement/raft/schedule_test.go
+++ b/internal/agreement/raft/schedule_test.go
@@ -12,32 +12,31 @@
 )
 
 const (
-	schedules     = 300
+	schedules     = 600
 	scheduleSteps = 4000
 	lastCommand   = 1 << 40
 )
 
 // register is the sequential model of the log's clients: one value that is
-// written and read. Each operation shows its position in the log, so that only
-// one order has to be tried.
+// written and read. Each operation shows how many writes the log has up to its
+// place, so that only one order has to be tried.
 var register = porcupine.Model{
 	Init: func() any { return value{} },
 	Step: func(state, in, out any) (bool, any) {
 		now, o, at := state.(value), in.(operation), out.(value)
-		if at.position < now.position {
-			return false, now
-		}
 		if o.write {
-			return true, value{position: at.position, number: o.number}
+			return at.writes == now.writes+1, value{writes: at.writes, number: o.number}
 		}
-		return at.number == now.number, value{position: at.position, number: now.number}
+		return at.writes == now.writes && at.number == now.number, now
 	},
 }
 
 // value is the register at a position of the log.
 type value struct {
 	position uint64
-	number   uint64
+	// writes is the number of writes up to the position.
+	writes int
+	number uint64
 }
 
 type operation struct {
@@ -142,10 +141,21 @@
 	}
 }
 
+// writesUpTo counts the writes up to a position of the log.
+func (h *history) writesUpTo(position uint64) int {
+	n := 0
+	for _, o := range h.ops {
+		if o.Input.(operation).write && o.Return >= 0 && o.Output.(value).position <= position {
+			n++
+		}
+	}
+	return n
+}
+
 // valueAt returns the value of the register at a position of the log.
 func (c *cluster) valueAt(index uint64) uint64 {
 	for i := index; i > 0; i-- {
-		if v := c.chosen[i]; v != 0 {
+		if v := c.chosen[i]; v != 0 && v != lastCommand {
 			return v
 		}
 	}
@@ -160,6 +170,9 @@
 		if o.Return < 0 {
 			continue
 		}
+		v := o.Output.(value)
+		v.writes = h.writesUpTo(v.position)
+		o.Output = v
 		out = append(out, o)
 	}
 	return out
