--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -155,7 +155,7 @@
 		Store: a.store, Client: a.client(false), Planner: w.Planner, Scheme: scheme,
 		Sources: sources, Parallel: w.Parallel, StallTimeout: w.StallTimeout.Std(),
 		InstanceRate: w.InstanceRate.BytesPerSecond(), RegionRate: w.RegionRate.BytesPerSecond(),
-		OriginPerRegion: w.OriginPerRegion, Peers: a.peers,
+		OriginPerRegion: w.OriginPerRegion, OriginRegion: w.OriginRegion, Peers: a.peers,
 	}, nil
 }
 
--- a/internal/settings/config/agent.go
+++ b/internal/settings/config/agent.go
@@ -56,6 +56,9 @@
 	// OriginPerRegion tells that the origin reaches each region by a link
 	// of its own, so that each region draws one copy from it.
 	OriginPerRegion bool
+	// OriginRegion is the region whose instances reach the sources without
+	// crossing a link between regions, or empty if there is none.
+	OriginRegion id.Region
 	// Planner names the choice of sources: Swarm or Direct.
 	Planner string
 }
@@ -68,7 +71,7 @@
 			InstanceRate: 10_000_000_000,
 			RegionRate:   20_000_000,
 			StallTimeout: unit.Duration(2 * time.Second),
-			Parallel:     8,
+			Parallel:     4,
 			Planner:      "Swarm",
 		},
 	}
--- a/internal/weights/direct/direct.go
+++ b/internal/weights/direct/direct.go
@@ -39,7 +39,7 @@
 func (d *Direct) Finished(p planner.Pick, _ time.Time) { d.held.Set(p.Chunk) }
 
 // Failed implements planner.Planner.
-func (d *Direct) Failed(p planner.Pick, _ bool, _ time.Time) {
+func (d *Direct) Failed(p planner.Pick, _ planner.Failure, _ time.Time) {
 	d.pending[p.Chunk/64] &^= 1 << (p.Chunk % 64)
 }
 
--- a/internal/weights/fetch/fetch.go
+++ b/internal/weights/fetch/fetch.go
@@ -73,6 +73,7 @@
 	InstanceRate    float64
 	RegionRate      float64
 	OriginPerRegion bool
+	OriginRegion    id.Region
 	// Peers lists the agents with the same content.
 	Peers func(ctx context.Context, d manifest.Digest) ([]Peer, error)
 	// Counts adds up over all fetches.
@@ -192,7 +193,8 @@
 	j.plan, err = planner.New(f.Planner, planner.Config{
 		Self: f.Self, Chunks: len(j.chunks), Manifest: string(d),
 		Seed: uint64(time.Now().UnixNano()), OriginPerRegion: f.OriginPerRegion,
-		Patience: f.StallTimeout,
+		OriginRegion: f.OriginRegion,
+		Patience:     f.StallTimeout,
 	})
 	if err != nil {
 		return nil, err
@@ -253,11 +255,14 @@
 	if p.Peer == "" {
 		return j.fromSources(ctx, c)
 	}
-	limits := []*rate.Limiter{j.limit}
+	src := j.source(base, j.limit)
+	src.Query = url.Values{share.ManifestQuery: {string(j.digest)}}
+	src.OnHeader = func(h http.Header) { j.noteHave(p.Peer, h) }
 	if p.Crossing {
-		limits = append(limits, j.crossed)
+		src.Query.Set(share.CrossingQuery, "1")
+		src.Limits = append(src.Limits, j.crossed)
 	}
-	data, err := j.source(base, limits...).Fetch(ctx, c.Digest, c.Size)
+	data, err := src.Fetch(ctx, c.Digest, c.Size)
 	if err != nil {
 		return err
 	}
@@ -268,6 +273,19 @@
 	return j.Store.Put(c.Digest, data)
 }
 
+// noteHave takes in what a peer tells beside a chunk.
+func (j *job) noteHave(peer id.Target, h http.Header) {
+	var have bitmap.Bitmap
+	text := h.Get(share.HaveHeader)
+	if text == "" || have.UnmarshalText([]byte(text)) != nil {
+		return
+	}
+	select {
+	case j.answers <- answer{peer: peer, have: have}:
+	default:
+	}
+}
+
 func (j *job) fromSources(ctx context.Context, c manifest.Chunk) error {
 	last := source.ErrMissing
 	for _, base := range j.Sources {
@@ -292,18 +310,24 @@
 	case errors.Is(r.err, store.ErrFull):
 		return r.err
 	default:
-		lie := errors.Is(r.err, source.ErrCorrupt)
-		if lie {
-			j.Counts.Corrupt.Add(1)
-		}
-		if errors.Is(r.err, source.ErrStalled) {
-			j.Counts.Stalled.Add(1)
-		}
-		j.plan.Failed(r.pick, lie, now)
+		j.plan.Failed(r.pick, j.failure(r.err), now)
 	}
 	return nil
 }
 
+func (j *job) failure(err error) planner.Failure {
+	switch {
+	case errors.Is(err, source.ErrCorrupt):
+		j.Counts.Corrupt.Add(1)
+		return planner.False
+	case errors.Is(err, source.ErrBusy):
+		return planner.Busy
+	case errors.Is(err, source.ErrStalled):
+		j.Counts.Stalled.Add(1)
+	}
+	return planner.Broken
+}
+
 func (j *job) setMembers(peers []Peer) {
 	members := make([]planner.Member, 0, len(peers))
 	next := map[id.Target]Peer{}
@@ -368,7 +392,7 @@
 // sample lets the round trips to other regions set the pace between them.
 func (j *job) sample(a answer) {
 	p, ok := j.peers[a.peer]
-	if !ok || p.Region == j.Self.Region {
+	if !ok || a.rtt == 0 || p.Region == j.Self.Region {
 		return
 	}
 	j.pace.Sample(a.rtt, time.Now())
--- a/internal/weights/planner/planner.go
+++ b/internal/weights/planner/planner.go
@@ -28,6 +28,19 @@
 	Crossing bool
 }
 
+// Failure tells why a transfer ended without the chunk.
+type Failure uint8
+
+// Failures.
+const (
+	// Broken means that the source broke off or stood still.
+	Broken Failure = iota
+	// False means that the bytes did not match the digest.
+	False
+	// Busy means that the source asked to come back later.
+	Busy
+)
+
 // Query asks a peer which of some chunks it holds.
 type Query struct {
 	Peer   id.Target
@@ -47,9 +60,8 @@
 	PeerHolds(peer id.Target, have bitmap.Bitmap, now time.Time)
 	// Finished notes a transfer that brought its chunk.
 	Finished(p Pick, now time.Time)
-	// Failed notes that a transfer ended without the chunk. A lie is a
-	// chunk that did not match its digest.
-	Failed(p Pick, lie bool, now time.Time)
+	// Failed notes that a transfer ended without the chunk.
+	Failed(p Pick, f Failure, now time.Time)
 	// Next returns up to free transfers to start now.
 	Next(free int, now time.Time) []Pick
 	// Crossers returns the number of agents of the own region that fetch
@@ -70,6 +82,9 @@
 	// OriginPerRegion tells that the origin reaches each region by a link
 	// of its own, so that one copy a region is drawn from it.
 	OriginPerRegion bool
+	// OriginRegion is the region whose agents reach the origin without
+	// crossing a link between regions, or empty if there is none.
+	OriginRegion id.Region
 	// Patience is the time without a new chunk in the region after which
 	// another agent takes over a duty.
 	Patience time.Duration
--- a/internal/weights/share/share.go
+++ b/internal/weights/share/share.go
@@ -16,12 +16,26 @@
 )
 
 const (
-	// uploads bounds the chunks that are served at a time.
-	uploads = 16
+	// LocalUploads bounds the chunks that are served within the region at a
+	// time. Few at a time end sooner and are served on sooner.
+	LocalUploads = 4
+	// CrossingUploads bounds those to other regions, which have places of
+	// their own, so that a crowd of local peers holds up no region.
+	CrossingUploads = 2
 	// maxQuestion bounds the body of a question.
 	maxQuestion = 1 << 20
 )
 
+const (
+	// ManifestQuery names the manifest that a chunk is fetched for, and
+	// CrossingQuery marks a fetch from another region.
+	ManifestQuery = "manifest"
+	CrossingQuery = "crossing"
+	// HaveHeader tells, beside a chunk, what else is held of the manifest.
+	HaveHeader    = "Egret-Have"
+	maxHaveHeader = 16 << 10
+)
+
 // Question asks which chunks of a manifest are held.
 type Question struct {
 	Manifest manifest.Digest
@@ -39,7 +53,8 @@
 	// Store holds the chunks.
 	Store *store.Store
 
-	active atomic.Int64
+	local    atomic.Int64
+	crossing atomic.Int64
 	// served counts the bytes sent to peers.
 	served atomic.Int64
 }
@@ -59,12 +74,16 @@
 }
 
 func (s *Share) chunk(w http.ResponseWriter, r *http.Request) {
-	if s.active.Add(1) > uploads {
-		s.active.Add(-1)
+	s.addHave(w, manifest.Digest(r.URL.Query().Get(ManifestQuery)))
+	active, limit := &s.local, int64(LocalUploads)
+	if r.URL.Query().Get(CrossingQuery) != "" {
+		active, limit = &s.crossing, CrossingUploads
+	}
+	defer active.Add(-1)
+	if active.Add(1) > limit {
 		http.Error(w, "too many uploads", http.StatusServiceUnavailable)
 		return
 	}
-	defer s.active.Add(-1)
 	data, ok := s.Store.Get(manifest.Digest(r.PathValue("digest")))
 	if !ok {
 		http.Error(w, "chunk is not held", http.StatusNotFound)
@@ -75,32 +94,49 @@
 	s.served.Add(int64(n))
 }
 
-func (s *Share) have(w http.ResponseWriter, r *http.Request) {
-	var q Question
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxQuestion)).Decode(&q); err != nil {
-		http.Error(w, "question is not valid: "+err.Error(), http.StatusBadRequest)
-		return
-	}
-	m, ok := s.manifest(q.Manifest)
+// addHave tells, beside a chunk, what else is held of a manifest.
+func (s *Share) addHave(w http.ResponseWriter, d manifest.Digest) {
+	m, ok := s.manifest(d)
 	if !ok {
-		_ = json.NewEncoder(w).Encode(Answer{})
 		return
 	}
+	text, err := s.held(m, nil).MarshalText()
+	if err == nil && len(text) <= maxHaveHeader {
+		w.Header().Set(HaveHeader, string(text))
+	}
+}
+
+// held returns which chunks are held, of the given ones or of all.
+func (s *Share) held(m manifest.Manifest, of []int) bitmap.Bitmap {
 	chunks := m.Chunks()
 	have := bitmap.New(len(chunks))
-	if len(q.Chunks) == 0 {
+	if len(of) == 0 {
 		for i, c := range chunks {
 			if s.Store.Has(c.Digest) {
 				have.Set(i)
 			}
 		}
 	}
-	for _, i := range q.Chunks {
+	for _, i := range of {
 		if i >= 0 && i < len(chunks) && s.Store.Has(chunks[i].Digest) {
 			have.Set(i)
 		}
 	}
-	_ = json.NewEncoder(w).Encode(Answer{Have: have})
+	return have
+}
+
+func (s *Share) have(w http.ResponseWriter, r *http.Request) {
+	var q Question
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxQuestion)).Decode(&q); err != nil {
+		http.Error(w, "question is not valid: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	m, ok := s.manifest(q.Manifest)
+	if !ok {
+		_ = json.NewEncoder(w).Encode(Answer{})
+		return
+	}
+	_ = json.NewEncoder(w).Encode(Answer{Have: s.held(m, q.Chunks)})
 }
 
 // content streams the files of a manifest one after the other.
--- a/internal/weights/source/source.go
+++ b/internal/weights/source/source.go
@@ -42,6 +42,10 @@
 	Client *http.Client
 	// StallTimeout is the longest time without a byte.
 	StallTimeout time.Duration
+	// Query is added to the URL of each chunk.
+	Query url.Values
+	// OnHeader is called with the head of each answer if it is not nil.
+	OnHeader func(h http.Header)
 	// Limits are waited for before each read.
 	Limits []*rate.Limiter
 }
@@ -69,7 +73,9 @@
 	defer cancel(nil)
 	watch := time.AfterFunc(s.StallTimeout, func() { cancel(ErrStalled) })
 	defer watch.Stop()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, s.Base.JoinPath(pathPrefix, string(d)).String(), nil)
+	u := s.Base.JoinPath(pathPrefix, string(d))
+	u.RawQuery = s.Query.Encode()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "build chunk request")
 	}
@@ -78,6 +84,9 @@
 		return nil, cause(ctx, err)
 	}
 	defer func() { _ = w.Body.Close() }()
+	if s.OnHeader != nil {
+		s.OnHeader(w.Header)
+	}
 	if err := check(w.StatusCode); err != nil {
 		return nil, err
 	}
--- a/internal/weights/swarm/swarm.go
+++ b/internal/weights/swarm/swarm.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -22,22 +23,30 @@
 	gateways = 8
 	// neighbours is the number of peers of the region that are asked for
 	// what they hold.
-	neighbours = 10
+	neighbours = 4
 	// askInterval is the time between two questions to the same peer.
 	askInterval = 500 * time.Millisecond
 	// perPeer bounds the transfers from one peer at a time.
-	perPeer = 2
+	perPeer = 1
+	// perOrigin bounds the transfers from the origin at a time. Few at a time
+	// end sooner and are passed on sooner.
+	perOrigin = 1
 	// sample is the number of missing chunks among which the rarest is
 	// chosen.
 	sample = 64
-	// distrust is the time for which a peer that failed is left out.
-	distrust = 10 * time.Second
-	// lieDistrust is the time for which a peer that sent a false chunk is
-	// left out.
-	lieDistrust = 10 * time.Minute
+	// distrust is the time for which a peer that failed is left out. It
+	// doubles with each further failure.
+	distrust     = 5 * time.Second
+	maxDoublings = 4
+	// maxFalsehoods is the false chunks after which a peer is left out for
+	// good.
+	maxFalsehoods = 2
+	forGood       = 24 * time.Hour
 	// rootTurns is the number of turns after which a region no longer waits
 	// for the agents that draw from the origin.
 	rootTurns = 2
+	// busyPause is the mean time for which a busy peer is left alone.
+	busyPause = 100 * time.Millisecond
 	// defaultPatience is the patience where the config names none.
 	defaultPatience = 2 * time.Second
 )
@@ -53,9 +62,13 @@
 	pending int
 	// asked is the time of the newest question.
 	asked time.Time
-	// barred is the time until which the peer is left out.
+	// barred is the time until which the peer is left out. Meanwhile have is
+	// empty, so that nobody waits for chunks that only it holds.
 	barred time.Time
-	local  bool
+	// strikes counts failures in a row, and falsehoods all false chunks.
+	strikes    int
+	falsehoods int
+	local      bool
 }
 
 // Swarm plans for one agent.
@@ -69,14 +82,24 @@
 	peers   map[id.Target]*peer
 	// local is the peers of the own region, in a random order.
 	local []*peer
+	// usable is the local peers that may serve a transfer now.
+	usable []*peer
 	// copies counts the local peers that hold a chunk.
 	copies []int
 	// duty is the gateways of the own region, the same for all its agents.
 	duty []id.Target
+	// onDuty tells that this agent is one of them.
+	onDuty bool
 	// roots is the agents that draw from the origin.
 	roots []id.Target
+	// gates is the gateways of each region, and relays the regions other
+	// than the origin's, if there is one.
+	gates  map[id.Region][]id.Target
+	relays []id.Region
 	// progress is the time when the region last gained a chunk.
 	progress time.Time
+	// drawing counts transfers from the origin.
+	drawing int
 	// originBarred is the time until which the origin is left out.
 	originBarred time.Time
 }
@@ -153,17 +176,22 @@
 		names = append(names, r)
 	}
 	slices.Sort(names)
-	s.roots = nil
+	s.roots, s.relays, s.gates = nil, nil, map[id.Region][]id.Target{}
 	for _, r := range names {
-		first := s.firstRanked(regions[r])
-		if r == s.cfg.Self.Region {
-			s.duty = first
+		s.gates[r] = s.firstRanked(regions[r])
+		s.roots = append(s.roots, s.gates[r]...)
+		if r != s.cfg.OriginRegion {
+			s.relays = append(s.relays, r)
 		}
-		s.roots = append(s.roots, first...)
 	}
+	s.duty = s.gates[s.cfg.Self.Region]
 	if s.cfg.OriginPerRegion {
 		s.roots = s.duty
 	}
+	if gates := s.gates[s.cfg.OriginRegion]; len(gates) > 0 {
+		s.roots = gates
+	}
+	s.onDuty = slices.Contains(s.duty, s.cfg.Self.Target)
 }
 
 // firstRanked returns the gateways among the agents of one region, by
@@ -186,7 +214,7 @@
 // PeerHolds implements planner.Planner.
 func (s *Swarm) PeerHolds(k id.Target, have bitmap.Bitmap, now time.Time) {
 	p := s.peers[k]
-	if p == nil {
+	if p == nil || p.strikes > 0 && now.Before(p.barred) {
 		return
 	}
 	for w := range min(len(have), len(p.have)) {
@@ -216,19 +244,46 @@
 }
 
 // Failed implements planner.Planner.
-func (s *Swarm) Failed(p planner.Pick, lie bool, now time.Time) {
+func (s *Swarm) Failed(p planner.Pick, f planner.Failure, now time.Time) {
 	clearBit(s.pending, p.Chunk)
-	bar := distrust
-	if lie {
-		bar = lieDistrust
-	}
+	s.track(p, -1)
 	if p.Peer == "" {
 		s.originBarred = now.Add(s.cfg.Patience)
 		return
 	}
+	c := s.peers[p.Peer]
+	if c == nil {
+		return
+	}
+	if f == planner.Busy {
+		c.barred = now.Add(busyPause/2 + time.Duration(s.rand.Int64N(int64(busyPause))))
+		return
+	}
+	s.bar(c, f, now)
+}
+
+// bar leaves a peer out for a time and forgets what it holds.
+func (s *Swarm) bar(c *peer, f planner.Failure, now time.Time) {
+	c.barred = now.Add(distrust << min(c.strikes, maxDoublings))
+	c.strikes++
+	if f == planner.False {
+		c.falsehoods++
+	}
+	if c.falsehoods >= maxFalsehoods {
+		c.barred = now.Add(forGood)
+	}
+	s.forget(c)
+	c.have = bitmap.New(s.cfg.Chunks)
+}
+
+// track counts the transfers from the pick's source.
+func (s *Swarm) track(p planner.Pick, by int) {
+	if p.Peer == "" {
+		s.drawing += by
+		return
+	}
 	if c := s.peers[p.Peer]; c != nil {
-		c.pending = max(0, c.pending-1)
-		c.barred = now.Add(bar)
+		c.pending = max(0, c.pending+by)
 	}
 }
 
@@ -237,7 +292,11 @@
 	if s.progress.IsZero() {
 		s.progress = now
 	}
+	if free <= 0 {
+		return nil
+	}
 	s.compact()
+	s.findUsable(now)
 	var out []planner.Pick
 	for len(out) < free {
 		p, ok := s.one(now)
@@ -245,9 +304,7 @@
 			return out
 		}
 		s.pending.Set(p.Chunk)
-		if c := s.peers[p.Peer]; c != nil {
-			c.pending++
-		}
+		s.track(p, 1)
 		out = append(out, p)
 	}
 	return out
@@ -255,8 +312,9 @@
 
 // Finished implements planner.Planner.
 func (s *Swarm) Finished(p planner.Pick, now time.Time) {
+	s.track(p, -1)
 	if c := s.peers[p.Peer]; c != nil {
-		c.pending = max(0, c.pending-1)
+		c.strikes = 0
 	}
 	if s.copies[p.Chunk] == 0 {
 		s.progress = now
@@ -270,7 +328,16 @@
 	if p, ok := s.fromOutside(now); ok {
 		return p, true
 	}
-	return s.fromRegion(now)
+	return s.fromRegion()
+}
+
+func (s *Swarm) findUsable(now time.Time) {
+	s.usable = s.usable[:0]
+	for _, p := range s.local {
+		if p.pending < perPeer && now.After(p.barred) {
+			s.usable = append(s.usable, p)
+		}
+	}
 }
 
 func (s *Swarm) compact() {
@@ -280,15 +347,18 @@
 // fromOutside picks a chunk that the own region lacks and that this agent is
 // to bring in.
 func (s *Swarm) fromOutside(now time.Time) (planner.Pick, bool) {
+	if !s.onDuty {
+		return planner.Pick{}, false
+	}
 	turn := s.turn(now)
 	for _, i := range s.missing {
 		if s.pending.Has(i) || s.copies[i] > 0 || !s.mine(s.duty, i, turn) {
 			continue
 		}
-		if p, ok := s.crossing(i, now); ok {
+		if p, ok := s.crossing(i, turn, now); ok {
 			return p, true
 		}
-		if s.mayDraw(i, turn) && now.After(s.originBarred) {
+		if s.drawing < perOrigin && s.mayDraw(i, turn) && now.After(s.originBarred) {
 			return planner.Pick{Chunk: i}, true
 		}
 	}
@@ -317,13 +387,38 @@
 	return s.mine(s.roots, chunk, turn) || turn >= rootTurns && s.mine(s.duty, chunk, turn)
 }
 
-func (s *Swarm) crossing(chunk int, now time.Time) (planner.Pick, bool) {
+// sources returns the agents of other regions to fetch a chunk from. Where the
+// origin's region holds it first, one region after another takes it from
+// there, in turns by chunk, and the others from that one, so that the link of
+// the origin's region carries about one copy.
+func (s *Swarm) sources(chunk, turn int) []id.Target {
+	var out []id.Target
+	own := s.cfg.Self.Region
+	if s.cfg.OriginRegion != "" && own != s.cfg.OriginRegion && len(s.gates[s.cfg.OriginRegion]) > 0 {
+		first := s.relays[chunk%len(s.relays)]
+		if gates := s.gates[first]; first != own {
+			out = append(out, gates[chunk%len(gates)])
+			if turn == 0 {
+				return out
+			}
+		}
+	}
+	for t := range min(turn, len(s.roots)-1) + 1 {
+		out = append(out, s.roots[(chunk+t)%len(s.roots)])
+	}
+	return out
+}
+
+// crossing picks the source of another region that serves the fewest
+// transfers to this agent.
+func (s *Swarm) crossing(chunk, turn int, now time.Time) (planner.Pick, bool) {
 	best := (*peer)(nil)
-	for _, p := range s.peers {
-		if p.local || !p.have.Has(chunk) || p.pending >= perPeer || now.Before(p.barred) {
+	for _, k := range s.sources(chunk, turn) {
+		p := s.peers[k]
+		if p == nil || p.local || !p.have.Has(chunk) || p.pending >= perPeer || now.Before(p.barred) {
 			continue
 		}
-		if best == nil || less(p, best) {
+		if best == nil || p.pending < best.pending {
 			best = p
 		}
 	}
@@ -333,61 +428,47 @@
 	return planner.Pick{Chunk: chunk, Peer: best.Target, Crossing: true}, true
 }
 
-func less(a, b *peer) bool {
-	if a.pending != b.pending {
-		return a.pending < b.pending
-	}
-	return a.Target < b.Target
-}
-
 // fromRegion picks the rarest of a sample of the chunks that local peers
 // hold.
-func (s *Swarm) fromRegion(now time.Time) (planner.Pick, bool) {
+func (s *Swarm) fromRegion() (planner.Pick, bool) {
 	n := len(s.missing)
-	if n == 0 {
+	if n == 0 || len(s.usable) == 0 {
 		return planner.Pick{}, false
 	}
 	best, seen := -1, 0
+	var from *peer
 	start := s.rand.IntN(n)
 	for j := 0; j < n && seen < sample; j++ {
 		i := s.missing[(start+j)%n]
-		if s.pending.Has(i) || s.copies[i] == 0 {
+		if s.copies[i] == 0 || s.pending.Has(i) {
 			continue
 		}
+		seen++
 		if best >= 0 && s.copies[i] >= s.copies[best] {
-			seen++
 			continue
 		}
-		if s.holder(i, now) != nil {
-			best = i
-			seen++
+		if p := s.holder(i); p != nil {
+			best, from = i, p
 		}
 	}
 	if best < 0 {
 		return planner.Pick{}, false
 	}
-	return planner.Pick{Chunk: best, Peer: s.holder(best, now).Target}, true
+	s.usable = slices.DeleteFunc(s.usable, func(p *peer) bool { return p == from })
+	return planner.Pick{Chunk: best, Peer: from.Target}, true
 }
 
-// holder returns the local peer to fetch a chunk from: one with the fewest
-// transfers to this agent, the first of a random order among equals.
-func (s *Swarm) holder(chunk int, now time.Time) *peer {
-	var best *peer
-	n := len(s.local)
-	start := s.rand.IntN(max(1, n))
+// holder returns a usable local peer that holds the chunk, the first from a
+// random place in the list.
+func (s *Swarm) holder(chunk int) *peer {
+	n := len(s.usable)
+	start := s.rand.IntN(n)
 	for j := range n {
-		p := s.local[(start+j)%n]
-		if !p.have.Has(chunk) || p.pending >= perPeer || now.Before(p.barred) {
-			continue
-		}
-		if p.pending == 0 {
+		if p := s.usable[(start+j)%n]; p.have.Has(chunk) {
 			return p
 		}
-		if best == nil {
-			best = p
-		}
 	}
-	return best
+	return nil
 }
 
 // Crossers implements planner.Planner.
@@ -415,23 +496,25 @@
 }
 
 func (s *Swarm) remoteQueries(now time.Time) []planner.Query {
+	if !s.onDuty {
+		return nil
+	}
 	turn := s.turn(now)
 	wanted := map[id.Target][]int{}
 	for _, i := range s.missing {
 		if s.copies[i] > 0 || !s.mine(s.duty, i, turn) {
 			continue
 		}
-		for t := range min(turn, len(s.roots)-1) + 1 {
-			root := s.roots[(i+t)%len(s.roots)]
-			if p := s.peers[root]; p != nil && !p.local && !p.have.Has(i) {
-				wanted[root] = append(wanted[root], i)
+		for _, k := range s.sources(i, turn) {
+			if p := s.peers[k]; p != nil && !p.local && !p.have.Has(i) {
+				wanted[k] = append(wanted[k], i)
 			}
 		}
 	}
 	var out []planner.Query
-	for _, k := range s.roots {
+	for _, k := range slices.Sorted(maps.Keys(wanted)) {
 		p := s.peers[k]
-		if len(wanted[k]) == 0 || now.Sub(p.asked) < askInterval || now.Before(p.barred) {
+		if now.Sub(p.asked) < askInterval || now.Before(p.barred) {
 			continue
 		}
 		p.asked = now
