system: prove what must hold with processes that are killed and cut off

Real processes under SIGKILL, SIGSTOP and a relay that swallows bytes without a word. Found: an entry was never ready before the first change of the agreed state; readiness now follows the confirmation. The agent sends half of the ramp's answers as warm-up requests before it opens the gate.

--- a/internal/role/agent/renew.go
+++ b/internal/role/agent/renew.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -201,6 +200,3 @@
 		return false
 	}
 }
-
-// probeClient is the client for warm-up requests.
-func (a *Agent) probeClient() *http.Client { return a.client(false) }
--- a/internal/role/agent/warm.go
+++ b/internal/role/agent/warm.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
 
 	"egretproxy/internal/control/view"
 	"egretproxy/internal/target/stream"
@@ -18,6 +19,8 @@
 const (
 	warmTimeout   = 30 * time.Second
 	warmMaxTokens = 1
+	// warmPerSlot is the warm-up requests for each slot of the engine.
+	warmPerSlot   = 2
 	maxWarmAnswer = 1 << 20
 )
 
@@ -28,11 +31,28 @@
 	MaxTokens int    `json:"max_tokens"`
 }
 
-// warm asks the engine for one short answer and checks that it comes whole
-// and from the ordered version.
+// warm sends the engine as many short requests as half of its ramp takes, no
+// more at a time than a cold engine bears. Each answer must come whole and from
+// the ordered version.
 func (a *Agent) warm(ctx context.Context, order view.Assignment) error {
 	ctx, cancel := context.WithTimeout(ctx, warmTimeout)
 	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(a.cfg.Agent.Target.ColdSlots)
+	for range warmPerSlot * a.cfg.Agent.Target.Slots {
+		g.Go(func() error {
+			if err := a.probe(ctx, order); err != nil {
+				return err
+			}
+			a.ramp.Done()
+			return nil
+		})
+	}
+	return g.Wait()
+}
+
+// probe asks the engine for one short answer.
+func (a *Agent) probe(ctx context.Context, order view.Assignment) error {
 	body, err := json.Marshal(warmRequest{Model: string(order.Model), Prompt: "warm-up", MaxTokens: warmMaxTokens})
 	if err != nil {
 		return errors.Wrap(err, "encode request")
@@ -42,7 +62,7 @@
 		return errors.Wrap(err, "build request")
 	}
 	r.Header.Set("Content-Type", "application/json")
-	w, err := a.probeClient().Do(r)
+	w, err := a.fetcher.Client.Do(r)
 	if err != nil {
 		return errors.Wrap(err, "ask engine")
 	}
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -214,7 +214,7 @@
 	if e.stopping {
 		return errors.New("shutting down")
 	}
-	if e.view.Version == 0 {
+	if e.fresh.IsZero() {
 		return errors.New("no agreed state was received yet")
 	}
 	if time.Since(e.fresh) > lease.Duration {
--- /dev/null
+++ b/internal/system/fleet_test.go
@@ -0,0 +1,311 @@
+// Package system_test runs the roles and stand-ins as processes of their own
+// and kills, freezes and cuts them off.
+package system_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"egretproxy/internal/wire/api"
+	"egretproxy/internal/wire/frame"
+	"egretproxy/internal/wire/keepers"
+)
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "egretproxy-test")
+	if err != nil {
+		panic(err)
+	}
+	binaries = dir
+	build := exec.Command("go", "build", "-o", dir+"/", "egretproxy", "egretproxy/cmd/standin")
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// fleet is a group of processes on loopback addresses.
+type fleet struct {
+	t       *testing.T
+	dir     string
+	mu      sync.Mutex
+	running map[string]*exec.Cmd
+	args    map[string][]string
+	keepers []string
+	address map[string]string
+}
+
+const eventually = 60 * time.Second
+
+func newFleet(t *testing.T, keeperCount int) *fleet {
+	f := &fleet{
+		t: t, dir: t.TempDir(), running: map[string]*exec.Cmd{},
+		args: map[string][]string{}, address: map[string]string{},
+	}
+	t.Cleanup(f.stopAll)
+	var members []string
+	for i := range keeperCount {
+		f.keepers = append(f.keepers, f.port(fmt.Sprintf("keeper-%d", i)))
+		members = append(members, fmt.Sprintf(`{"Name": "keeper-%d", "Address": %q}`, i, f.keepers[i]))
+	}
+	for i := range keeperCount {
+		name := fmt.Sprintf("keeper-%d", i)
+		file := f.settings(name, fmt.Sprintf(`"Keeper": {"Listen": %q, "Data": %q, "SnapshotEntries": 200, "Members": [%s]}`,
+			f.keepers[i], filepath.Join(f.dir, name), strings.Join(members, ", ")))
+		if out, err := exec.Command(binaries+"/egretproxy", "keeper", "init", "-c", file).CombinedOutput(); err != nil {
+			t.Fatalf("keeper init: %s", out)
+		}
+		f.start(name, "egretproxy", "keeper", "-c", file)
+	}
+	return f
+}
+
+// port reserves a loopback address for a process.
+func (f *fleet) port(name string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	f.address[name] = l.Addr().String()
+	return f.address[name]
+}
+
+func (f *fleet) settings(name, section string) string {
+	return f.settingsIn(name, "d0", section)
+}
+
+func (f *fleet) settingsIn(name, domain, section string) string {
+	file := filepath.Join(f.dir, name+".json")
+	text := fmt.Sprintf(`{"Process": {"Name": %q, "Domain": %q, "Region": "r-%s"}, "Keepers": {"Addresses": [%s]}, %s}`,
+		name, domain, domain, quoted(f.keepers), section)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	return file
+}
+
+func quoted(list []string) string {
+	return `"` + strings.Join(list, `", "`) + `"`
+}
+
+func (f *fleet) start(name, binary string, args ...string) {
+	f.args[name] = append([]string{binary}, args...)
+	f.restart(name)
+}
+
+// restart starts a process again with the same arguments.
+func (f *fleet) restart(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	a := f.args[name]
+	log, err := os.OpenFile(filepath.Join(f.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	c := exec.Command(binaries+"/"+a[0], a[1:]...)
+	c.Stdout, c.Stderr = log, log
+	if err := c.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	_ = log.Close()
+	f.running[name] = c
+}
+
+func (f *fleet) signal(name string, s syscall.Signal) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c := f.running[name]; c != nil {
+		_ = c.Process.Signal(s)
+	}
+}
+
+// kill ends a process without a word.
+func (f *fleet) kill(name string) {
+	f.signal(name, syscall.SIGKILL)
+	f.wait(name)
+}
+
+// wait returns once a process has ended.
+func (f *fleet) wait(name string) {
+	f.mu.Lock()
+	c := f.running[name]
+	delete(f.running, name)
+	f.mu.Unlock()
+	if c != nil {
+		_ = c.Wait()
+	}
+}
+
+func (f *fleet) stopAll() {
+	for name := range f.args {
+		f.signal(name, syscall.SIGCONT)
+		f.kill(name)
+	}
+	if f.t.Failed() {
+		f.printLogs()
+	}
+}
+
+func (f *fleet) printLogs() {
+	const tail = 1500
+	for name := range f.args {
+		data, _ := os.ReadFile(filepath.Join(f.dir, name+".log"))
+		f.t.Logf("%s: %s", name, data[max(0, len(data)-tail):])
+	}
+}
+
+func (f *fleet) addEngine(name, domain string) {
+	engine := f.port(name)
+	f.start(name, "standin", "engine", "--listen", engine, "--load-time", "50ms")
+	f.addAgent(name, domain, fmt.Sprintf(`{"ID": %q, "Address": "engine://%s", "Slots": 16, "ColdSlots": 2}`, name, engine))
+}
+
+func (f *fleet) addService(name, domain string) {
+	service := f.port(name)
+	f.start(name, "standin", "service", "--listen", service)
+	f.addAgent(name, domain, fmt.Sprintf(`{"ID": %q, "Address": "service://%s", "Service": "inventory", "Slots": 16, "ColdSlots": 16}`, name, service))
+}
+
+func (f *fleet) addAgent(name, domain, target string) {
+	agent := "agent-" + name
+	file := f.settingsIn(agent, domain, fmt.Sprintf(`"Agent": {"Listen": %q, "Target": %s, "Weights": {"Sources": ["origin://%s"]}}`,
+		f.port(agent), target, f.address["origin"]))
+	f.start(agent, "egretproxy", "agent", "-c", file)
+}
+
+func (f *fleet) addOrigin() {
+	f.start("origin", "standin", "depot", "--listen", f.port("origin"))
+}
+
+func (f *fleet) addEntry(name string) {
+	keys := filepath.Join(f.dir, "keys.json")
+	if err := os.WriteFile(keys, []byte(`{"Organisations": [{"ID": "huts", "Key": "key-of-huts"}]}`), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	file := f.settings(name, fmt.Sprintf(`"Entry": {"Listen": %q, "OrganisationKeys": %q, "DrainDelay": "300ms",
+		"Routes": [{"Prefix": "/inventory", "Service": "inventory"}]}`, f.port(name), keys))
+	f.start(name, "egretproxy", "entry", "-c", file)
+	f.until("entry is ready", func() bool {
+		w, err := http.Get("http://" + f.address[name] + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = w.Body.Close()
+		return w.StatusCode == http.StatusOK
+	})
+}
+
+// operator runs an operator's command.
+func (f *fleet) operator(args ...string) (string, error) {
+	for _, k := range f.keepers {
+		args = append(args, "--keeper", k)
+	}
+	out, err := exec.Command(binaries+"/egretproxy", args...).CombinedOutput()
+	return string(out), err
+}
+
+func (f *fleet) mustOperate(args ...string) {
+	f.t.Helper()
+	if out, err := f.operator(args...); err != nil {
+		f.t.Fatalf("%v: %v: %s", args, err, out)
+	}
+}
+
+// bundle creates and approves a bundle of random weights.
+func (f *fleet) bundle(name string, content []byte) {
+	f.t.Helper()
+	dir := filepath.Join(f.dir, "weights-"+name)
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		f.t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, "weights.bin"), content, 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	f.mustOperate("bundle", "create", name, "--model", "guide="+dir+":0", "--publish", "origin://"+f.address["origin"],
+		"--chunk-bytes", "65536", "--operator", "test")
+	f.mustOperate("bundle", "approve", name, "--operator", "test")
+}
+
+// until waits for a condition that must come true in the end.
+func (f *fleet) until(what string, ok func() bool) {
+	f.t.Helper()
+	for deadline := time.Now().Add(eventually); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	f.t.Fatalf("in vain: %s", what)
+}
+
+func (f *fleet) status() (api.Status, error) {
+	c := keepers.New(f.keepers, nil, frame.Codec{}, 0)
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	var st api.Status
+	err := c.CallAny(ctx, api.MethodStatus, nil, &st)
+	return st, err
+}
+
+// serving waits until so many targets serve.
+func (f *fleet) serving(n int) {
+	f.t.Helper()
+	f.until(fmt.Sprintf("%d targets serve", n), func() bool {
+		st, err := f.status()
+		if err != nil {
+			return false
+		}
+		count := 0
+		for _, t := range st.View.Targets {
+			if t.Phase == "Serving" {
+				count++
+			}
+		}
+		return count >= n
+	})
+}
+
+// leader returns the name of the leading keeper.
+func (f *fleet) leader() string {
+	st, err := f.status()
+	if err != nil {
+		return ""
+	}
+	for _, m := range st.Members {
+		if string(m.ID) == st.Leader {
+			return m.Name
+		}
+	}
+	return ""
+}
+
+// get decodes a page of a stand-in.
+func (f *fleet) get(name, path string, v any) {
+	f.t.Helper()
+	w, err := http.Get("http://" + f.address[name] + path)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = w.Body.Close() }()
+	data, _ := io.ReadAll(w.Body)
+	if err := json.Unmarshal(data, v); err != nil {
+		f.t.Fatalf("%s%s: %v", name, path, err)
+	}
+}
--- /dev/null
+++ b/internal/system/holds_test.go
@@ -0,0 +1,367 @@
+package system_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"egretproxy/internal/standin/engine"
+	"egretproxy/internal/standin/load"
+	"egretproxy/internal/standin/service"
+	"egretproxy/internal/wire/header"
+)
+
+func weights(seed uint64, size int) []byte {
+	random := rand.New(rand.NewPCG(seed, 5))
+	out := make([]byte, size)
+	for i := range out {
+		out[i] = byte(random.Uint32())
+	}
+	return out
+}
+
+// runLoad sends requests while f runs and returns what became of them.
+func (f *fleet) runLoad(rate, once float64, entries []string, during func()) load.Counts {
+	c := load.Config{
+		Keys: []string{"key-of-huts"}, Model: "guide", Rate: rate, OnceShare: once,
+		StreamShare: 0.7, Tokens: 20, Prefixes: 5, Seed: 9, Resend: true,
+	}
+	for _, e := range entries {
+		c.Entries = append(c.Entries, "http://"+f.address[e])
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var out load.Counts
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		out = load.New(c).Run(ctx)
+	}()
+	during()
+	cancel()
+	<-done
+	return out
+}
+
+// TestHoldsVersionsNeverMix rolls a bundle and supersedes it while requests
+// arrive, then stops an entry and an agent by plan.
+func TestHoldsVersionsNeverMixAndPlannedStopsCutNothing(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1)
+	f.addOrigin()
+	for i := range 4 {
+		f.addEngine(fmt.Sprintf("engine-%d", i), fmt.Sprintf("d%d", i%2))
+	}
+	f.addEntry("entry-0")
+	f.addEntry("entry-1")
+	one := weights(1, 1<<20)
+	f.bundle("v1", one)
+	f.bundle("v2", append(one[:1<<19:1<<19], weights(2, 1<<19)...))
+	f.mustOperate("bundle", "roll", "v1", "--operator", "test", "--no-wait")
+	f.serving(4)
+	counts := f.runLoad(30, 0, []string{"entry-0", "entry-1"}, func() {
+		time.Sleep(time.Second)
+		f.mustOperate("bundle", "supersede", "v1", "v2", "--operator", "test", "--no-wait")
+		f.mustOperate("bundle", "status", "--follow")
+		f.signal("entry-1", syscall.SIGTERM)
+		f.signal("agent-engine-3", syscall.SIGTERM)
+		f.wait("entry-1")
+		f.wait("agent-engine-3")
+		time.Sleep(time.Second)
+	})
+	t.Logf("%+v", counts)
+	if counts.Mixed+counts.Wrong+counts.CutOff+counts.OutcomeUnknown > 0 {
+		t.Errorf("mixed %d, wrong %d, cut off %d, unknown %d", counts.Mixed, counts.Wrong, counts.CutOff, counts.OutcomeUnknown)
+	}
+	if counts.Versions["v1"] == 0 || counts.Versions["v2"] == 0 {
+		t.Errorf("answers came from %v only", counts.Versions)
+	}
+	for i := range 4 {
+		var c engine.Counts
+		f.get(fmt.Sprintf("engine-%d", i), "/counts", &c)
+		if c.Overloads > 0 || c.FellOver > 0 {
+			t.Errorf("engine-%d was given %d requests too many", i, c.Overloads)
+		}
+	}
+}
+
+// TestHoldsWithdrawnDomainBehindSilentPartition cuts the agents of a failure
+// domain off from all keepers without a word, withdraws the domain, and asks
+// an agent directly, as an entry that did not hear of it would.
+func TestHoldsWithdrawnDomainBehindSilentPartition(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3)
+	real := f.keepers
+	var relays []*relay
+	var addresses []string
+	for _, k := range real {
+		r := newRelay(t, k)
+		relays = append(relays, r)
+		addresses = append(addresses, r.address())
+	}
+	f.keepers = addresses
+	f.addOrigin()
+	f.addService("inventory-0", "d1")
+	f.keepers = real
+	f.serving(1)
+	ask := func() int {
+		r, _ := http.NewRequest(http.MethodGet, "http://"+f.address["agent-inventory-0"]+"/dispatch/inventory/ropes", nil)
+		w, err := http.DefaultClient.Do(r)
+		if err != nil {
+			return 0
+		}
+		defer func() { _ = w.Body.Close() }()
+		return w.StatusCode
+	}
+	f.until("agent takes work", func() bool { return ask() == http.StatusOK })
+	for _, r := range relays {
+		r.setCut(true)
+	}
+	f.mustOperate("domain", "withdraw", "d1", "--operator", "test", "--no-wait")
+	time.Sleep(3 * time.Second)
+	var before, after service.Counts
+	f.get("inventory-0", "/counts", &before)
+	for range 20 {
+		if got := ask(); got != http.StatusServiceUnavailable {
+			t.Fatalf("a withdrawn target that is cut off answers %d", got)
+		}
+	}
+	f.get("inventory-0", "/counts", &after)
+	if after.Requests != before.Requests {
+		t.Errorf("%d requests reached a withdrawn target", after.Requests-before.Requests)
+	}
+	for _, r := range relays {
+		r.setCut(false)
+	}
+	f.mustOperate("domain", "return", "d1", "--operator", "test", "--no-wait")
+	f.until("agent takes work again", func() bool { return ask() == http.StatusOK })
+}
+
+// TestHoldsOnceUnderKills sends requests that may not be repeated, resends
+// those without an answer through the other entry, and kills and restarts
+// entries, keepers, the agent and the leader meanwhile.
+func TestHoldsOnceUnderKills(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3)
+	f.addOrigin()
+	f.addService("inventory-0", "d0")
+	f.addEntry("entry-0")
+	f.addEntry("entry-1")
+	f.serving(1)
+	random := rand.New(rand.NewPCG(3, 3))
+	victims := []string{"entry-0", "entry-1", "keeper-0", "keeper-1", "keeper-2", "agent-inventory-0"}
+	counts := f.runLoad(40, 1, []string{"entry-0", "entry-1"}, func() {
+		for range 8 {
+			time.Sleep(time.Duration(300+random.IntN(700)) * time.Millisecond)
+			v := victims[random.IntN(len(victims))]
+			if random.IntN(3) == 0 {
+				f.signal(v, syscall.SIGSTOP)
+				time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+				f.signal(v, syscall.SIGCONT)
+				continue
+			}
+			f.kill(v)
+			f.restart(v)
+		}
+		time.Sleep(3 * time.Second)
+	})
+	var s service.Counts
+	f.get("inventory-0", "/counts", &s)
+	t.Logf("requests %d, answered %d, not run %d, unknown %d, reasons %v",
+		counts.Requests, counts.Answered, counts.RefusedNotRun, counts.OutcomeUnknown, counts.Reasons)
+	if s.RanTwice > 0 {
+		t.Errorf("%d records were written twice", s.RanTwice)
+	}
+	for _, r := range counts.NotRun {
+		if s.Runs[r] > 0 {
+			t.Errorf("%s was refused as not run, but ran", r)
+		}
+	}
+	for _, r := range counts.Done {
+		if s.Runs[r] != 1 {
+			t.Errorf("%s was answered, but ran %d times", r, s.Runs[r])
+		}
+	}
+	if counts.Wrong > 0 || counts.Answered == 0 {
+		t.Errorf("wrong %d, answered %d", counts.Wrong, counts.Answered)
+	}
+}
+
+// TestHoldsAcceptedConfigurationNeverReverts applies policies while leaders
+// are killed, wipes one keeper's disk, and looks at what remains.
+func TestHoldsAcceptedConfigurationNeverReverts(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3)
+	last := 0
+	accepted := 0
+	for i := 1; i <= 9; i++ {
+		file := fmt.Sprintf("%s/policy-%d.json", f.dir, i)
+		writeFile(t, file, fmt.Sprintf(`{"Organisations": {"huts": {"Weight": %d}}}`, i))
+		request := fmt.Sprintf("request-%d", i)
+		var out string
+		var err error
+		f.until("policy is accepted", func() bool {
+			out, err = f.operator("config", "apply", file, "--operator", "test", "--no-wait", "--request", request, "--based-on", fmt.Sprint(last))
+			return err == nil
+		})
+		st, err := f.status()
+		for err != nil {
+			st, err = f.status()
+		}
+		if got := st.View.Policy.Organisations["huts"].Weight; got != i {
+			t.Fatalf("policy %d was accepted (%s), but %d is in force", i, out, got)
+		}
+		if int(st.View.Policy.Author.Version) <= last {
+			t.Fatalf("version went from %d to %d", last, st.View.Policy.Author.Version)
+		}
+		last = int(st.View.Policy.Author.Version)
+		accepted++
+		if i%3 == 0 {
+			v := f.leader()
+			f.kill(v)
+			if i == 6 {
+				removeAll(t, f.dir+"/"+v)
+			}
+			f.restart(v)
+		}
+	}
+	f.until("three voters again", func() bool {
+		st, err := f.status()
+		if err != nil {
+			return false
+		}
+		voters := 0
+		for _, m := range st.Members {
+			if m.Voter {
+				voters++
+			}
+		}
+		return voters == 3 && len(st.Members) == 3
+	})
+	st, err := f.status()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := st.View.Policy.Organisations["huts"].Weight; got != accepted {
+		t.Errorf("policy %d was accepted last, but %d is in force", accepted, got)
+	}
+}
+
+// TestHoldsOldSessionStops starts a second agent for a target, as after a
+// move of the agent's process. The first must take no more work.
+func TestHoldsOldSessionStops(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1)
+	f.addOrigin()
+	f.addService("inventory-0", "d0")
+	f.serving(1)
+	first := f.address["agent-inventory-0"]
+	f.mu.Lock()
+	old := f.running["agent-inventory-0"]
+	delete(f.running, "agent-inventory-0")
+	f.mu.Unlock()
+	defer func() { _ = old.Process.Kill(); _ = old.Wait() }()
+	f.addAgent("inventory-0", "d0", fmt.Sprintf(`{"ID": "inventory-0", "Address": "service://%s", "Service": "inventory", "Slots": 16, "ColdSlots": 16}`, f.address["inventory-0"]))
+	second := f.address["agent-inventory-0"]
+	both := 0
+	f.until("second agent takes work", func() bool {
+		a, b := takesWork(first), takesWork(second)
+		if a && b {
+			both++
+		}
+		return b && !a
+	})
+	if both > 0 {
+		t.Errorf("two agents took work for one target %d times", both)
+	}
+}
+
+func takesWork(address string) bool {
+	w, err := http.Get("http://" + address + "/dispatch/inventory/ropes")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = w.Body.Close() }()
+	_, _ = io.Copy(io.Discard, w.Body)
+	return w.StatusCode == http.StatusOK
+}
+
+// TestHoldsOperatorsRaceAndResend lets two operators withdraw and return a
+// domain under equal versions, and resends one change.
+func TestHoldsOperatorsRaceAndResend(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3)
+	f.addOrigin()
+	f.addService("inventory-0", "d0")
+	f.serving(1)
+	var wg sync.WaitGroup
+	won, lost := make(chan string, 2), make(chan string, 2)
+	for _, who := range []string{"ana", "beat"} {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			out, err := f.operator("domain", "withdraw", "d0", "--operator", who, "--request", "of-"+who, "--based-on", "0", "--no-wait")
+			if err == nil {
+				won <- who
+				return
+			}
+			lost <- out
+		}()
+	}
+	wg.Wait()
+	if len(won) != 1 || len(lost) != 1 {
+		t.Fatalf("%d operators won", len(won))
+	}
+	winner := <-won
+	if text := <-lost; !bytes.Contains([]byte(text), []byte(winner)) {
+		t.Errorf("the loser was not told of %s: %s", winner, text)
+	}
+	f.kill(f.leader())
+	first, err := f.operator("domain", "withdraw", "d0", "--operator", winner, "--request", "of-"+winner, "--based-on", "0", "--no-wait", "--output", "json")
+	if err != nil {
+		t.Errorf("a resend was refused: %s", first)
+	}
+	again, _ := f.operator("domain", "withdraw", "d0", "--operator", winner, "--request", "of-"+winner, "--based-on", "0", "--no-wait", "--output", "json")
+	if again != first {
+		t.Errorf("resends got %q and %q", first, again)
+	}
+}
+
+// TestCallersGetTruthfulRefusals sends what is wrong in itself.
+func TestCallersGetTruthfulRefusals(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1)
+	f.addEntry("entry-0")
+	cases := []struct {
+		name, method, path, key, body string
+		status                        int
+		reason                        string
+	}{
+		{"unknown organisation", http.MethodPost, "/v1/completions", "wrong", "{}", 401, "UnknownOrganisation"},
+		{"malformed JSON", http.MethodPost, "/v1/completions", "key-of-huts", "{", 400, "BadRequest"},
+		{"unknown model", http.MethodPost, "/v1/completions", "key-of-huts", `{"model": "no"}`, 404, "UnknownModel"},
+		{"unknown path", http.MethodGet, "/v2", "key-of-huts", "", 404, "UnknownRoute"},
+		{"wrong method", http.MethodDelete, "/v1/completions", "key-of-huts", "", 405, "MethodNotAllowed"},
+		{"no target", http.MethodGet, "/inventory/ropes", "key-of-huts", "", 503, "NoTarget"},
+		{"body too large", http.MethodPost, "/v1/completions", "key-of-huts", string(make([]byte, 9<<20)), 413, "BodyTooLarge"},
+	}
+	for _, c := range cases {
+		r, _ := http.NewRequest(c.method, "http://"+f.address["entry-0"]+c.path, bytes.NewReader([]byte(c.body)))
+		r.Header.Set("Authorization", "Bearer "+c.key)
+		w, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Errorf("%s: %v", c.name, err)
+			continue
+		}
+		_ = w.Body.Close()
+		if w.StatusCode != c.status || w.Header.Get(header.Reason) != c.reason || w.Header.Get(header.Outcome) != "NotRun" {
+			t.Errorf("%s: %d %s %s, want %d %s", c.name, w.StatusCode, w.Header.Get(header.Reason), w.Header.Get(header.Outcome), c.status, c.reason)
+		}
+	}
+}
