--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,16 @@
 	$(GO) vet ./...
 	$(TOOL) revive -set_exit_status ./...
 
+measure:
+	$(GO) test -count=1 -timeout 60m -run '^TestMeasure' -v ./internal/measure/spread/ ./internal/measure/requests/ ./internal/agreement/raft/ ./internal/system/ -args -measure -out $(CURDIR)/measure-out
+
+capacity:
+	$(GO) test -run '^$$' -bench . -benchtime 300ms -count 3 ./internal/measure/capacity/
+
+proofs:
+	bash scripts/proofs.sh
+
 clean:
 	rm -rf build measure-out
 
-.PHONY: all build demo test lint clean
+.PHONY: all build demo test lint measure capacity proofs clean
--- a/internal/agreement/raft/measure_test.go
+++ b/internal/agreement/raft/measure_test.go
@@ -13,7 +13,10 @@
 	"egretproxy/internal/fleet/id"
 )
 
-var measure = flag.Bool("measure", false, "run the measurements")
+var (
+	measure = flag.Bool("measure", false, "run the measurements")
+	_       = flag.String("out", "", "folder for results, which this package does not write")
+)
 
 const (
 	tickMilliseconds = 50
--- a/internal/system/measure_test.go
+++ b/internal/system/measure_test.go
@@ -12,7 +12,10 @@
 	"egretproxy/internal/wire/header"
 )
 
-var measure = flag.Bool("measure", false, "run the measurements")
+var (
+	measure = flag.Bool("measure", false, "run the measurements")
+	_       = flag.String("out", "", "folder for results, which this package does not write")
+)
 
 // probe sends plain requests through an entry at a steady rate and counts
 // what is not answered.
