--- /dev/null
+++ b/internal/target/proxy/proxy_test.go
@@ -0,0 +1,129 @@
+package proxy_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"egretproxy/internal/control/lease"
+	"egretproxy/internal/control/view"
+	"egretproxy/internal/kernel/metrics"
+	"egretproxy/internal/target/gate"
+	"egretproxy/internal/target/proxy"
+	"egretproxy/internal/target/ramp"
+	"egretproxy/internal/wire/header"
+)
+
+// open returns an agent's proxy before a target, with everything permitted.
+func open(t *testing.T, kind view.TargetKind, target http.HandlerFunc) *httptest.Server {
+	t.Helper()
+	back := httptest.NewServer(target)
+	t.Cleanup(back.Close)
+	base, err := url.Parse(back.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var l lease.Lease
+	l.Extend(time.Now().Add(time.Hour))
+	r := &ramp.Ramp{Slots: 4, ColdSlots: 4}
+	g := gate.New(&l, r)
+	g.SetInService(true)
+	g.SetPhase(view.PhaseServing, view.Assignment{Bundle: "v1", Model: "m"})
+	if kind == view.TargetService {
+		g.SetPhase(view.PhaseServing, view.Assignment{})
+	}
+	front := httptest.NewServer(&proxy.Proxy{
+		Target: "t", Base: base, Kind: kind, Gate: g, Ramp: r, Metrics: metrics.New("test"),
+		Client: &http.Client{}, Once: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		OnCold: func() {}, OnFailure: func() {},
+	})
+	t.Cleanup(front.Close)
+	return front
+}
+
+func send(t *testing.T, front *httptest.Server, headers map[string]string, body string) (*http.Response, string, error) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, front.URL+"/dispatch/x", io.NopCloser(strings.NewReader(body)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for k, v := range headers {
+		r.Header.Set(k, v)
+	}
+	w, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = w.Body.Close() }()
+	data, err := io.ReadAll(w.Body)
+	return w, string(data), err
+}
+
+// TestHoldsBrokenOnceRequestIsNotSentAgain closes the connection after the
+// request was read. net/http repeats requests with an Idempotency-Key by
+// itself where it can; here it must not.
+func TestHoldsBrokenOnceRequestIsNotSentAgain(t *testing.T) {
+	for _, body := range []string{"", "retire"} {
+		var runs atomic.Int64
+		front := open(t, view.TargetService, func(http.ResponseWriter, *http.Request) {
+			runs.Add(1)
+			panic(http.ErrAbortHandler)
+		})
+		for i := range 5 {
+			w, _, err := send(t, front, map[string]string{header.Once: "1", header.IdempotencyKey: fmt.Sprint(i)}, body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := w.Header.Get(header.Outcome); got != "Unknown" {
+				t.Errorf("outcome %q, want Unknown", got)
+			}
+		}
+		if runs.Load() != 5 {
+			t.Errorf("5 requests with body %q ran %d times", body, runs.Load())
+		}
+	}
+}
+
+// TestHoldsAnswersAreWholeOwnAndOfOneVersion lets an engine give answers that
+// are not.
+func TestHoldsAnswersAreWholeOwnAndOfOneVersion(t *testing.T) {
+	event := func(version string) string {
+		return fmt.Sprintf("data: {\"system_fingerprint\":%q}\n\n", version)
+	}
+	cases := []struct {
+		name, body, echo, version string
+		cut, ok                   bool
+	}{
+		{"whole", event("v1") + event("v1") + "data: [DONE]\n\n", "r", "v1", false, true},
+		{"other version", event("v2") + "data: [DONE]\n\n", "r", "v2", false, false},
+		{"version changes", event("v1") + event("v2") + "data: [DONE]\n\n", "r", "v1", false, false},
+		{"no end", event("v1"), "r", "v1", false, false},
+		{"broken off", event("v1"), "r", "v1", true, false},
+		{"crossed", event("v1") + "data: [DONE]\n\n", "another", "v1", false, false},
+	}
+	for _, c := range cases {
+		front := open(t, view.TargetEngine, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.Header().Set(header.RequestID, c.echo)
+			w.Header().Set(header.EngineVersion, c.version)
+			_, _ = io.WriteString(w, c.body)
+			if c.cut {
+				panic(http.ErrAbortHandler)
+			}
+		})
+		w, body, err := send(t, front, map[string]string{header.RequestID: "r", header.Model: "m"}, "{}")
+		ok := err == nil && w.Header.Get(header.Outcome) == "" && strings.Contains(body, "[DONE]")
+		if ok != c.ok {
+			t.Errorf("%s: taken as whole: %v, want %v (%q, %v)", c.name, ok, c.ok, body, err)
+		}
+		if strings.Contains(body, `fingerprint":"v2"`) {
+			t.Errorf("%s: a part of another version was passed on", c.name)
+		}
+	}
+}
