--- a/internal/settings/config/config_test.go
+++ b/internal/settings/config/config_test.go
@@ -55,3 +55,21 @@
 		t.Error("an unreadable file was taken")
 	}
 }
+
+// TestSampleSettingsAreGood checks every sample file that holds settings.
+func TestSampleSettingsAreGood(t *testing.T) {
+	names, err := filepath.Glob("../../../examples/*/*.json")
+	if err != nil || len(names) == 0 {
+		t.Fatalf("no samples: %v", err)
+	}
+	names = append(names, "../../../examples/default.json")
+	for _, name := range names {
+		base := filepath.Base(name)
+		if base == "policy.json" || base == "keys.json" {
+			continue
+		}
+		if _, err := config.Load(name); err != nil {
+			t.Error(err)
+		}
+	}
+}
