--- a/internal/admission/pool/pool.go
+++ b/internal/admission/pool/pool.go
@@ -77,8 +77,6 @@
 	// organisation.
 	answers meter
 	grants  map[id.Organisation]*meter
-	// closed is set at a graceful shutdown.
-	closed bool
 }
 
 // New returns a pool without targets.
@@ -193,9 +191,6 @@
 
 // hopeless refuses at once what would wait in vain.
 func (p *Pool) hopeless(r Request) *refusal.Refusal {
-	if p.closed {
-		return refusal.Busy(refusal.ShuttingDown, "this entry shuts down", minRetryAfter)
-	}
 	if !p.serves(r) {
 		return refusal.Busy(refusal.NoTarget, "no target serves this now", minRetryAfter)
 	}
@@ -307,10 +302,3 @@
 	s.own++
 	return &Grant{Target: s.Target, pool: p, state: s, since: now}
 }
-
-// Close refuses new requests from now on.
-func (p *Pool) Close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.closed = true
-}
--- /dev/null
+++ b/internal/control/placement/placement_test.go
@@ -0,0 +1,96 @@
+package placement_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"egretproxy/internal/control/placement"
+	"egretproxy/internal/control/view"
+	"egretproxy/internal/fleet/id"
+)
+
+// TestMain fixes the seed, so that each run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// TestHoldsReplicasAreRepairedWithFewMoves places two models, loses one engine
+// after another, and looks at each repair.
+func TestHoldsReplicasAreRepairedWithFewMoves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(4, 24).Draw(t, "engines")
+		domains := rapid.IntRange(1, 4).Draw(t, "domains")
+		a := rapid.IntRange(1, n/2).Draw(t, "replicas")
+		models := []view.ModelSpec{{Name: "a", Replicas: a}, {Name: "b"}}
+		var engines []placement.Engine
+		for i := range n {
+			engines = append(engines, placement.Engine{
+				ID: id.Target(fmt.Sprintf("e%02d", i)), Domain: id.Domain(fmt.Sprintf("d%d", i%domains)),
+			})
+		}
+		adopt(engines, placement.Place(models, engines))
+		for len(engines) > a {
+			lost := rapid.IntRange(0, len(engines)-1).Draw(t, "lost")
+			gone := engines[lost]
+			engines = append(engines[:lost:lost], engines[lost+1:]...)
+			plan := placement.Place(models, engines)
+			check(t, engines, plan, a, gone)
+			adopt(engines, plan)
+		}
+	})
+}
+
+func adopt(engines []placement.Engine, plan placement.Plan) {
+	for i := range engines {
+		engines[i].Model = plan[engines[i].ID]
+	}
+}
+
+func check(t *rapid.T, engines []placement.Engine, plan placement.Plan, want int, gone placement.Engine) {
+	replicas, moves := 0, 0
+	for _, e := range engines {
+		if plan[e.ID] == "a" {
+			replicas++
+		}
+		if plan[e.ID] != e.Model {
+			moves++
+		}
+	}
+	if replicas != want {
+		t.Fatalf("%d replicas of a, want %d", replicas, want)
+	}
+	most := 0
+	if gone.Model == "a" {
+		most = 1
+	}
+	if moves > most {
+		t.Fatalf("%d engines were moved after the loss of one with model %q", moves, gone.Model)
+	}
+}
+
+func TestReplicasAreSpreadOverDomains(t *testing.T) {
+	var engines []placement.Engine
+	for i := range 12 {
+		engines = append(engines, placement.Engine{ID: id.Target(fmt.Sprint(i)), Domain: id.Domain(fmt.Sprint(i / 4))})
+	}
+	plan := placement.Place([]view.ModelSpec{{Name: "a", Replicas: 6}}, engines)
+	count := map[id.Domain]int{}
+	for _, e := range engines {
+		if plan[e.ID] == "a" {
+			count[e.Domain]++
+		}
+	}
+	for d, n := range count {
+		if n != 2 {
+			t.Errorf("domain %s has %d of 6 replicas", d, n)
+		}
+	}
+}
--- a/internal/request/refusal/refusal.go
+++ b/internal/request/refusal/refusal.go
@@ -43,7 +43,6 @@
 	QueueTimeout        Reason = "QueueTimeout"
 	NoTarget            Reason = "NoTarget"
 	RetryBudget         Reason = "RetryBudget"
-	ShuttingDown        Reason = "ShuttingDown"
 	ClaimUnavailable    Reason = "ClaimUnavailable"
 	ClaimHeld           Reason = "ClaimHeld"
 	KeyReused           Reason = "KeyReused"
--- a/internal/settings/config/agent.go
+++ b/internal/settings/config/agent.go
@@ -32,9 +32,6 @@
 	Slots int
 	// ColdSlots is the number that it bears in a cold start.
 	ColdSlots int
-	// EnforcesFence tells that the target itself refuses orders with an old
-	// fencing number.
-	EnforcesFence bool
 }
 
 // Weights says where chunks come from and how many are held.
--- a/internal/system/fleet_test.go
+++ b/internal/system/fleet_test.go
@@ -105,8 +105,8 @@
 	return `"` + strings.Join(list, `", "`) + `"`
 }
 
-func (f *fleet) start(name, binary string, args ...string) {
-	f.args[name] = append([]string{binary}, args...)
+func (f *fleet) start(name string, args ...string) {
+	f.args[name] = args
 	f.restart(name)
 }
 
@@ -171,9 +171,9 @@
 	}
 }
 
-func (f *fleet) addEngine(name, domain string) {
+func (f *fleet) addEngine(name, domain string, flags ...string) {
 	engine := f.port(name)
-	f.start(name, "standin", "engine", "--listen", engine, "--load-time", "50ms")
+	f.start(name, append([]string{"standin", "engine", "--listen", engine, "--load-time", "50ms"}, flags...)...)
 	f.addAgent(name, domain, fmt.Sprintf(`{"ID": %q, "Address": "engine://%s", "Slots": 16, "ColdSlots": 2}`, name, engine))
 }
 
--- a/internal/system/holds_test.go
+++ b/internal/system/holds_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -408,6 +409,41 @@
 	}
 }
 
+// TestHoldsBadVersionHaltsRollout supersedes a bundle by one that no engine
+// can load. The rollout must halt by itself, and the engines that were not
+// switched must go on with the bundle in force.
+func TestHoldsBadVersionHaltsRollout(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1)
+	f.addOrigin()
+	for i := range 3 {
+		f.addEngine(fmt.Sprintf("engine-%d", i), fmt.Sprintf("d%d", i), "--fail-load", "v2")
+	}
+	f.bundle("v1", weights(1, 1<<18))
+	f.bundle("v2", weights(2, 1<<18))
+	f.mustOperate("bundle", "roll", "v1", "--operator", "test", "--no-wait")
+	f.mustOperate("bundle", "status", "--follow")
+	f.mustOperate("bundle", "supersede", "v1", "v2", "--operator", "test", "--no-wait")
+	out, err := f.operator("bundle", "status", "--follow")
+	if err == nil || !strings.Contains(out, "halted") {
+		t.Fatalf("the rollout of a bad version ended with %v: %s", err, out)
+	}
+	f.until("all engines serve v1", func() bool {
+		st, err := f.status()
+		if err != nil {
+			return false
+		}
+		n := 0
+		for _, t := range st.View.Targets {
+			if t.Phase == "Serving" && t.Installed.Bundle == "v1" {
+				n++
+			}
+		}
+		return n == 3
+	})
+	f.mustOperate("bundle", "supersede", "v2", "v1", "--operator", "test", "--no-wait")
+}
+
 // TestCallersGetTruthfulRefusals sends what is wrong in itself.
 func TestCallersGetTruthfulRefusals(t *testing.T) {
 	t.Parallel()
