admission: take the queue's length under its lock, wait for targets on their way

The race detector found that a timed out request read the queue and the rate of answers without the lock. A request for a model whose targets are loading or unknown to the entry yet was refused with NoTarget; it now waits in the queue. Tests take ports below those of the kernel, since one was taken between its reservation and its use.

--- a/internal/admission/pool/pool.go
+++ b/internal/admission/pool/pool.go
@@ -7,7 +7,6 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -157,9 +156,9 @@
 	case ref := <-w.refused:
 		return nil, ref
 	case <-ctx.Done():
-		return p.giveUp(item, w, refusal.New(http.StatusServiceUnavailable, refusal.CallerGone, "caller has gone"))
+		return p.giveUp(item, w, refusal.CallerGone, "caller has gone")
 	case <-timer.C:
-		return p.giveUp(item, w, p.busy(refusal.QueueTimeout, "no target became free in time"))
+		return p.giveUp(item, w, refusal.QueueTimeout, "no target became free in time")
 	}
 }
 
@@ -201,10 +200,10 @@
 	return refusal.Busy(refusal.QueueFull, "the wait would be too long", clampRetry(wait))
 }
 
-// serves reports whether any target may come to take the request.
+// serves reports whether any target may come to take the request, now or soon.
 func (p *Pool) serves(r Request) bool {
 	for _, s := range p.list {
-		if s.fits(r) {
+		if s.concerns(r) {
 			return true
 		}
 	}
@@ -227,6 +226,8 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
+// busy returns a refusal with the time until the present queue is gone. The
+// caller holds mu.
 func (p *Pool) busy(reason refusal.Reason, text string) *refusal.Refusal {
 	rate := p.answers.rate(time.Now())
 	after := minRetryAfter
@@ -241,9 +242,10 @@
 }
 
 // giveUp ends a wait, unless the request was granted in the same moment.
-func (p *Pool) giveUp(item *fairqueue.Item, w *waiter, ref *refusal.Refusal) (*Grant, *refusal.Refusal) {
+func (p *Pool) giveUp(item *fairqueue.Item, w *waiter, reason refusal.Reason, text string) (*Grant, *refusal.Refusal) {
 	p.mu.Lock()
 	waiting := p.queue.Remove(item)
+	ref := p.busy(reason, text)
 	p.mu.Unlock()
 	if waiting {
 		return nil, ref
--- a/internal/admission/pool/state.go
+++ b/internal/admission/pool/state.go
@@ -84,6 +84,16 @@
 	return r.Bundle == "" || r.Bundle == s.Installed.Bundle
 }
 
+// concerns reports whether the target serves what the request asks for, or is
+// on its way to it.
+func (s *state) concerns(r Request) bool {
+	if r.Service != "" {
+		return s.Kind == view.TargetService && s.Service == r.Service
+	}
+	return s.Kind == view.TargetEngine &&
+		(s.Installed.Model == r.Model || s.Assigned.Model == r.Model || s.Staged.Model == r.Model)
+}
+
 func (s *state) free(now time.Time) bool {
 	return !now.Before(s.barred) && s.own < int(s.window) && s.own+s.others(now) < s.limit
 }
--- a/internal/role/agent/orders.go
+++ b/internal/role/agent/orders.go
@@ -62,6 +62,9 @@
 func (a *Agent) noteStatus(s backend.Status) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.start == "" {
+		a.start = s.Start
+	}
 	if s.Start != a.start {
 		a.ramp.Cool()
 		a.metrics.Count("TargetRestarted")
--- a/internal/system/fleet_test.go
+++ b/internal/system/fleet_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -76,15 +77,24 @@
 	return f
 }
 
+// firstPort is below the ports that the kernel gives to connections, so that
+// no connection takes one before its process listens.
+const firstPort = 24_000
+
+var nextPort atomic.Int64
+
 // port reserves a loopback address for a process.
 func (f *fleet) port(name string) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		f.t.Fatal(err)
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		f.address[name] = address
+		return address
 	}
-	defer func() { _ = l.Close() }()
-	f.address[name] = l.Addr().String()
-	return f.address[name]
 }
 
 func (f *fleet) settings(name, section string) string {
@@ -93,8 +103,8 @@
 
 func (f *fleet) settingsIn(name, domain, section string) string {
 	file := filepath.Join(f.dir, name+".json")
-	text := fmt.Sprintf(`{"Process": {"Name": %q, "Domain": %q, "Region": "r-%s"}, "Keepers": {"Addresses": [%s]}, %s}`,
-		name, domain, domain, quoted(f.keepers), section)
+	text := fmt.Sprintf(`{"Process": {"Name": %q, "Domain": %q, "Region": "r-%s", "AdminListen": %q}, "Keepers": {"Addresses": [%s]}, %s}`,
+		name, domain, domain, f.port(name+"-admin"), quoted(f.keepers), section)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
@@ -198,6 +208,26 @@
 	f.start("origin", "standin", "depot", "--listen", f.port("origin"))
 }
 
+// counter adds up the lines of a process's metrics that hold a text.
+func (f *fleet) counter(name, text string) float64 {
+	f.t.Helper()
+	w, err := http.Get("http://" + f.address[name+"-admin"] + "/metrics")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = w.Body.Close() }()
+	data, _ := io.ReadAll(w.Body)
+	sum := 0.0
+	for line := range strings.Lines(string(data)) {
+		if strings.Contains(line, text) {
+			var v float64
+			_, _ = fmt.Sscan(line[strings.LastIndex(line, " ")+1:], &v)
+			sum += v
+		}
+	}
+	return sum
+}
+
 func (f *fleet) addEntry(name string) {
 	keys := filepath.Join(f.dir, "keys.json")
 	if err := os.WriteFile(keys, []byte(`{"Organisations": [{"ID": "huts", "Key": "key-of-huts"}]}`), 0o600); err != nil {
--- a/internal/system/holds_test.go
+++ b/internal/system/holds_test.go
@@ -409,6 +409,44 @@
 	}
 }
 
+// TestHoldsBrokenStreamsResume kills an engine while it streams. Each stream
+// must go on at another engine of the same version and end whole.
+func TestHoldsBrokenStreamsResume(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1)
+	f.addOrigin()
+	for i := range 3 {
+		f.addEngine(fmt.Sprintf("engine-%d", i), fmt.Sprintf("d%d", i), "--warm-requests", "16")
+	}
+	f.addEntry("entry-0")
+	f.bundle("v1", weights(1, 1<<18))
+	f.mustOperate("bundle", "roll", "v1", "--operator", "test", "--no-wait")
+	f.mustOperate("bundle", "status", "--follow")
+	c := load.Config{
+		Entries: []string{"http://" + f.address["entry-0"]}, Keys: []string{"key-of-huts"}, Model: "guide",
+		Rate: 4, StreamShare: 1, Tokens: 150, Prefixes: 8, Seed: 4,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan load.Counts)
+	go func() { done <- load.New(c).Run(ctx) }()
+	f.until("engine-0 streams", func() bool {
+		var s engine.Status
+		f.get("engine-0", "/status", &s)
+		return s.Running > 0
+	})
+	f.kill("engine-0")
+	time.Sleep(2 * time.Second)
+	cancel()
+	counts := <-done
+	t.Logf("%+v", counts)
+	if counts.Answered != counts.Requests || counts.Requests == 0 {
+		t.Errorf("%d of %d streams ended whole", counts.Answered, counts.Requests)
+	}
+	if n := f.counter("entry-0", `event="Retry"`); n == 0 {
+		t.Error("no stream was resumed: the test shows nothing")
+	}
+}
+
 // TestHoldsBadVersionHaltsRollout supersedes a bundle by one that no engine
 // can load. The rollout must halt by itself, and the engines that were not
 // switched must go on with the bundle in force.
--- /dev/null
+++ b/internal/target/engine/engine_test.go
@@ -0,0 +1,41 @@
+package engine_test
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"egretproxy/internal/control/view"
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/standin/engine"
+	"egretproxy/internal/target/backend"
+	_ "egretproxy/internal/target/engine"
+)
+
+// TestHoldsOldFenceIsRefused orders an engine that checks fencing numbers.
+func TestHoldsOldFenceIsRefused(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	e := engine.New(engine.Config{Slots: 1, TokenInterval: time.Second, Fencing: true})
+	s := httptest.NewServer(e.Handler(ctx))
+	defer s.Close()
+	b, err := backend.New("engine://" + strings.TrimPrefix(s.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	order := func(fence uint64) error {
+		return b.Load(ctx, backend.Order{Assignment: view.Assignment{Bundle: "v1", Model: "m", Fence: id.Fence(fence)}})
+	}
+	if err := order(7); err != nil {
+		t.Fatal(err)
+	}
+	if err := order(6); !errors.Is(err, backend.ErrStaleFence) {
+		t.Errorf("an order with an old fence got %v", err)
+	}
+	if err := order(8); err != nil {
+		t.Error(err)
+	}
+}
