--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -30,7 +30,7 @@
 
 // All returns the subcommands.
 func All() []*cli.Command {
-	return []*cli.Command{engineCommand(), serviceCommand(), depotCommand(), loadCommand(), naiveCommand(), reportCommand(), faultCommand(), countCommand()}
+	return []*cli.Command{engineCommand(), serviceCommand(), depotCommand(), loadCommand(), naiveCommand(), reportCommand(), faultCommand(), countCommand(), loadedCommand()}
 }
 
 func serve(ctx context.Context, address string, h http.Handler) error {
@@ -138,6 +138,22 @@
 	}
 }
 
+func loadedCommand() *cli.Command {
+	return &cli.Command{
+		Name: "loaded", Usage: "how many engines have loaded a bundle, and after how many seconds",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "engine"},
+			&cli.StringFlag{Name: "bundle"},
+			&cli.Int64Flag{Name: "since", Usage: "Unix milliseconds"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			n, seconds := report.Loaded(c.StringSlice("engine"), c.String("bundle"), c.Int64("since"))
+			fmt.Println(n, seconds)
+			return nil
+		},
+	}
+}
+
 func reportCommand() *cli.Command {
 	return &cli.Command{
 		Name: "report", Usage: "what the stand-ins counted",
@@ -145,8 +161,8 @@
 			&cli.StringSliceFlag{Name: "engine"},
 			&cli.StringSliceFlag{Name: "service"},
 			&cli.StringFlag{Name: "load", Required: true},
-			&cli.StringFlag{Name: "bundle"},
-			&cli.Int64Flag{Name: "rolled-at"},
+			&cli.IntFlag{Name: "replicas"},
+			&cli.FloatFlag{Name: "seconds"},
 			&cli.Int64Flag{Name: "copy-bytes"},
 			&cli.Int64Flag{Name: "drawn-bytes"},
 			&cli.Int64Flag{Name: "naive-bytes"},
@@ -154,7 +170,7 @@
 		Action: func(_ context.Context, c *cli.Command) error {
 			r, x, err := report.Build(report.Sources{
 				Engines: c.StringSlice("engine"), Services: c.StringSlice("service"),
-				LoadFile: c.String("load"), Bundle: c.String("bundle"), RolledAt: c.Int64("rolled-at"),
+				LoadFile: c.String("load"), Replicas: c.Int("replicas"), Seconds: c.Float("seconds"),
 				CopyBytes: c.Int64("copy-bytes"), DrawnBytes: c.Int64("drawn-bytes"), NaiveBytes: c.Int64("naive-bytes"),
 			})
 			if err != nil {
--- a/internal/standin/report/report.go
+++ b/internal/standin/report/report.go
@@ -25,10 +25,9 @@
 	Origin   string
 	// LoadFile is the JSON file that the load wrote.
 	LoadFile string
-	// Bundle is the bundle whose rollout was timed, from RolledAt in Unix
-	// milliseconds.
-	Bundle   string
-	RolledAt int64
+	// Replicas and Seconds are what Loaded counted after the timed rollout.
+	Replicas int
+	Seconds  float64
 	// CopyBytes is the size of one copy of all content, and NaiveBytes what
 	// the naive twin drew.
 	CopyBytes  int64
@@ -85,6 +84,7 @@
 	r.CutOff, r.MixedVersions = counts.CutOff, counts.Mixed
 	r.FirstTokenMillisecondsP95 = counts.FirstTokenMilliseconds.P95
 	x.Wrong, x.Reasons = counts.Wrong, counts.Reasons
+	r.Replicas, r.SecondsToReplicas = s.Replicas, s.Seconds
 	r.addEngines(s, &x)
 	r.addServices(s, counts, &x)
 	if s.CopyBytes > 0 {
@@ -94,17 +94,32 @@
 	return r, x, nil
 }
 
-func (r *Report) addEngines(s Sources, x *Extra) {
+// Loaded counts the engines that have loaded a bundle, and the seconds from a
+// time in Unix milliseconds until the last of them did.
+func Loaded(engines []string, bundle string, since int64) (replicas int, seconds float64) {
 	var last int64
-	for _, e := range s.Engines {
+	for _, e := range engines {
 		var c engine.Counts
 		if fetch(e+"/counts", &c) != nil {
 			continue
 		}
-		if at, ok := c.LoadedAt[s.Bundle]; ok {
-			r.Replicas++
+		if at, ok := c.LoadedAt[bundle]; ok {
+			replicas++
 			last = max(last, at)
 		}
+	}
+	if replicas > 0 {
+		seconds = float64(last-since) / 1000
+	}
+	return replicas, seconds
+}
+
+func (r *Report) addEngines(s Sources, x *Extra) {
+	for _, e := range s.Engines {
+		var c engine.Counts
+		if fetch(e+"/counts", &c) != nil {
+			continue
+		}
 		r.WorkAfterWithdrawal += c.AfterMark
 		x.Overloads += c.Overloads
 		x.FellOver += c.FellOver
@@ -112,9 +127,6 @@
 		x.CacheHits += c.CacheHits
 		x.CacheMisses += c.CacheMiss
 	}
-	if last > 0 {
-		r.SecondsToReplicas = float64(last-s.RolledAt) / 1000
-	}
 }
 
 func (r *Report) addServices(s Sources, counts load.Counts, x *Extra) {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -23,7 +23,7 @@
 next_port() { port=$((port + 1)); }
 addr() { echo "127.0.0.1:$1"; }
 say() { printf '%5d ms  %s\n' "$((${EPOCHREALTIME/./} / 1000 - began))" "$*"; }
-start() { # name, command...
+start() { # name, command...; its process id goes to pid_NAME
   local name=$1; shift
   "$@" >"$dir/$name.out" 2>"$dir/$name.log" &
   pids+=($!)
@@ -141,7 +141,10 @@
 rolled_at=$(date +%s%3N)
 op bundle roll v1 --no-wait >>"$dir/operator.out"
 show bundle status --follow >>"$dir/operator.out"
-say "bundle v1 is in force"
+args=()
+for e in "${engines[@]}"; do args+=(--engine "$e"); done
+read -r replicas seconds < <("$bin/standin" loaded "${args[@]}" --bundle v1 --since "$rolled_at")
+say "bundle v1 is in force at $replicas replicas"
 
 start load "$bin/standin" load --entry "${entries[0]}" --entry "${entries[1]}" \
   --key key-of-huts --key key-of-guides --key key-of-portal --rate 40 --out "$dir/load.json"
@@ -166,6 +169,7 @@
 kill "$pid_agent_5"
 sleep 1
 kill -KILL "$pid_engine_0" "$pid_agent_0"
+wait "$pid_engine_0" "$pid_agent_0" 2>/dev/null || true
 sleep 4
 kill "$pid_load"; wait "$pid_load" || true
 copy_bytes=$(held); total=$(drawn)
@@ -176,7 +180,5 @@
 show bundle status; show domain status; show target list
 say "done"
 
-args=()
-for e in "${engines[@]}"; do args+=(--engine "$e"); done
 "$bin/standin" report "${args[@]}" --service "http://$(addr "$service")" --load "$dir/load.json" \
-  --bundle v1 --rolled-at "$rolled_at" --copy-bytes "$copy_bytes" --drawn-bytes "$total" --naive-bytes "$naive"
+  --replicas "$replicas" --seconds "$seconds" --copy-bytes "$copy_bytes" --drawn-bytes "$total" --naive-bytes "$naive"
