control: end differences in parts and spread renewals

Cause: 1300 agents and 370 entries that start together kept three keepers busy with the same targets: a renewal that timed out asked for everything again. Ruled out: the log itself, whose writes share syncs. Change: a difference names at most 128 targets, the rest comes with the next renewal; failed renewals pause longer and longer; renewals are spread over the interval.

--- a/internal/control/ledger/ledger_test.go
+++ b/internal/control/ledger/ledger_test.go
@@ -88,7 +88,9 @@
 			m.random()
 			h := rapid.IntRange(0, len(holders)-1).Draw(t, "holder")
 			before := holders[h].Version
-			holders[h] = holders[h].With(m.ledger.View().Since(holders[h].Version, ""))
+			for holders[h].Version < m.ledger.View().Version {
+				holders[h] = holders[h].With(m.ledger.View().Since(holders[h].Version, ""))
+			}
 			if holders[h].Version < before {
 				t.Fatalf("a holder went from version %d to %d", before, holders[h].Version)
 			}
@@ -99,6 +101,36 @@
 	})
 }
 
+// TestHoldsLargeDifferencesEndInParts lets a holder catch up with more targets
+// than one difference names, while they change and go.
+func TestHoldsLargeDifferencesEndInParts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{t: t, ledger: &ledger.Ledger{}}
+		var holder view.View
+		parts := 0
+		for range 400 {
+			target := id.Target(fmt.Sprint(rapid.IntRange(0, 300).Draw(t, "target")))
+			if rapid.IntRange(0, 9).Draw(t, "remove") == 0 {
+				m.apply("", "", "RemoveTargets", &ledger.RemoveTargets{Targets: []ledger.TargetSession{{Target: target, Session: m.ledger.View().Targets[target].Session}}})
+			} else {
+				m.apply("", "", "AnnounceTargets", &ledger.AnnounceTargets{Targets: []view.Target{{ID: target, Domain: "d", Address: "a"}}})
+			}
+			if rapid.IntRange(0, 150).Draw(t, "look") == 0 {
+				holder = holder.With(m.ledger.View().Since(holder.Version, ""))
+			}
+		}
+		for holder.Version < m.ledger.View().Version {
+			holder = holder.With(m.ledger.View().Since(holder.Version, ""))
+			if parts++; parts > 10 {
+				t.Fatal("the holder never catches up")
+			}
+		}
+		if diff := cmp.Diff(*m.ledger.View(), holder, visible, cmpopts.EquateEmpty()); diff != "" {
+			t.Fatalf("holder differs (-ledger +holder):\n%s", diff)
+		}
+	})
+}
+
 // TestHoldsResendHasOneEffect resends changes over a snapshot and gets the
 // same answers.
 func TestHoldsResendHasOneEffect(t *testing.T) {
--- a/internal/control/view/view.go
+++ b/internal/control/view/view.go
@@ -11,6 +11,10 @@
 	"egretproxy/internal/fleet/id"
 )
 
+// maxTouched is the number of changed targets after which a difference ends.
+// The holder asks for the rest with its next renewal.
+const maxTouched = 128
+
 // Author tells who made the newest change to an object, and by what.
 type Author struct {
 	Operator id.Operator
@@ -258,13 +262,15 @@
 		}
 		return
 	}
-	if d.Full || from == 0 {
+	if d.Full {
 		for _, k := range slices.Sorted(maps.Keys(v.Targets)) {
 			d.Targets = append(d.Targets, v.Targets[k])
 		}
 		return
 	}
-	for _, k := range v.touchedSince(from) {
+	touched, last := v.touchedSince(from)
+	d.To = last
+	for _, k := range touched {
 		if t, ok := v.Targets[k]; ok {
 			d.Targets = append(d.Targets, t)
 			continue
@@ -274,17 +280,26 @@
 }
 
 // touchedSince returns the targets that were changed or removed after a
-// version, each once.
-func (v *View) touchedSince(from id.Version) []id.Target {
+// version, each once, and the version up to which they are complete. It stops
+// at a bound, so that no answer of a keeper grows with the fleet.
+func (v *View) touchedSince(from id.Version) ([]id.Target, id.Version) {
 	first, _ := slices.BinarySearchFunc(v.Recent, from+1, func(t Touch, at id.Version) int {
 		return cmp.Compare(t.Version, at)
 	})
+	seen := map[id.Target]bool{}
 	var out []id.Target
-	for _, t := range v.Recent[first:] {
-		out = append(out, t.Target)
+	last := v.Version
+	for i := first; i < len(v.Recent); i++ {
+		t := v.Recent[i]
+		if len(out) >= maxTouched && t.Version != v.Recent[i-1].Version {
+			return out, v.Recent[i-1].Version
+		}
+		if !seen[t.Target] {
+			seen[t.Target] = true
+			out = append(out, t.Target)
+		}
 	}
-	slices.Sort(out)
-	return slices.Compact(out)
+	return out, last
 }
 
 // With returns the view after the delta. A delta to an older version leaves
--- a/internal/role/agent/renew.go
+++ b/internal/role/agent/renew.go
@@ -24,8 +24,10 @@
 	// startSpread spreads announcements of agents that start together.
 	startSpread = 300 * time.Millisecond
 	retryPause  = 50 * time.Millisecond
-	leaveDelay  = 200 * time.Millisecond
-	roleName    = "Agent"
+	// maxDoublings bounds the growth of the pause after failed renewals.
+	maxDoublings = 4
+	leaveDelay   = 200 * time.Millisecond
+	roleName     = "Agent"
 )
 
 // renew announces the target and then confirms, twice a second, what the
@@ -34,6 +36,7 @@
 	if !pause(ctx, rand.N(startSpread)) {
 		return nil
 	}
+	failures := 0
 	for ctx.Err() == nil {
 		if a.currentSession() == 0 {
 			a.announce(ctx)
@@ -46,9 +49,12 @@
 				return err
 			}
 			a.metrics.Count("RenewalFailed")
-			wait = retryPause
+			wait = min(retryPause<<min(failures, maxDoublings), lease.RenewInterval)
+			failures++
+		} else {
+			failures = 0
 		}
-		pause(ctx, wait)
+		pause(ctx, wait/2+rand.N(wait))
 	}
 	return nil
 }
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -44,8 +44,10 @@
 	idleTimeout    = 30 * time.Second
 	idlePerHost    = 256
 	retryPause     = 50 * time.Millisecond
-	roleName       = "Entry"
-	settleWait     = 2 * time.Second
+	// maxDoublings bounds the growth of the pause after failed renewals.
+	maxDoublings = 4
+	roleName     = "Entry"
+	settleWait   = 2 * time.Second
 )
 
 // Entry is one running entry.
@@ -232,15 +234,19 @@
 // renew keeps the agreed state up to date. An entry acts on it without a
 // lease, since agents refuse what is no longer permitted.
 func (e *Entry) renew(ctx context.Context) error {
+	failures := 0
 	for ctx.Err() == nil {
 		wait := lease.RenewInterval
 		if err := e.renewOnce(ctx); err != nil {
 			e.metrics.Count("RenewalFailed")
-			wait = retryPause
+			wait = min(retryPause<<min(failures, maxDoublings), lease.RenewInterval)
+			failures++
+		} else {
+			failures = 0
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(wait):
+		case <-time.After(wait/2 + rand.N(wait)):
 		}
 	}
 	return nil
