wire: build passed-on requests in one place, split long files

Entry and agent each built the request to the next hop, with the same care that net/http sends it once; internal/wire/passage does so for both. The operators' commands share the connection and the look at the state. Behaviour stays.

--- /dev/null
+++ b/internal/agreement/replica/apply.go
@@ -0,0 +1,114 @@
+package replica
+
+import (
+	"github.com/go-faster/errors"
+
+	"egretproxy/internal/agreement/raft"
+	"egretproxy/internal/agreement/record"
+)
+
+// process persists, sends and applies until the node has no more work.
+func (r *Replica) process() error {
+	for r.node.HasReady() {
+		ready := r.node.Ready()
+		if err := r.persist(ready); err != nil {
+			r.fail(err)
+			return err
+		}
+		r.node.Advance(ready)
+		r.sendAll(ready.Messages)
+		if err := r.apply(ready); err != nil {
+			r.fail(err)
+			return err
+		}
+	}
+	r.noteLead()
+	return nil
+}
+
+func (r *Replica) persist(ready raft.Ready) error {
+	if ready.Snapshot != nil {
+		if err := r.journal.SaveSnapshot(ready.Snapshot, true); err != nil {
+			return err
+		}
+		r.snapshot = ready.Snapshot
+	}
+	return r.journal.Save(ready.HardState, ready.Truncate, ready.Entries)
+}
+
+func (r *Replica) sendAll(messages []record.Message) {
+	members := r.node.Membership()
+	for _, m := range messages {
+		if c, ok := members.Find(m.To); ok {
+			r.transport.Send(c, m)
+			continue
+		}
+		r.transport.Send(record.Member{ID: m.To}, m)
+	}
+}
+
+func (r *Replica) apply(ready raft.Ready) error {
+	applied := r.appliedIndex()
+	if ready.Snapshot != nil {
+		if err := r.machine.Restore(ready.Snapshot.Data); err != nil {
+			return errors.Wrap(err, "restore snapshot")
+		}
+		applied = ready.Snapshot.Index
+	}
+	for _, e := range ready.Committed {
+		r.applyOne(e)
+		applied = e.Index
+	}
+	for _, s := range ready.Reads {
+		c := r.pending[s.Token]
+		delete(r.pending, s.Token)
+		*c.index = s.Index
+		c.done <- outcome{}
+	}
+	r.publish(applied)
+	if r.cfg.OnApplied != nil && (len(ready.Committed) > 0 || ready.Snapshot != nil) {
+		r.cfg.OnApplied(applied)
+	}
+	return r.snapshotIfDue(applied)
+}
+
+func (r *Replica) applyOne(e record.Entry) {
+	var answer []byte
+	if e.Kind == record.KindCommand {
+		answer = r.machine.Apply(e.Index, e.Data)
+	}
+	w, ok := r.waiters[e.Index]
+	if !ok {
+		return
+	}
+	delete(r.waiters, e.Index)
+	if w.term != e.Term {
+		w.done <- outcome{err: ErrUncertain}
+		return
+	}
+	w.done <- outcome{answer: answer}
+}
+
+func (r *Replica) snapshotIfDue(applied uint64) error {
+	from := uint64(0)
+	if r.snapshot != nil {
+		from = r.snapshot.Index
+	}
+	if applied < from+r.cfg.SnapshotEntries {
+		return nil
+	}
+	data, err := r.machine.Snapshot()
+	if err != nil {
+		return errors.Wrap(err, "take snapshot")
+	}
+	s := &record.Snapshot{
+		Index: applied, Term: r.node.TermAt(applied),
+		Membership: r.node.MembershipAt(applied), Data: data,
+	}
+	if err := r.journal.SaveSnapshot(s, false); err != nil {
+		return err
+	}
+	r.snapshot = s
+	r.node.Compact(applied)
+	return nil
+}
--- a/internal/command/bundle/approve.go
+++ b/internal/command/bundle/approve.go
@@ -9,6 +9,7 @@
 	"egretproxy/internal/control/ledger"
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/kernel/registry"
+	"egretproxy/internal/wire/api"
 )
 
 func init() { registry.Register(approveCommand{}) }
@@ -24,17 +25,10 @@
 func (approveCommand) Flags() []cli.Flag   { return operator.ChangeFlags() }
 
 func (approveCommand) Execute(ctx context.Context, c *cli.Command) error {
-	s, err := operator.Open(c)
-	if err != nil {
-		return err
-	}
-	defer s.Close()
 	b := id.Bundle(c.Args().First())
-	st, err := s.Status(ctx)
-	if err != nil {
-		return err
-	}
-	return s.Change(ctx, "ApproveBundle", &ledger.ApproveBundle{
-		Bundle: b, Base: operator.Base(c, st.View.Bundles[b].Author.Version),
+	return operator.Do(ctx, c, func(s *operator.Session, st api.Status) error {
+		return s.Change(ctx, "ApproveBundle", &ledger.ApproveBundle{
+			Bundle: b, Base: operator.Base(c, st.View.Bundles[b].Author.Version),
+		})
 	})
 }
--- a/internal/command/bundle/roll.go
+++ b/internal/command/bundle/roll.go
@@ -9,6 +9,7 @@
 	"egretproxy/internal/control/ledger"
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/kernel/registry"
+	"egretproxy/internal/wire/api"
 )
 
 func init() { registry.Register(rollCommand{}) }
@@ -26,16 +27,9 @@
 func (rollCommand) Flags() []cli.Flag { return operator.ChangeFlags() }
 
 func (rollCommand) Execute(ctx context.Context, c *cli.Command) error {
-	s, err := operator.Open(c)
-	if err != nil {
-		return err
-	}
-	defer s.Close()
-	st, err := s.Status(ctx)
-	if err != nil {
-		return err
-	}
-	return s.Change(ctx, "RollBundle", &ledger.RollBundle{
-		Bundle: id.Bundle(c.Args().First()), Base: operator.Base(c, st.View.Rollout.Author.Version),
+	return operator.Do(ctx, c, func(s *operator.Session, st api.Status) error {
+		return s.Change(ctx, "RollBundle", &ledger.RollBundle{
+			Bundle: id.Bundle(c.Args().First()), Base: operator.Base(c, st.View.Rollout.Author.Version),
+		})
 	})
 }
--- a/internal/command/bundle/supersede.go
+++ b/internal/command/bundle/supersede.go
@@ -9,6 +9,7 @@
 	"egretproxy/internal/control/ledger"
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/kernel/registry"
+	"egretproxy/internal/wire/api"
 )
 
 func init() { registry.Register(supersedeCommand{}) }
@@ -27,17 +28,10 @@
 func (supersedeCommand) Flags() []cli.Flag { return operator.ChangeFlags() }
 
 func (supersedeCommand) Execute(ctx context.Context, c *cli.Command) error {
-	s, err := operator.Open(c)
-	if err != nil {
-		return err
-	}
-	defer s.Close()
-	st, err := s.Status(ctx)
-	if err != nil {
-		return err
-	}
-	return s.Change(ctx, "SupersedeBundle", &ledger.SupersedeBundle{
-		Old: id.Bundle(c.Args().Get(0)), New: id.Bundle(c.Args().Get(1)),
-		Base: operator.Base(c, st.View.Rollout.Author.Version),
+	return operator.Do(ctx, c, func(s *operator.Session, st api.Status) error {
+		return s.Change(ctx, "SupersedeBundle", &ledger.SupersedeBundle{
+			Old: id.Bundle(c.Args().Get(0)), New: id.Bundle(c.Args().Get(1)),
+			Base: operator.Base(c, st.View.Rollout.Author.Version),
+		})
 	})
 }
--- a/internal/command/config/apply.go
+++ b/internal/command/config/apply.go
@@ -13,6 +13,7 @@
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/kernel/registry"
 	"egretproxy/internal/settings/file"
+	"egretproxy/internal/wire/api"
 )
 
 func init() { registry.Register(applyCommand{}) }
@@ -61,17 +62,10 @@
 	if err := file.Load(c.Args().First(), &p); err != nil {
 		return cli.Exit(err.Error(), 1)
 	}
-	s, err := operator.Open(c)
-	if err != nil {
-		return err
-	}
-	defer s.Close()
-	st, err := s.Status(ctx)
-	if err != nil {
-		return err
-	}
-	return s.Change(ctx, "ApplyPolicy", &ledger.ApplyPolicy{
-		Organisations: p.Organisations, Routing: p.Routing,
-		Base: operator.Base(c, st.View.Policy.Author.Version),
+	return operator.Do(ctx, c, func(s *operator.Session, st api.Status) error {
+		return s.Change(ctx, "ApplyPolicy", &ledger.ApplyPolicy{
+			Organisations: p.Organisations, Routing: p.Routing,
+			Base: operator.Base(c, st.View.Policy.Author.Version),
+		})
 	})
 }
--- a/internal/command/domain/status.go
+++ b/internal/command/domain/status.go
@@ -27,25 +27,18 @@
 func (statusCommand) Flags() []cli.Flag   { return operator.Flags() }
 
 func (statusCommand) Execute(ctx context.Context, c *cli.Command) error {
-	s, err := operator.Open(c)
-	if err != nil {
-		return err
-	}
-	defer s.Close()
-	st, err := s.Status(ctx)
-	if err != nil {
-		return err
-	}
-	rows := [][]string{{"DOMAIN", "REGION", "STATE", "TARGETS", "IN PROGRESS", "CHANGED BY", "VERSION"}}
-	for _, k := range slices.Sorted(maps.Keys(st.View.Domains)) {
-		d := st.View.Domains[k]
-		targets, work := count(st, k)
-		rows = append(rows, []string{
-			string(k), string(d.Region), string(d.State), fmt.Sprint(targets), fmt.Sprint(work),
-			string(d.Author.Operator), fmt.Sprint(d.Author.Version),
-		})
-	}
-	return s.Print(st.View.Domains, rows)
+	return operator.Do(ctx, c, func(s *operator.Session, st api.Status) error {
+		rows := [][]string{{"DOMAIN", "REGION", "STATE", "TARGETS", "IN PROGRESS", "CHANGED BY", "VERSION"}}
+		for _, k := range slices.Sorted(maps.Keys(st.View.Domains)) {
+			d := st.View.Domains[k]
+			targets, work := count(st, k)
+			rows = append(rows, []string{
+				string(k), string(d.Region), string(d.State), fmt.Sprint(targets), fmt.Sprint(work),
+				string(d.Author.Operator), fmt.Sprint(d.Author.Version),
+			})
+		}
+		return s.Print(st.View.Domains, rows)
+	})
 }
 
 // count returns the targets of a domain and their requests in progress.
--- a/internal/command/domain/withdraw.go
+++ b/internal/command/domain/withdraw.go
@@ -9,6 +9,7 @@
 	"egretproxy/internal/control/ledger"
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/kernel/registry"
+	"egretproxy/internal/wire/api"
 )
 
 func init() { registry.Register(withdrawCommand{}) }
@@ -26,17 +27,10 @@
 func (withdrawCommand) Flags() []cli.Flag { return operator.ChangeFlags() }
 
 func (withdrawCommand) Execute(ctx context.Context, c *cli.Command) error {
-	s, err := operator.Open(c)
-	if err != nil {
-		return err
-	}
-	defer s.Close()
 	d := id.Domain(c.Args().First())
-	st, err := s.Status(ctx)
-	if err != nil {
-		return err
-	}
-	return s.Change(ctx, "WithdrawDomain", &ledger.WithdrawDomain{
-		Domain: d, Base: operator.Base(c, st.View.Domains[d].Author.Version),
+	return operator.Do(ctx, c, func(s *operator.Session, st api.Status) error {
+		return s.Change(ctx, "WithdrawDomain", &ledger.WithdrawDomain{
+			Domain: d, Base: operator.Base(c, st.View.Domains[d].Author.Version),
+		})
 	})
 }
--- a/internal/command/operator/operator.go
+++ b/internal/command/operator/operator.go
@@ -115,6 +115,20 @@
 	return out, err
 }
 
+// Do connects to the keepers, asks for the agreed state and hands both on.
+func Do(ctx context.Context, c *cli.Command, f func(s *Session, st api.Status) error) error {
+	s, err := Open(c)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	st, err := s.Status(ctx)
+	if err != nil {
+		return err
+	}
+	return f(s, st)
+}
+
 // Base returns the version that a change is based on: the one of the flag, or
 // the newest.
 func Base(c *cli.Command, newest id.Version) id.Version {
--- a/internal/command/target/list.go
+++ b/internal/command/target/list.go
@@ -27,28 +27,21 @@
 func (listCommand) Flags() []cli.Flag   { return operator.Flags() }
 
 func (listCommand) Execute(ctx context.Context, c *cli.Command) error {
-	s, err := operator.Open(c)
-	if err != nil {
-		return err
-	}
-	defer s.Close()
-	st, err := s.Status(ctx)
-	if err != nil {
-		return err
-	}
-	reports := map[id.Target]api.Report{}
-	for _, p := range st.Subscribers {
-		if p.Report != nil {
-			reports[p.Target] = *p.Report
+	return operator.Do(ctx, c, func(s *operator.Session, st api.Status) error {
+		reports := map[id.Target]api.Report{}
+		for _, p := range st.Subscribers {
+			if p.Report != nil {
+				reports[p.Target] = *p.Report
+			}
 		}
-	}
-	rows := [][]string{{"TARGET", "KIND", "DOMAIN", "PHASE", "SERVES", "MODEL", "IN PROGRESS", "LIMIT", "REASON"}}
-	for _, k := range slices.Sorted(maps.Keys(st.View.Targets)) {
-		t, r := st.View.Targets[k], reports[k]
-		rows = append(rows, []string{
-			string(k), string(t.Kind), string(t.Domain), string(t.Phase), string(t.Installed.Bundle),
-			string(t.Installed.Model), fmt.Sprint(r.InFlight), fmt.Sprint(r.Limit), t.Reason,
-		})
-	}
-	return s.Print(st.View.Targets, rows)
+		rows := [][]string{{"TARGET", "KIND", "DOMAIN", "PHASE", "SERVES", "MODEL", "IN PROGRESS", "LIMIT", "REASON"}}
+		for _, k := range slices.Sorted(maps.Keys(st.View.Targets)) {
+			t, r := st.View.Targets[k], reports[k]
+			rows = append(rows, []string{
+				string(k), string(t.Kind), string(t.Domain), string(t.Phase), string(t.Installed.Bundle),
+				string(t.Installed.Model), fmt.Sprint(r.InFlight), fmt.Sprint(r.Limit), t.Reason,
+			})
+		}
+		return s.Print(st.View.Targets, rows)
+	})
 }
--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -36,6 +36,7 @@
 	"egretproxy/internal/wire/frame"
 	"egretproxy/internal/wire/header"
 	"egretproxy/internal/wire/keepers"
+	"egretproxy/internal/wire/passage"
 	"egretproxy/internal/wire/security"
 )
 
@@ -44,11 +45,9 @@
 
 const (
 	headerTimeout = 5 * time.Second
-	dialTimeout   = 2 * time.Second
 	// idleTimeout is below the time after which targets close idle
 	// connections.
 	idleTimeout = 5 * time.Second
-	idlePerHost = 64
 	closeGrace  = 2 * time.Second
 )
 
@@ -162,12 +161,7 @@
 // client returns an HTTP client. A single one opens a new connection for each
 // request.
 func (a *Agent) client(single bool) *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, TLSClientConfig: a.identity.Client(),
-		TLSHandshakeTimeout: dialTimeout, IdleConnTimeout: idleTimeout,
-		MaxIdleConnsPerHost: idlePerHost, DisableCompression: true, DisableKeepAlives: single,
-	}}
+	return passage.Client(a.identity.Client(), idleTimeout, single)
 }
 
 func (a *Agent) run(ctx context.Context, public, local net.Listener) error {
--- a/internal/role/entry/dispatch.go
+++ b/internal/role/entry/dispatch.go
@@ -1,12 +1,10 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
@@ -18,6 +16,7 @@
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/request/refusal"
 	"egretproxy/internal/wire/header"
+	"egretproxy/internal/wire/passage"
 )
 
 const (
@@ -33,10 +32,6 @@
 func (x *exchange) dispatch(ctx context.Context, g *pool.Grant) try {
 	ctx, watch, done := x.watchdog.watch(ctx, g.Target.Address)
 	defer done()
-	connected := false
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected = true },
-	})
 	out, err := x.outgoing(ctx, g)
 	if err != nil {
 		g.Cancelled()
@@ -46,9 +41,9 @@
 	if x.once {
 		client = x.single
 	}
-	answer, err := client.Do(out)
+	answer, err := client.Do(out.Request)
 	if err != nil {
-		return x.unanswered(ctx, g, err, connected)
+		return x.unanswered(ctx, g, err, out.Connected())
 	}
 	defer func() { _ = answer.Body.Close() }()
 	watch.touch()
@@ -67,39 +62,22 @@
 	return x.passWhole(ctx, g, answer)
 }
 
-// outgoing builds the request to the agent. Its body can't be rewound, so
-// that the HTTP client never sends it twice by itself.
-func (x *exchange) outgoing(ctx context.Context, g *pool.Grant) (*http.Request, error) {
+// outgoing builds the request to the agent.
+func (x *exchange) outgoing(ctx context.Context, g *pool.Grant) (*passage.Passage, error) {
 	u := &url.URL{Scheme: x.scheme(), Host: g.Target.Address}
 	u, err := u.Parse(header.DispatchPath + x.r.URL.EscapedPath())
 	if err != nil {
 		return nil, errors.Wrap(err, "target path")
 	}
-	u.RawQuery = x.r.URL.RawQuery
-	out, err := http.NewRequestWithContext(ctx, x.r.Method, u.String(), oneWay{bytes.NewReader(x.caller.body)})
+	out, err := passage.New(ctx, x.r, u, x.caller.body, x.once)
 	if err != nil {
-		return nil, errors.Wrap(err, "build request")
+		return nil, err
 	}
-	out.ContentLength = int64(len(x.caller.body))
-	if len(x.caller.body) == 0 && !x.once {
-		out.Body = http.NoBody
-	}
-	x.setHeaders(out.Header)
+	x.setHeaders(out.Request.Header)
 	return out, nil
 }
 
-// oneWay hides everything but reading, so that net/http can't rewind it.
-type oneWay struct{ r io.Reader }
-
-// Read implements io.Reader.
-func (o oneWay) Read(p []byte) (int, error) { return o.r.Read(p) }
-
 func (x *exchange) setHeaders(h http.Header) {
-	for k, v := range x.r.Header {
-		if !strings.HasPrefix(k, header.OwnPrefix) && !private[k] {
-			h[k] = v
-		}
-	}
 	h.Set(header.RequestID, string(x.caller.request))
 	h.Set(header.Organisation, string(x.caller.organisation))
 	h.Set(header.Priority, strconv.Itoa(x.caller.limits.Priority))
@@ -118,13 +96,6 @@
 	}
 }
 
-// private is the headers of callers that are not passed on.
-var private = map[string]bool{
-	"Authorization": true, "Connection": true, "Keep-Alive": true, "Te": true, "Trailer": true,
-	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Accept-Encoding": true,
-	"Proxy-Authorization": true, "Proxy-Authenticate": true,
-}
-
 // unanswered handles a dispatch to which no answer began.
 func (x *exchange) unanswered(ctx context.Context, g *pool.Grant, err error, connected bool) try {
 	gone := errors.Is(context.Cause(ctx), errAgentGone)
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -27,10 +27,10 @@
 	"egretproxy/internal/request/refusal"
 	"egretproxy/internal/routing/policy"
 	"egretproxy/internal/settings/config"
-	"egretproxy/internal/wire/api"
 	"egretproxy/internal/wire/frame"
 	"egretproxy/internal/wire/header"
 	"egretproxy/internal/wire/keepers"
+	"egretproxy/internal/wire/passage"
 	"egretproxy/internal/wire/security"
 )
 
@@ -40,9 +40,7 @@
 
 	headerTimeout  = 10 * time.Second
 	maxHeaderBytes = 64 << 10
-	dialTimeout    = 2 * time.Second
 	idleTimeout    = 30 * time.Second
-	idlePerHost    = 256
 	retryPause     = 50 * time.Millisecond
 	// maxDoublings bounds the growth of the pause after failed renewals.
 	maxDoublings = 4
@@ -117,7 +115,7 @@
 			MaxQueue: cfg.Entry.MaxQueue, MaxWait: cfg.Entry.MaxWait.Std(), Policy: first, Rand: random,
 		}),
 		budget: budget.Budget{Ratio: cfg.Entry.RetryRatio},
-		client: newClient(identity, false), single: newClient(identity, true),
+		client: passage.Client(identity.Client(), idleTimeout, false), single: passage.Client(identity.Client(), idleTimeout, true),
 		active: map[id.Organisation]int{},
 	}
 	e.watchdog = newWatchdog(e.client, e.scheme())
@@ -127,15 +125,6 @@
 	return e, nil
 }
 
-func newClient(identity security.Identity, single bool) *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, TLSClientConfig: identity.Client(),
-		TLSHandshakeTimeout: dialTimeout, IdleConnTimeout: idleTimeout,
-		MaxIdleConnsPerHost: idlePerHost, DisableCompression: true, DisableKeepAlives: single,
-	}}
-}
-
 func (e *Entry) scheme() string {
 	if e.identity.Enabled() {
 		return "https"
@@ -231,73 +220,6 @@
 	}
 }
 
-// renew keeps the agreed state up to date. An entry acts on it without a
-// lease, since agents refuse what is no longer permitted.
-func (e *Entry) renew(ctx context.Context) error {
-	failures := 0
-	for ctx.Err() == nil {
-		wait := lease.RenewInterval
-		if err := e.renewOnce(ctx); err != nil {
-			e.metrics.Count("RenewalFailed")
-			wait = min(retryPause<<min(failures, maxDoublings), lease.RenewInterval)
-			failures++
-		} else {
-			failures = 0
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait/2 + rand.N(wait)):
-		}
-	}
-	return nil
-}
-
-func (e *Entry) renewOnce(ctx context.Context) error {
-	sent := time.Now()
-	call, cancel := context.WithTimeout(ctx, lease.Duration)
-	defer cancel()
-	e.mu.Lock()
-	in := api.Renew{Subscriber: api.Subscriber{
-		Name: e.cfg.Process.Name, Role: roleName, Have: e.view.Version,
-	}}
-	e.mu.Unlock()
-	var out api.Renewed
-	if err := e.keepers.Call(call, api.MethodRenew, in, &out); err != nil {
-		return err
-	}
-	e.mu.Lock()
-	before := e.view
-	e.view = e.view.With(out.Delta)
-	after := e.view
-	e.fresh = sent
-	e.mu.Unlock()
-	if after.Policy.Routing != before.Policy.Routing {
-		e.usePolicy(after.Policy.Routing)
-	}
-	if d := out.Delta; d.Full || len(d.Targets)+len(d.Removed)+len(d.Domains) > 0 {
-		e.pool.SetView(after)
-	}
-	return nil
-}
-
-func (e *Entry) usePolicy(name string) {
-	if name == "" {
-		name = DefaultPolicy
-	}
-	c, err := policy.New(name, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	if err != nil {
-		klog.ErrorS(err, "Routing policy stays as it is")
-		return
-	}
-	e.pool.SetPolicy(c)
-}
-
-func (e *Entry) currentView() view.View {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.view
-}
-
 // requestID returns the caller's request id, or a new one.
 func requestID(r *http.Request) id.Request {
 	const longest = 128
--- a/internal/target/proxy/proxy.go
+++ b/internal/target/proxy/proxy.go
@@ -3,11 +3,9 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
@@ -23,6 +21,7 @@
 	"egretproxy/internal/target/ramp"
 	"egretproxy/internal/target/stream"
 	"egretproxy/internal/wire/header"
+	"egretproxy/internal/wire/passage"
 )
 
 const (
@@ -62,10 +61,9 @@
 	request id.Request
 	ticket  *gate.Ticket
 	once    bool
-	// connected tells that a connection to the target was there, so that
-	// the request may have reached it.
-	connected bool
-	sent      time.Time
+	// out is the request to the target.
+	out  *passage.Passage
+	sent time.Time
 	// last is the time of the newest part of a stream.
 	last time.Time
 }
@@ -110,6 +108,7 @@
 
 func (x *exchange) run(body []byte) {
 	out, err := x.outgoing(body)
+	x.out = out
 	if err != nil {
 		x.refuse(refusal.New(http.StatusBadRequest, refusal.BadRequest, err.Error()))
 		return
@@ -119,7 +118,7 @@
 		client = x.Once
 	}
 	x.sent = time.Now()
-	answer, err := client.Do(out)
+	answer, err := client.Do(out.Request)
 	if err != nil {
 		x.failed(err)
 		return
@@ -136,55 +135,24 @@
 	x.whole(answer)
 }
 
-// outgoing builds the request to the target. Its body can't be rewound, so
-// that the HTTP client never sends it twice by itself.
-func (x *exchange) outgoing(body []byte) (*http.Request, error) {
+// outgoing builds the request to the target.
+func (x *exchange) outgoing(body []byte) (*passage.Passage, error) {
 	path := strings.TrimPrefix(x.r.URL.EscapedPath(), header.DispatchPath)
 	u, err := x.Base.Parse(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "target path")
 	}
-	u.RawQuery = x.r.URL.RawQuery
-	ctx := httptrace.WithClientTrace(x.r.Context(), &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { x.connected = true },
-	})
-	out, err := http.NewRequestWithContext(ctx, x.r.Method, u.String(), oneWay{bytes.NewReader(body)})
+	out, err := passage.New(x.r.Context(), x.r, u, body, x.once)
 	if err != nil {
-		return nil, errors.Wrap(err, "build request")
-	}
-	out.ContentLength = int64(len(body))
-	if len(body) == 0 && !x.once {
-		out.Body = http.NoBody
+		return nil, err
 	}
-	copyHeaders(out.Header, x.r.Header)
-	out.Header.Set(header.EnginePriority, x.r.Header.Get(header.Priority))
+	out.Request.Header.Set(header.EnginePriority, x.r.Header.Get(header.Priority))
 	if n := x.r.Header.Get(header.ResumeTokens); n != "" {
-		out.Header.Set(header.EngineResume, n)
+		out.Request.Header.Set(header.EngineResume, n)
 	}
 	return out, nil
 }
 
-// oneWay hides everything but reading, so that net/http can't rewind it.
-type oneWay struct{ r io.Reader }
-
-// Read implements io.Reader.
-func (o oneWay) Read(p []byte) (int, error) { return o.r.Read(p) }
-
-func copyHeaders(to, from http.Header) {
-	for k, v := range from {
-		if strings.HasPrefix(k, header.OwnPrefix) || hopByHop[k] {
-			continue
-		}
-		to[k] = v
-	}
-}
-
-var hopByHop = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
-	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
-	"Authorization": true, "Accept-Encoding": true,
-}
-
 // failed answers a request to which the target gave no answer.
 func (x *exchange) failed(err error) {
 	if x.r.Context().Err() != nil {
@@ -192,7 +160,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	x.OnFailure()
-	if !x.connected {
+	if !x.out.Connected() {
 		x.refuse(refusal.Busy(refusal.TargetUnreachable, "target can't be reached", fullRetry))
 		return
 	}
@@ -214,7 +182,7 @@
 func (x *exchange) begin(answer *http.Response) {
 	h := x.w.Header()
 	for k, v := range answer.Header {
-		if hopByHop[k] || k == header.RequestID || strings.HasPrefix(k, header.OwnPrefix) {
+		if passage.HopByHop(k) || k == header.RequestID || strings.HasPrefix(k, header.OwnPrefix) {
 			continue
 		}
 		h[k] = v
--- a/internal/weights/fetch/fetch.go
+++ b/internal/weights/fetch/fetch.go
@@ -3,10 +3,7 @@
 package fetch
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"sync/atomic"
@@ -20,7 +17,6 @@
 	"egretproxy/internal/weights/manifest"
 	"egretproxy/internal/weights/pace"
 	"egretproxy/internal/weights/planner"
-	"egretproxy/internal/weights/share"
 	"egretproxy/internal/weights/source"
 	"egretproxy/internal/weights/store"
 )
@@ -236,165 +232,3 @@
 	}
 	return nil
 }
-
-func (j *job) start(ctx context.Context) {
-	for _, p := range j.plan.Next(j.Parallel-j.active, time.Now()) {
-		j.active++
-		base := j.peerURL(j.peers[p.Peer])
-		go func() {
-			err := j.transfer(ctx, p, base)
-			j.results <- result{pick: p, err: err}
-		}()
-	}
-}
-
-// transfer brings one chunk from a peer, or from the first source that has
-// it.
-func (j *job) transfer(ctx context.Context, p planner.Pick, base *url.URL) error {
-	c := j.chunks[p.Chunk]
-	if p.Peer == "" {
-		return j.fromSources(ctx, c)
-	}
-	src := j.source(base, j.limit)
-	src.Query = url.Values{share.ManifestQuery: {string(j.digest)}}
-	src.OnHeader = func(h http.Header) { j.noteHave(p.Peer, h) }
-	if p.Crossing {
-		src.Query.Set(share.CrossingQuery, "1")
-		src.Limits = append(src.Limits, j.crossed)
-	}
-	data, err := src.Fetch(ctx, c.Digest, c.Size)
-	if err != nil {
-		return err
-	}
-	j.Counts.Peers.Add(int64(len(data)))
-	if p.Crossing {
-		j.Counts.Crossing.Add(int64(len(data)))
-	}
-	return j.Store.Put(c.Digest, data)
-}
-
-// noteHave takes in what a peer tells beside a chunk.
-func (j *job) noteHave(peer id.Target, h http.Header) {
-	var have bitmap.Bitmap
-	text := h.Get(share.HaveHeader)
-	if text == "" || have.UnmarshalText([]byte(text)) != nil {
-		return
-	}
-	select {
-	case j.answers <- answer{peer: peer, have: have}:
-	default:
-	}
-}
-
-func (j *job) fromSources(ctx context.Context, c manifest.Chunk) error {
-	last := source.ErrMissing
-	for _, base := range j.Sources {
-		data, err := j.source(base, j.limit).Fetch(ctx, c.Digest, c.Size)
-		if err != nil {
-			last = err
-			continue
-		}
-		j.Counts.Sources.Add(int64(len(data)))
-		return j.Store.Put(c.Digest, data)
-	}
-	return last
-}
-
-func (j *job) finish(r result) error {
-	j.active--
-	now := time.Now()
-	switch {
-	case r.err == nil:
-		j.left--
-		j.plan.Finished(r.pick, now)
-	case errors.Is(r.err, store.ErrFull):
-		return r.err
-	default:
-		j.plan.Failed(r.pick, j.failure(r.err), now)
-	}
-	return nil
-}
-
-func (j *job) failure(err error) planner.Failure {
-	switch {
-	case errors.Is(err, source.ErrCorrupt):
-		j.Counts.Corrupt.Add(1)
-		return planner.False
-	case errors.Is(err, source.ErrBusy):
-		return planner.Busy
-	case errors.Is(err, source.ErrStalled):
-		j.Counts.Stalled.Add(1)
-	}
-	return planner.Broken
-}
-
-func (j *job) setMembers(peers []Peer) {
-	members := make([]planner.Member, 0, len(peers))
-	next := map[id.Target]Peer{}
-	for _, p := range peers {
-		next[p.Target] = p
-		members = append(members, p.Member)
-	}
-	j.peers = next
-	j.plan.SetMembers(members)
-	j.pace.SetMax(j.RegionRate / float64(j.plan.Crossers()))
-	j.crossed.SetLimit(rate.Limit(j.pace.Rate()))
-}
-
-func (j *job) refresh(ctx context.Context) {
-	peers, err := j.Peers(ctx, j.digest)
-	if err != nil {
-		return
-	}
-	select {
-	case j.members <- peers:
-	default:
-	}
-}
-
-func (j *job) ask(ctx context.Context) {
-	for _, q := range j.plan.Queries(time.Now()) {
-		p, ok := j.peers[q.Peer]
-		if !ok {
-			continue
-		}
-		go j.question(ctx, p, q)
-	}
-}
-
-func (j *job) question(ctx context.Context, p Peer, q planner.Query) {
-	ctx, cancel := context.WithTimeout(ctx, questionTimeout)
-	defer cancel()
-	body, err := json.Marshal(share.Question{Manifest: j.digest, Chunks: q.Chunks})
-	if err != nil {
-		return
-	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, j.peerURL(p).JoinPath("have").String(), bytes.NewReader(body))
-	if err != nil {
-		return
-	}
-	sent := time.Now()
-	w, err := j.Client.Do(r)
-	if err != nil {
-		return
-	}
-	defer func() { _ = w.Body.Close() }()
-	var a share.Answer
-	if json.NewDecoder(io.LimitReader(w.Body, manifestBytes)).Decode(&a) != nil {
-		return
-	}
-	select {
-	case j.answers <- answer{peer: p.Target, have: a.Have, rtt: time.Since(sent)}:
-	case <-ctx.Done():
-	}
-}
-
-// sample lets the round trips to other regions set the pace between them.
-func (j *job) sample(a answer) {
-	p, ok := j.peers[a.peer]
-	if !ok || a.rtt == 0 || p.Region == j.Self.Region {
-		return
-	}
-	j.pace.Sample(a.rtt, time.Now())
-	j.crossed.SetLimit(rate.Limit(j.pace.Rate()))
-}
--- /dev/null
+++ b/internal/weights/fetch/questions.go
@@ -0,0 +1,87 @@
+package fetch
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/weights/planner"
+	"egretproxy/internal/weights/share"
+)
+
+func (j *job) setMembers(peers []Peer) {
+	members := make([]planner.Member, 0, len(peers))
+	next := map[id.Target]Peer{}
+	for _, p := range peers {
+		next[p.Target] = p
+		members = append(members, p.Member)
+	}
+	j.peers = next
+	j.plan.SetMembers(members)
+	j.pace.SetMax(j.RegionRate / float64(j.plan.Crossers()))
+	j.crossed.SetLimit(rate.Limit(j.pace.Rate()))
+}
+
+func (j *job) refresh(ctx context.Context) {
+	peers, err := j.Peers(ctx, j.digest)
+	if err != nil {
+		return
+	}
+	select {
+	case j.members <- peers:
+	default:
+	}
+}
+
+func (j *job) ask(ctx context.Context) {
+	for _, q := range j.plan.Queries(time.Now()) {
+		p, ok := j.peers[q.Peer]
+		if !ok {
+			continue
+		}
+		go j.question(ctx, p, q)
+	}
+}
+
+func (j *job) question(ctx context.Context, p Peer, q planner.Query) {
+	ctx, cancel := context.WithTimeout(ctx, questionTimeout)
+	defer cancel()
+	body, err := json.Marshal(share.Question{Manifest: j.digest, Chunks: q.Chunks})
+	if err != nil {
+		return
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, j.peerURL(p).JoinPath("have").String(), bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	sent := time.Now()
+	w, err := j.Client.Do(r)
+	if err != nil {
+		return
+	}
+	defer func() { _ = w.Body.Close() }()
+	var a share.Answer
+	if json.NewDecoder(io.LimitReader(w.Body, manifestBytes)).Decode(&a) != nil {
+		return
+	}
+	select {
+	case j.answers <- answer{peer: p.Target, have: a.Have, rtt: time.Since(sent)}:
+	case <-ctx.Done():
+	}
+}
+
+// sample lets the round trips to other regions set the pace between them.
+func (j *job) sample(a answer) {
+	p, ok := j.peers[a.peer]
+	if !ok || a.rtt == 0 || p.Region == j.Self.Region {
+		return
+	}
+	j.pace.Sample(a.rtt, time.Now())
+	j.crossed.SetLimit(rate.Limit(j.pace.Rate()))
+}
--- /dev/null
+++ b/internal/weights/fetch/transfer.go
@@ -0,0 +1,109 @@
+package fetch
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/weights/bitmap"
+	"egretproxy/internal/weights/manifest"
+	"egretproxy/internal/weights/planner"
+	"egretproxy/internal/weights/share"
+	"egretproxy/internal/weights/source"
+	"egretproxy/internal/weights/store"
+)
+
+func (j *job) start(ctx context.Context) {
+	for _, p := range j.plan.Next(j.Parallel-j.active, time.Now()) {
+		j.active++
+		base := j.peerURL(j.peers[p.Peer])
+		go func() {
+			err := j.transfer(ctx, p, base)
+			j.results <- result{pick: p, err: err}
+		}()
+	}
+}
+
+// transfer brings one chunk from a peer, or from the first source that has
+// it.
+func (j *job) transfer(ctx context.Context, p planner.Pick, base *url.URL) error {
+	c := j.chunks[p.Chunk]
+	if p.Peer == "" {
+		return j.fromSources(ctx, c)
+	}
+	src := j.source(base, j.limit)
+	src.Query = url.Values{share.ManifestQuery: {string(j.digest)}}
+	src.OnHeader = func(h http.Header) { j.noteHave(p.Peer, h) }
+	if p.Crossing {
+		src.Query.Set(share.CrossingQuery, "1")
+		src.Limits = append(src.Limits, j.crossed)
+	}
+	data, err := src.Fetch(ctx, c.Digest, c.Size)
+	if err != nil {
+		return err
+	}
+	j.Counts.Peers.Add(int64(len(data)))
+	if p.Crossing {
+		j.Counts.Crossing.Add(int64(len(data)))
+	}
+	return j.Store.Put(c.Digest, data)
+}
+
+// noteHave takes in what a peer tells beside a chunk.
+func (j *job) noteHave(peer id.Target, h http.Header) {
+	var have bitmap.Bitmap
+	text := h.Get(share.HaveHeader)
+	if text == "" || have.UnmarshalText([]byte(text)) != nil {
+		return
+	}
+	select {
+	case j.answers <- answer{peer: peer, have: have}:
+	default:
+	}
+}
+
+func (j *job) fromSources(ctx context.Context, c manifest.Chunk) error {
+	last := source.ErrMissing
+	for _, base := range j.Sources {
+		data, err := j.source(base, j.limit).Fetch(ctx, c.Digest, c.Size)
+		if err != nil {
+			last = err
+			continue
+		}
+		j.Counts.Sources.Add(int64(len(data)))
+		return j.Store.Put(c.Digest, data)
+	}
+	return last
+}
+
+func (j *job) finish(r result) error {
+	j.active--
+	now := time.Now()
+	switch {
+	case r.err == nil:
+		j.left--
+		j.plan.Finished(r.pick, now)
+	case errors.Is(r.err, store.ErrFull):
+		return r.err
+	default:
+		j.plan.Failed(r.pick, j.failure(r.err), now)
+	}
+	return nil
+}
+
+func (j *job) failure(err error) planner.Failure {
+	switch {
+	case errors.Is(err, source.ErrCorrupt):
+		j.Counts.Corrupt.Add(1)
+		return planner.False
+	case errors.Is(err, source.ErrBusy):
+		return planner.Busy
+	case errors.Is(err, source.ErrStalled):
+		j.Counts.Stalled.Add(1)
+	}
+	return planner.Broken
+}
--- /dev/null
+++ b/internal/weights/swarm/pick.go
@@ -0,0 +1,136 @@
+package swarm
+
+import (
+	"slices"
+	"time"
+
+	"egretproxy/internal/weights/planner"
+)
+
+// Next implements planner.Planner.
+func (s *Swarm) Next(free int, now time.Time) []planner.Pick {
+	if s.progress.IsZero() {
+		s.progress = now
+	}
+	if free <= 0 {
+		return nil
+	}
+	s.compact()
+	s.findUsable(now)
+	var out []planner.Pick
+	for len(out) < free {
+		p, ok := s.one(now)
+		if !ok {
+			return out
+		}
+		s.pending.Set(p.Chunk)
+		s.track(p, 1)
+		out = append(out, p)
+	}
+	return out
+}
+
+// one chooses a transfer: chunks of the own duty first, since nobody else
+// brings them into the region, then the rarest that a peer holds.
+func (s *Swarm) one(now time.Time) (planner.Pick, bool) {
+	if p, ok := s.fromOutside(now); ok {
+		return p, true
+	}
+	return s.fromRegion()
+}
+
+func (s *Swarm) findUsable(now time.Time) {
+	s.usable = s.usable[:0]
+	for _, p := range s.local {
+		if p.pending < perPeer && now.After(p.barred) {
+			s.usable = append(s.usable, p)
+		}
+	}
+}
+
+func (s *Swarm) compact() {
+	s.missing = slices.DeleteFunc(s.missing, s.held.Has)
+}
+
+// fromOutside picks a chunk that the own region lacks and that this agent is
+// to bring in.
+func (s *Swarm) fromOutside(now time.Time) (planner.Pick, bool) {
+	if !s.onDuty {
+		return planner.Pick{}, false
+	}
+	turn := s.turn(now)
+	for _, i := range s.missing {
+		if s.pending.Has(i) || s.copies[i] > 0 || !s.mine(s.duty, i, turn) {
+			continue
+		}
+		if p, ok := s.crossing(i, turn, now); ok {
+			return p, true
+		}
+		if s.drawing < perOrigin && s.mayDraw(i, turn) && now.After(s.originBarred) {
+			return planner.Pick{Chunk: i}, true
+		}
+	}
+	return planner.Pick{}, false
+}
+
+// crossing picks the source of another region that serves the fewest
+// transfers to this agent.
+func (s *Swarm) crossing(chunk, turn int, now time.Time) (planner.Pick, bool) {
+	best := (*peer)(nil)
+	for _, k := range s.sources(chunk, turn) {
+		p := s.peers[k]
+		if p == nil || p.local || !p.have.Has(chunk) || p.pending >= perPeer || now.Before(p.barred) {
+			continue
+		}
+		if best == nil || p.pending < best.pending {
+			best = p
+		}
+	}
+	if best == nil {
+		return planner.Pick{}, false
+	}
+	return planner.Pick{Chunk: chunk, Peer: best.Target, Crossing: true}, true
+}
+
+// fromRegion picks the rarest of a sample of the chunks that local peers
+// hold.
+func (s *Swarm) fromRegion() (planner.Pick, bool) {
+	n := len(s.missing)
+	if n == 0 || len(s.usable) == 0 {
+		return planner.Pick{}, false
+	}
+	best, seen := -1, 0
+	var from *peer
+	start := s.rand.IntN(n)
+	for j := 0; j < n && seen < sample; j++ {
+		i := s.missing[(start+j)%n]
+		if s.copies[i] == 0 || s.pending.Has(i) {
+			continue
+		}
+		seen++
+		if best >= 0 && s.copies[i] >= s.copies[best] {
+			continue
+		}
+		if p := s.holder(i); p != nil {
+			best, from = i, p
+		}
+	}
+	if best < 0 {
+		return planner.Pick{}, false
+	}
+	s.usable = slices.DeleteFunc(s.usable, func(p *peer) bool { return p == from })
+	return planner.Pick{Chunk: best, Peer: from.Target}, true
+}
+
+// holder returns a usable local peer that holds the chunk, the first from a
+// random place in the list.
+func (s *Swarm) holder(chunk int) *peer {
+	n := len(s.usable)
+	start := s.rand.IntN(n)
+	for j := range n {
+		if p := s.usable[(start+j)%n]; p.have.Has(chunk) {
+			return p
+		}
+	}
+	return nil
+}
--- a/internal/weights/swarm/swarm.go
+++ b/internal/weights/swarm/swarm.go
@@ -4,14 +4,11 @@
 package swarm
 
 import (
-	"cmp"
 	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/weights/bitmap"
 	"egretproxy/internal/weights/planner"
@@ -158,53 +155,6 @@
 	}
 }
 
-// arrange works out the gateways of the regions. All agents with the same
-// members come to the same result.
-func (s *Swarm) arrange() {
-	regions := map[id.Region][]id.Target{s.cfg.Self.Region: {s.cfg.Self.Target}}
-	s.local = s.local[:0]
-	for _, p := range s.peers {
-		regions[p.Region] = append(regions[p.Region], p.Target)
-		if p.local {
-			s.local = append(s.local, p)
-		}
-	}
-	slices.SortFunc(s.local, func(a, b *peer) int { return cmp.Compare(a.Target, b.Target) })
-	s.rand.Shuffle(len(s.local), func(i, j int) { s.local[i], s.local[j] = s.local[j], s.local[i] })
-	names := make([]id.Region, 0, len(regions))
-	for r := range regions {
-		names = append(names, r)
-	}
-	slices.Sort(names)
-	s.roots, s.relays, s.gates = nil, nil, map[id.Region][]id.Target{}
-	for _, r := range names {
-		s.gates[r] = s.firstRanked(regions[r])
-		s.roots = append(s.roots, s.gates[r]...)
-		if r != s.cfg.OriginRegion {
-			s.relays = append(s.relays, r)
-		}
-	}
-	s.duty = s.gates[s.cfg.Self.Region]
-	if s.cfg.OriginPerRegion {
-		s.roots = s.duty
-	}
-	if gates := s.gates[s.cfg.OriginRegion]; len(gates) > 0 {
-		s.roots = gates
-	}
-	s.onDuty = slices.Contains(s.duty, s.cfg.Self.Target)
-}
-
-// firstRanked returns the gateways among the agents of one region, by
-// rendezvous hashing (Thaler and Ravishankar, 1998).
-func (s *Swarm) firstRanked(targets []id.Target) []id.Target {
-	rank := func(t id.Target) uint64 { return xxhash.Sum64String(s.cfg.Manifest + "/" + string(t)) }
-	out := slices.Clone(targets)
-	slices.SortFunc(out, func(a, b id.Target) int {
-		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a, b))
-	})
-	return out[:min(gateways, len(out))]
-}
-
 // Held implements planner.Planner.
 func (s *Swarm) Held(chunk int) {
 	s.held.Set(chunk)
@@ -287,29 +237,6 @@
 	}
 }
 
-// Next implements planner.Planner.
-func (s *Swarm) Next(free int, now time.Time) []planner.Pick {
-	if s.progress.IsZero() {
-		s.progress = now
-	}
-	if free <= 0 {
-		return nil
-	}
-	s.compact()
-	s.findUsable(now)
-	var out []planner.Pick
-	for len(out) < free {
-		p, ok := s.one(now)
-		if !ok {
-			return out
-		}
-		s.pending.Set(p.Chunk)
-		s.track(p, 1)
-		out = append(out, p)
-	}
-	return out
-}
-
 // Finished implements planner.Planner.
 func (s *Swarm) Finished(p planner.Pick, now time.Time) {
 	s.track(p, -1)
@@ -322,158 +249,6 @@
 	s.Held(p.Chunk)
 }
 
-// one chooses a transfer: chunks of the own duty first, since nobody else
-// brings them into the region, then the rarest that a peer holds.
-func (s *Swarm) one(now time.Time) (planner.Pick, bool) {
-	if p, ok := s.fromOutside(now); ok {
-		return p, true
-	}
-	return s.fromRegion()
-}
-
-func (s *Swarm) findUsable(now time.Time) {
-	s.usable = s.usable[:0]
-	for _, p := range s.local {
-		if p.pending < perPeer && now.After(p.barred) {
-			s.usable = append(s.usable, p)
-		}
-	}
-}
-
-func (s *Swarm) compact() {
-	s.missing = slices.DeleteFunc(s.missing, s.held.Has)
-}
-
-// fromOutside picks a chunk that the own region lacks and that this agent is
-// to bring in.
-func (s *Swarm) fromOutside(now time.Time) (planner.Pick, bool) {
-	if !s.onDuty {
-		return planner.Pick{}, false
-	}
-	turn := s.turn(now)
-	for _, i := range s.missing {
-		if s.pending.Has(i) || s.copies[i] > 0 || !s.mine(s.duty, i, turn) {
-			continue
-		}
-		if p, ok := s.crossing(i, turn, now); ok {
-			return p, true
-		}
-		if s.drawing < perOrigin && s.mayDraw(i, turn) && now.After(s.originBarred) {
-			return planner.Pick{Chunk: i}, true
-		}
-	}
-	return planner.Pick{}, false
-}
-
-// turn is the number of agents before whom a duty has passed by, since the
-// region gained nothing for so long.
-func (s *Swarm) turn(now time.Time) int {
-	return int(now.Sub(s.progress) / s.cfg.Patience)
-}
-
-// mine reports whether the chunk falls to this agent at this turn.
-func (s *Swarm) mine(list []id.Target, chunk, turn int) bool {
-	for t := range min(turn, len(list)-1) + 1 {
-		if list[(chunk+t)%len(list)] == s.cfg.Self.Target {
-			return true
-		}
-	}
-	return false
-}
-
-// mayDraw reports whether this agent may draw the chunk from the origin. A
-// region whose roots elsewhere make no progress draws for itself.
-func (s *Swarm) mayDraw(chunk, turn int) bool {
-	return s.mine(s.roots, chunk, turn) || turn >= rootTurns && s.mine(s.duty, chunk, turn)
-}
-
-// sources returns the agents of other regions to fetch a chunk from. Where the
-// origin's region holds it first, one region after another takes it from
-// there, in turns by chunk, and the others from that one, so that the link of
-// the origin's region carries about one copy.
-func (s *Swarm) sources(chunk, turn int) []id.Target {
-	var out []id.Target
-	own := s.cfg.Self.Region
-	if s.cfg.OriginRegion != "" && own != s.cfg.OriginRegion && len(s.gates[s.cfg.OriginRegion]) > 0 {
-		first := s.relays[chunk%len(s.relays)]
-		if gates := s.gates[first]; first != own {
-			out = append(out, gates[chunk%len(gates)])
-			if turn == 0 {
-				return out
-			}
-		}
-	}
-	for t := range min(turn, len(s.roots)-1) + 1 {
-		out = append(out, s.roots[(chunk+t)%len(s.roots)])
-	}
-	return out
-}
-
-// crossing picks the source of another region that serves the fewest
-// transfers to this agent.
-func (s *Swarm) crossing(chunk, turn int, now time.Time) (planner.Pick, bool) {
-	best := (*peer)(nil)
-	for _, k := range s.sources(chunk, turn) {
-		p := s.peers[k]
-		if p == nil || p.local || !p.have.Has(chunk) || p.pending >= perPeer || now.Before(p.barred) {
-			continue
-		}
-		if best == nil || p.pending < best.pending {
-			best = p
-		}
-	}
-	if best == nil {
-		return planner.Pick{}, false
-	}
-	return planner.Pick{Chunk: chunk, Peer: best.Target, Crossing: true}, true
-}
-
-// fromRegion picks the rarest of a sample of the chunks that local peers
-// hold.
-func (s *Swarm) fromRegion() (planner.Pick, bool) {
-	n := len(s.missing)
-	if n == 0 || len(s.usable) == 0 {
-		return planner.Pick{}, false
-	}
-	best, seen := -1, 0
-	var from *peer
-	start := s.rand.IntN(n)
-	for j := 0; j < n && seen < sample; j++ {
-		i := s.missing[(start+j)%n]
-		if s.copies[i] == 0 || s.pending.Has(i) {
-			continue
-		}
-		seen++
-		if best >= 0 && s.copies[i] >= s.copies[best] {
-			continue
-		}
-		if p := s.holder(i); p != nil {
-			best, from = i, p
-		}
-	}
-	if best < 0 {
-		return planner.Pick{}, false
-	}
-	s.usable = slices.DeleteFunc(s.usable, func(p *peer) bool { return p == from })
-	return planner.Pick{Chunk: best, Peer: from.Target}, true
-}
-
-// holder returns a usable local peer that holds the chunk, the first from a
-// random place in the list.
-func (s *Swarm) holder(chunk int) *peer {
-	n := len(s.usable)
-	start := s.rand.IntN(n)
-	for j := range n {
-		if p := s.usable[(start+j)%n]; p.have.Has(chunk) {
-			return p
-		}
-	}
-	return nil
-}
-
-// Crossers implements planner.Planner.
-func (s *Swarm) Crossers() int { return len(s.duty) }
-
 // Queries implements planner.Planner. Peers of the region are asked for all
 // that they hold, agents of other regions only for chunks of the own duty.
 func (s *Swarm) Queries(now time.Time) []planner.Query {
