role: keep plain services in service after failed answers, speak HTTPS to callers

Five failed answers soon after a start closed a plain service for good, since a service has no load that could be tried again; the rule holds for engines only. Entry.Certificate was checked but not used. A content that does not fit into memory is now said in target list.

--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -231,7 +231,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.failures++
-	if a.failures >= maxFailures && a.phase == view.PhaseServing && !a.ramp.Warm() {
+	fresh := a.backend.Kind() == view.TargetEngine && a.phase == view.PhaseServing && !a.ramp.Warm()
+	if a.failures >= maxFailures && fresh {
 		a.move(lifecycle.Fail, view.Assignment{Fence: a.installed.Fence}, "answers fail after the load")
 		a.failedAt = time.Now()
 	}
--- a/internal/role/agent/orders.go
+++ b/internal/role/agent/orders.go
@@ -13,6 +13,7 @@
 	"egretproxy/internal/control/view"
 	"egretproxy/internal/target/backend"
 	"egretproxy/internal/weights/manifest"
+	"egretproxy/internal/weights/store"
 )
 
 const (
@@ -107,7 +108,7 @@
 		m, err := a.fetcher.Fetch(fetchCtx, manifest.Digest(want.Manifest))
 		cancel()
 		if err != nil {
-			klog.V(1).InfoS("Content was not fetched", "Manifest", want.Manifest, "Error", err.Error())
+			a.noteNotFetched(want, err)
 			pause(ctx, followPause)
 			continue
 		}
@@ -121,6 +122,20 @@
 	return nil
 }
 
+// noteNotFetched tells operators of a content that can't fit. Other failures
+// end by themselves.
+func (a *Agent) noteNotFetched(want view.Assignment, err error) {
+	if !errors.Is(err, store.ErrFull) {
+		klog.V(1).InfoS("Content was not fetched", "Manifest", want.Manifest, "Error", err.Error())
+		return
+	}
+	a.metrics.Count("ContentTooLarge")
+	klog.ErrorS(err, "Content does not fit into Weights.Memory", "Manifest", want.Manifest)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.reason = "content does not fit into Weights.Memory"
+}
+
 // unpinOthers lets go of content that is neither wanted nor installed.
 func (a *Agent) unpinOthers(pinned map[string]manifest.Manifest, wanted string) {
 	a.mu.Lock()
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -59,9 +60,11 @@
 	budget    budget.Budget
 	// client keeps connections, and single opens a new one for each request
 	// that may not be repeated.
-	client   *http.Client
-	single   *http.Client
-	watchdog *watchdog
+	client *http.Client
+	single *http.Client
+	// callerTLS is nil where callers speak plain HTTP.
+	callerTLS *tls.Config
+	watchdog  *watchdog
 	// background counts claims that are settled or released after the
 	// answer.
 	background sync.WaitGroup
@@ -83,6 +86,9 @@
 		return err
 	}
 	defer e.keepers.Close()
+	if err := e.loadCertificate(); err != nil {
+		return err
+	}
 	l, err := net.Listen("tcp", cfg.Entry.Listen)
 	if err != nil {
 		return errors.Wrap(err, "listen")
@@ -125,6 +131,20 @@
 	return e, nil
 }
 
+// loadCertificate reads the certificate towards callers, if there is one.
+func (e *Entry) loadCertificate() error {
+	c := e.cfg.Entry
+	if c.Certificate == "" {
+		return nil
+	}
+	pair, err := tls.LoadX509KeyPair(c.Certificate, c.Key)
+	if err != nil {
+		return errors.Wrap(err, "load certificate towards callers")
+	}
+	e.callerTLS = &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{pair}}
+	return nil
+}
+
 func (e *Entry) scheme() string {
 	if e.identity.Enabled() {
 		return "https"
@@ -194,7 +214,7 @@
 	}
 	return &http.Server{
 		Handler: mux, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: nil,
+		TLSConfig: e.callerTLS,
 	}
 }
 
