target: keep the gate closed while an engine warms up

A line in the stand-in's log showed the time: the engine had just loaded, two warm-up requests ran, and an entry that still knew it as serving the old bundle sent a third. Ruled out: cancelled requests, the ramp. Cause: the gate admitted in the warming phase. It now admits in service only.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -10,6 +10,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"k8s.io/klog/v2"
 )
 
 // Config is how a stand-in engine behaves.
@@ -194,6 +196,7 @@
 	e.waiting = append(e.waiting, r)
 	work := len(e.waiting) + len(e.running)
 	if work > e.bears() {
+		klog.InfoS("Request above what is borne", "Work", work, "Bears", e.bears(), "Served", e.served, "Version", e.version, "Prompt", prompt[max(0, len(prompt)-40):])
 		e.countOverload()
 	}
 	if float64(work) > e.cfg.FallOverFactor*float64(e.bears()) {
--- a/internal/system/fleet_test.go
+++ b/internal/system/fleet_test.go
@@ -77,16 +77,21 @@
 	return f
 }
 
-// firstPort is below the ports that the kernel gives to connections, so that
-// no connection takes one before its process listens.
-const firstPort = 24_000
+// Ports are below those that the kernel gives to connections, so that no
+// connection takes one before its process listens. Each run starts at a place
+// of its own.
+const (
+	firstPort   = 24_000
+	portsPerRun = 250
+	runs        = 32
+)
 
 var nextPort atomic.Int64
 
 // port reserves a loopback address for a process.
 func (f *fleet) port(name string) string {
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1))
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+os.Getpid()%runs*portsPerRun+int(nextPort.Add(1)))
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
--- a/internal/target/gate/gate.go
+++ b/internal/target/gate/gate.go
@@ -107,7 +107,7 @@
 		return refusal.DomainWithdrawn
 	}
 	switch g.phase {
-	case view.PhaseServing, view.PhaseWarming:
+	case view.PhaseServing:
 	case view.PhaseDraining:
 		return refusal.TargetDraining
 	case view.PhaseLeaving:
