agreement: let a joining keeper answer, and promote it only then

Cause: a joiner does not know the membership and so had no address to answer to, and a short log counted a learner that had never answered as caught up. Ruled out: the node, whose own test of a lost disk hands messages over without addresses. Change: messages carry the sender's address; a learner must have answered before it becomes a voter; messages to an earlier id of a keeper are dropped.

--- a/internal/agreement/record/record.go
+++ b/internal/agreement/record/record.go
@@ -159,6 +159,9 @@
 	Commit  uint64
 	// Round numbers a leader's heartbeat rounds. Answers repeat it.
 	Round uint64
+	// Address is where the sender listens, so that a member that does not
+	// know the membership yet can answer.
+	Address string
 	// Reject is set on an answer that refuses.
 	Reject   bool
 	Snapshot *Snapshot
--- a/internal/agreement/replica/apply.go
+++ b/internal/agreement/replica/apply.go
@@ -39,11 +39,12 @@
 func (r *Replica) sendAll(messages []record.Message) {
 	members := r.node.Membership()
 	for _, m := range messages {
-		if c, ok := members.Find(m.To); ok {
-			r.transport.Send(c, m)
-			continue
+		m.Address = r.cfg.Address
+		c, ok := members.Find(m.To)
+		if !ok {
+			c = record.Member{ID: m.To, Address: r.addresses[m.To]}
 		}
-		r.transport.Send(record.Member{ID: m.To}, m)
+		r.transport.Send(c, m)
 	}
 }
 
--- a/internal/agreement/replica/replica.go
+++ b/internal/agreement/replica/replica.go
@@ -63,6 +63,8 @@
 	Raft            raft.Config
 	Tick            time.Duration
 	SnapshotEntries uint64
+	// Address is where this member listens for messages.
+	Address string
 	// OnApplied is called after each round of applied entries.
 	OnApplied func(index uint64)
 	// OnLead is called when this member starts or ends leading.
@@ -125,6 +127,8 @@
 	token    uint64
 	snapshot *record.Snapshot
 	led      bool
+	// addresses is where the senders of messages listen.
+	addresses map[id.Keeper]string
 
 	mu sync.Mutex
 	// status is replaced after each step.
@@ -156,6 +160,7 @@
 		stopped:   make(chan struct{}),
 		waiters:   map[uint64]waiting{},
 		pending:   map[uint64]confirmation{},
+		addresses: map[id.Keeper]string{},
 		snapshot:  snap,
 		applied:   make(chan struct{}),
 	}
@@ -185,7 +190,7 @@
 		case <-ticker.C:
 			r.node.Tick()
 		case m := <-r.inbox:
-			r.node.Step(m)
+			r.step(m)
 		case p := <-r.proposals:
 			r.propose(p)
 		case c := <-r.reads:
@@ -205,7 +210,7 @@
 	for range maxBatch {
 		select {
 		case m := <-r.inbox:
-			r.node.Step(m)
+			r.step(m)
 		case p := <-r.proposals:
 			r.propose(p)
 		case c := <-r.reads:
@@ -216,6 +221,17 @@
 	}
 }
 
+// step takes in a message. One for an earlier id of this keeper is dropped.
+func (r *Replica) step(m record.Message) {
+	if m.To != r.cfg.Raft.ID {
+		return
+	}
+	if m.Address != "" {
+		r.addresses[m.From] = m.Address
+	}
+	r.node.Step(m)
+}
+
 func (r *Replica) propose(first proposal) {
 	batch := []proposal{first}
 	for len(batch) < maxBatch {
--- a/internal/role/keeper/conduct.go
+++ b/internal/role/keeper/conduct.go
@@ -99,7 +99,7 @@
 	}
 	k.mu.Unlock()
 	for _, j := range joiners {
-		next, ok := nextMembership(s.Membership, j, s.Match[j.ID]+catchUpEntries >= s.Last)
+		next, ok := nextMembership(s.Membership, j, caughtUp(s.Match[j.ID], s.Last))
 		if !ok {
 			k.mu.Lock()
 			delete(k.joiners, j.Address)
@@ -113,15 +113,21 @@
 	}
 }
 
+// caughtUp reports whether a learner has answered and lacks little. One that
+// never answered must not become a voter, since a quorum may then need it.
+func caughtUp(match, last uint64) bool {
+	return match > 0 && match+catchUpEntries >= last
+}
+
 // nextMembership returns the membership after the next step for a joiner. ok
 // is false when nothing is left to do.
-func nextMembership(m record.Membership, j record.Member, caughtUp bool) (record.Membership, bool) {
+func nextMembership(m record.Membership, j record.Member, ready bool) (record.Membership, bool) {
 	c, known := m.Find(j.ID)
 	if !known {
 		return m.With(j), true
 	}
 	if !c.Voter {
-		if !caughtUp {
+		if !ready {
 			return m, true
 		}
 		c.Voter = true
--- a/internal/role/keeper/keeper.go
+++ b/internal/role/keeper/keeper.go
@@ -146,6 +146,7 @@
 			Terms: raft.RankedTerms{},
 			Rand:  rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), uint64(os.Getpid()))),
 		},
+		Address:         k.cfg.Keeper.Listen,
 		Tick:            k.cfg.Keeper.Tick.Std(),
 		SnapshotEntries: uint64(k.cfg.Keeper.SnapshotEntries),
 		OnLead:          k.onLead,
