weights: decode a manifest once, and drop what nobody reads

Each chunk that an agent served decoded and hashed the whole manifest again to tell what else is held; the list of its chunks is now remembered while the manifest is held. Engines and plain services fetch their status page through one function. Removed, since nothing read them: the bytes served, the peak of the gate, the resets of the ramp, a callback of the replica, a count of the load, and load figures of engines in the agent.

--- a/internal/agreement/replica/apply.go
+++ b/internal/agreement/replica/apply.go
@@ -67,9 +67,6 @@
 		c.done <- outcome{}
 	}
 	r.publish(applied)
-	if r.cfg.OnApplied != nil && (len(ready.Committed) > 0 || ready.Snapshot != nil) {
-		r.cfg.OnApplied(applied)
-	}
 	return r.snapshotIfDue(applied)
 }
 
--- a/internal/agreement/replica/replica.go
+++ b/internal/agreement/replica/replica.go
@@ -65,8 +65,6 @@
 	SnapshotEntries uint64
 	// Address is where this member listens for messages.
 	Address string
-	// OnApplied is called after each round of applied entries.
-	OnApplied func(index uint64)
 	// OnLead is called when this member starts or ends leading.
 	OnLead func(leads bool)
 }
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -46,7 +46,6 @@
 	// maxDoublings bounds the growth of the pause after failed renewals.
 	maxDoublings = 4
 	roleName     = "Entry"
-	settleWait   = 2 * time.Second
 )
 
 // Entry is one running entry.
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -48,13 +48,10 @@
 	CutOff int
 	// Mixed is the answers with parts from more than one version, and
 	// Wrong those that belong to another request or are not whole.
-	Mixed int
-	Wrong int
-	// FalseNotRun is the records that were refused as not run but ran. It
-	// is filled in by the report.
-	FalseNotRun int
-	Reasons     map[string]int
-	Versions    map[string]int
+	Mixed    int
+	Wrong    int
+	Reasons  map[string]int
+	Versions map[string]int
 	// FirstTokenMilliseconds are quantiles of the time to the first token.
 	FirstTokenMilliseconds Quantiles
 	// NotRun lists the records that were refused as not run in the end, and
--- a/internal/target/backend/backend.go
+++ b/internal/target/backend/backend.go
@@ -4,12 +4,15 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"net/url"
 
 	"github.com/go-faster/errors"
 
 	"egretproxy/internal/control/view"
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/fault"
 )
 
 // ErrStaleFence tells that the target has seen a newer order.
@@ -26,9 +29,6 @@
 	Manifest string
 	// Loading tells that an order is in progress.
 	Loading bool
-	// Running and Waiting are its requests, with a lag.
-	Running int
-	Waiting int
 }
 
 // Order asks a target to load content.
@@ -50,6 +50,24 @@
 	Load(ctx context.Context, o Order) error
 }
 
+// Get reads a page of a target, up to a number of bytes.
+func Get(ctx context.Context, client *http.Client, page *url.URL, limit int64) ([]byte, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, page.String(), nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	w, err := client.Do(r)
+	if err != nil {
+		return nil, errors.Wrap(err, "ask target")
+	}
+	defer func() { _ = w.Body.Close() }()
+	if w.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("target answers %s", w.Status)
+	}
+	data, err := io.ReadAll(io.LimitReader(w.Body, limit))
+	return data, fault.Wrap(err, "read page")
+}
+
 // Open creates a backend for the host and port of an address.
 type Open func(host string) Backend
 
--- a/internal/target/engine/engine.go
+++ b/internal/target/engine/engine.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
@@ -40,8 +39,6 @@
 	Model   string
 	Digest  string
 	Loading bool
-	Running int
-	Waiting int
 }
 
 // order is the engine's order to load.
@@ -63,25 +60,17 @@
 func (e *Engine) Status(ctx context.Context) (backend.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, e.Base().JoinPath("status").String(), nil)
+	page, err := backend.Get(ctx, &e.client, e.Base().JoinPath("status"), maxStatus)
 	if err != nil {
-		return backend.Status{}, errors.Wrap(err, "build status request")
-	}
-	w, err := e.client.Do(r)
-	if err != nil {
-		return backend.Status{}, errors.Wrap(err, "ask engine")
-	}
-	defer func() { _ = w.Body.Close() }()
-	if w.StatusCode != http.StatusOK {
-		return backend.Status{}, errors.Errorf("engine answers %s", w.Status)
+		return backend.Status{}, err
 	}
 	var s status
-	if err := json.NewDecoder(io.LimitReader(w.Body, maxStatus)).Decode(&s); err != nil {
+	if err := json.Unmarshal(page, &s); err != nil {
 		return backend.Status{}, errors.Wrap(err, "decode engine status")
 	}
 	return backend.Status{
 		Start: s.Start, Bundle: id.Bundle(s.Version), Model: id.Model(s.Model),
-		Manifest: s.Digest, Loading: s.Loading, Running: s.Running, Waiting: s.Waiting,
+		Manifest: s.Digest, Loading: s.Loading,
 	}, nil
 }
 
--- a/internal/target/gate/gate.go
+++ b/internal/target/gate/gate.go
@@ -56,8 +56,6 @@
 	phase     view.Phase
 	installed view.Assignment
 	inFlight  int
-	// peak is the highest number of requests in progress.
-	peak int
 	// seen is the attempts taken, the oldest first in order.
 	seen  map[id.Request]struct{}
 	order []id.Request
@@ -95,7 +93,6 @@
 	}
 	g.remember(r.Attempt)
 	g.inFlight++
-	g.peak = max(g.peak, g.inFlight)
 	return &Ticket{Installed: g.installed, gate: g}, nil
 }
 
@@ -173,10 +170,3 @@
 	defer g.mu.Unlock()
 	return g.inFlight
 }
-
-// Peak returns the highest number of requests that were in progress.
-func (g *Gate) Peak() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.peak
-}
--- a/internal/target/ramp/ramp.go
+++ b/internal/target/ramp/ramp.go
@@ -53,8 +53,6 @@
 	gapSamples int
 	// lastGood is the time of the newest sign of warmth.
 	lastGood time.Time
-	// resets counts the times that the target turned cold.
-	resets int
 }
 
 func (r *Ramp) warmRequests() int {
@@ -74,7 +72,6 @@
 func (r *Ramp) cool() {
 	r.good = 0
 	r.lastGood = time.Time{}
-	r.resets++
 }
 
 // FirstToken notes the time from dispatch to the first part of an answer. It
@@ -174,10 +171,3 @@
 	defer r.mu.Unlock()
 	return r.good >= r.warmRequests()
 }
-
-// Resets returns how often the target turned cold.
-func (r *Ramp) Resets() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.resets
-}
--- a/internal/target/service/service.go
+++ b/internal/target/service/service.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
@@ -40,21 +39,9 @@
 func (s *Service) Status(ctx context.Context) (backend.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, s.Base().JoinPath("healthz").String(), nil)
+	start, err := backend.Get(ctx, &s.client, s.Base().JoinPath("healthz"), maxStart)
 	if err != nil {
-		return backend.Status{}, errors.Wrap(err, "build health request")
-	}
-	w, err := s.client.Do(r)
-	if err != nil {
-		return backend.Status{}, errors.Wrap(err, "ask service")
-	}
-	defer func() { _ = w.Body.Close() }()
-	if w.StatusCode != http.StatusOK {
-		return backend.Status{}, errors.Errorf("service answers %s", w.Status)
-	}
-	start, err := io.ReadAll(io.LimitReader(w.Body, maxStart))
-	if err != nil {
-		return backend.Status{}, errors.Wrap(err, "read health page")
+		return backend.Status{}, err
 	}
 	return backend.Status{Start: string(start)}, nil
 }
--- a/internal/weights/share/share.go
+++ b/internal/weights/share/share.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 
 	"github.com/alexedwards/flow"
@@ -22,6 +23,8 @@
 	// CrossingUploads bounds those to other regions, which have places of
 	// their own, so that a crowd of local peers holds up no region.
 	CrossingUploads = 2
+	// maxListed bounds the manifests whose chunks are remembered.
+	maxListed = 8
 	// maxQuestion bounds the body of a question.
 	maxQuestion = 1 << 20
 )
@@ -55,12 +58,11 @@
 
 	local    atomic.Int64
 	crossing atomic.Int64
-	// served counts the bytes sent to peers.
-	served atomic.Int64
-}
 
-// Served returns the bytes sent to peers.
-func (s *Share) Served() int64 { return s.served.Load() }
+	mu sync.Mutex
+	// listed is the chunks of the manifests that were asked for last.
+	listed map[manifest.Digest][]manifest.Chunk
+}
 
 // Mount adds the pages for peers.
 func (s *Share) Mount(mux *flow.Mux) {
@@ -90,25 +92,23 @@
 		return
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
-	n, _ := w.Write(data)
-	s.served.Add(int64(n))
+	_, _ = w.Write(data)
 }
 
 // addHave tells, beside a chunk, what else is held of a manifest.
 func (s *Share) addHave(w http.ResponseWriter, d manifest.Digest) {
-	m, ok := s.manifest(d)
+	chunks, ok := s.chunks(d)
 	if !ok {
 		return
 	}
-	text, err := s.held(m, nil).MarshalText()
+	text, err := s.held(chunks, nil).MarshalText()
 	if err == nil && len(text) <= maxHaveHeader {
 		w.Header().Set(HaveHeader, string(text))
 	}
 }
 
 // held returns which chunks are held, of the given ones or of all.
-func (s *Share) held(m manifest.Manifest, of []int) bitmap.Bitmap {
-	chunks := m.Chunks()
+func (s *Share) held(chunks []manifest.Chunk, of []int) bitmap.Bitmap {
 	have := bitmap.New(len(chunks))
 	if len(of) == 0 {
 		for i, c := range chunks {
@@ -131,12 +131,12 @@
 		http.Error(w, "question is not valid: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	m, ok := s.manifest(q.Manifest)
+	chunks, ok := s.chunks(q.Manifest)
 	if !ok {
 		_ = json.NewEncoder(w).Encode(Answer{})
 		return
 	}
-	_ = json.NewEncoder(w).Encode(Answer{Have: s.held(m, q.Chunks)})
+	_ = json.NewEncoder(w).Encode(Answer{Have: s.held(chunks, q.Chunks)})
 }
 
 // content streams the files of a manifest one after the other.
@@ -169,6 +169,31 @@
 	return true
 }
 
+// chunks lists the chunks of a manifest that is held. It decodes each manifest
+// once, since every chunk that is served asks for it.
+func (s *Share) chunks(d manifest.Digest) ([]manifest.Chunk, bool) {
+	if !s.Store.Has(d) {
+		return nil, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if list, ok := s.listed[d]; ok {
+		return list, true
+	}
+	m, ok := s.manifest(d)
+	if !ok {
+		return nil, false
+	}
+	if len(s.listed) >= maxListed {
+		s.listed = nil
+	}
+	if s.listed == nil {
+		s.listed = map[manifest.Digest][]manifest.Chunk{}
+	}
+	s.listed[d] = m.Chunks()
+	return s.listed[d], true
+}
+
 func (s *Share) manifest(d manifest.Digest) (manifest.Manifest, bool) {
 	data, ok := s.Store.Get(d)
 	if !ok {
