--- a/internal/agreement/raft/node.go
+++ b/internal/agreement/raft/node.go
@@ -65,6 +65,8 @@
 	active bool
 	// pending is the number of ticks for which a snapshot is in transfer.
 	pending int
+	// silent is the number of ticks since the member last answered.
+	silent int
 }
 
 // read is a request to confirm that this node still leads.
@@ -186,6 +188,19 @@
 	return out
 }
 
+// Silences returns the number of ticks since each other member last answered.
+// It is nil unless this node leads.
+func (n *Node) Silences() map[id.Keeper]int {
+	if n.role != leader {
+		return nil
+	}
+	out := make(map[id.Keeper]int, len(n.peers))
+	for k, p := range n.peers {
+		out[k] = p.silent
+	}
+	return out
+}
+
 // Tick advances the node's clock by one step.
 func (n *Node) Tick() {
 	n.elapsed++
@@ -205,6 +220,7 @@
 
 func (n *Node) tickLeader() {
 	for _, p := range n.peers {
+		p.silent++
 		if p.pending > 0 {
 			p.pending--
 		}
--- a/internal/agreement/raft/replication.go
+++ b/internal/agreement/raft/replication.go
@@ -144,6 +144,7 @@
 		return
 	}
 	p.active = true
+	p.silent = 0
 	p.round = max(p.round, m.Round)
 	n.confirmReads()
 	if m.Reject {
--- a/internal/agreement/replica/replica.go
+++ b/internal/agreement/replica/replica.go
@@ -101,7 +101,10 @@
 	Last       uint64
 	Membership record.Membership
 	// Match is the position that each other member stores, while leading.
-	Match  map[id.Keeper]uint64
+	Match map[id.Keeper]uint64
+	// Silent is the number of ticks since each other member last answered,
+	// while leading.
+	Silent map[id.Keeper]int
 	Failed string
 }
 
@@ -301,6 +304,7 @@
 		ID: r.cfg.Raft.ID, Leader: r.node.Leader(), Leads: r.node.IsLeader(),
 		Term: r.node.Term(), Commit: r.node.Commit(), Applied: applied,
 		Last: r.node.Last(), Membership: r.node.Membership(), Match: r.node.Matches(),
+		Silent: r.node.Silences(),
 		Failed: r.status.Failed,
 	}
 }
--- /dev/null
+++ b/internal/agreement/seat/calls.go
@@ -0,0 +1,154 @@
+package seat
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"egretproxy/internal/agreement/record"
+	"egretproxy/internal/agreement/replica"
+	"egretproxy/internal/wire/api"
+	"egretproxy/internal/wire/rpc"
+)
+
+// Methods between seats, beside those of wire/api.
+const (
+	methodPropose = "seat.propose"
+	methodConfirm = "seat.confirm"
+	methodJoin    = "seat.join"
+)
+
+type proposeCall struct{ Command []byte }
+
+type confirmReply struct{ Index uint64 }
+
+type joinCall struct {
+	Member  record.Member
+	Durable bool
+}
+
+func (s *Seat) handlers() map[string]rpc.Handler {
+	out := map[string]rpc.Handler{
+		api.MethodRaft: s.handleRaft,
+		methodPropose:  s.handlePropose,
+		methodConfirm:  s.handleConfirm,
+		methodJoin:     s.handleJoin,
+	}
+	for name, h := range s.cfg.Handlers {
+		out[name] = h
+	}
+	return out
+}
+
+// Propose makes a change and returns once a quorum has stored it. The same
+// command may be appended twice if an answer is lost, so commands must be
+// idempotent.
+func (s *Seat) Propose(ctx context.Context, command []byte) error {
+	return s.atLeader(ctx, func(ctx context.Context, leader string) error {
+		if leader == "" {
+			_, err := s.replica.Propose(ctx, command)
+			return err
+		}
+		return s.client(leader).Call(ctx, methodPropose, proposeCall{Command: command}, nil)
+	})
+}
+
+// Confirm returns once this member has applied every change that was
+// acknowledged before the call.
+func (s *Seat) Confirm(ctx context.Context) error {
+	var index uint64
+	err := s.atLeader(ctx, func(ctx context.Context, leader string) error {
+		if leader == "" {
+			var err error
+			index, err = s.replica.Confirm(ctx)
+			return err
+		}
+		var out confirmReply
+		err := s.client(leader).Call(ctx, methodConfirm, struct{}{}, &out)
+		index = out.Index
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	return s.replica.Await(ctx, index)
+}
+
+// atLeader runs the call here, for an empty address, or against the leader,
+// and tries again until the context ends.
+func (s *Seat) atLeader(ctx context.Context, call func(ctx context.Context, leader string) error) error {
+	err := error(replica.ErrNotLeader)
+	for ctx.Err() == nil {
+		if s.member() == nil {
+			return replica.ErrNotLeader
+		}
+		st := s.replica.Status()
+		m, known := st.Membership.Find(st.Leader)
+		if st.Leads || known && st.Leader != st.ID {
+			address := m.Address
+			if st.Leads {
+				address = ""
+			}
+			one, cancel := context.WithTimeout(ctx, forwardTimeout)
+			err = call(one, address)
+			cancel()
+			if err == nil {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryPause):
+		}
+	}
+	return errors.Wrap(err, "leader does not answer")
+}
+
+func (s *Seat) handleRaft(_ context.Context, params json.RawMessage) (any, error) {
+	var m record.Message
+	if err := json.Unmarshal(params, &m); err != nil {
+		return nil, rpc.BadParams(err)
+	}
+	s.replica.Deliver(m)
+	return nil, nil
+}
+
+func (s *Seat) handlePropose(ctx context.Context, params json.RawMessage) (any, error) {
+	var in proposeCall
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, rpc.BadParams(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	if _, err := s.replica.Propose(ctx, in.Command); err != nil {
+		return nil, rpc.Fail(rpc.CodeNotLeader, err.Error())
+	}
+	return struct{}{}, nil
+}
+
+func (s *Seat) handleConfirm(ctx context.Context, _ json.RawMessage) (any, error) {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	index, err := s.replica.Confirm(ctx)
+	if err != nil {
+		return nil, rpc.Fail(rpc.CodeNotLeader, err.Error())
+	}
+	return confirmReply{Index: index}, nil
+}
+
+func (s *Seat) handleJoin(_ context.Context, params json.RawMessage) (any, error) {
+	var in joinCall
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, rpc.BadParams(err)
+	}
+	if in.Member.ID == "" || in.Member.Name == "" || in.Member.Address == "" {
+		return nil, rpc.Fail(rpc.CodeUnavailable, "a member needs an id, a name and an address")
+	}
+	in.Member.Voter = false
+	s.mu.Lock()
+	s.joiners[in.Member.Address] = joiner{Member: in.Member, durable: in.Durable, asked: time.Now()}
+	s.mu.Unlock()
+	return api.Joined{Members: s.replica.Status().Membership.Members}, nil
+}
--- /dev/null
+++ b/internal/exchange/dispatch/board.go
@@ -0,0 +1,300 @@
+// Package dispatch decides which target a request goes to, how long it may
+// wait for one, and when it is refused. It does no I/O.
+package dispatch
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/site/follow"
+	"egretproxy/internal/site/muster"
+	"egretproxy/internal/site/plan"
+)
+
+// Errors of Acquire. The request was sent nowhere.
+var (
+	// ErrFull tells that no target can bear the request in time.
+	ErrFull = errors.New("no target can bear the request in time")
+	// ErrNoTarget tells that no target may serve the request at all.
+	ErrNoTarget = errors.New("no target may serve the request")
+)
+
+const (
+	// queueSlack is the number of requests beyond its slots that an engine
+	// is given, so that a slot that becomes free is taken at once.
+	queueSlack = 1
+	// plainOverlap is how many times the slots of a plain target all entries
+	// together may fill. Its requests are short.
+	plainOverlap = 2.0
+	// coldMargin keeps the sum of all entries below what cold targets bear
+	// while an entry is not known to the others yet.
+	coldMargin = 0.8
+	// homeBonus is what a target of the own region is worth, in requests.
+	homeBonus = 0.8
+	// reportFresh is how long a target's own report counts.
+	reportFresh = 1500 * time.Millisecond
+	// defaultSlots stands for targets that name none.
+	defaultSlots = 4
+)
+
+// Settings are the site's figures.
+type Settings struct {
+	// Regions maps failure domains to regions.
+	Regions map[id.Domain]id.Region
+	// Home is the own region.
+	Home id.Region
+	// ColdOverrun and ColdAllowance bound the requests in a second that
+	// reach a cold target: rate x overrun + allowance.
+	ColdOverrun, ColdAllowance float64
+}
+
+// Load is what a target's report says.
+type Load struct {
+	// Active and Queued are requests of all entries.
+	Active, Queued int
+	// Weights is the version held whole, 0 for none.
+	Weights int64
+	// Closed tells that it takes nothing new for now.
+	Closed bool
+}
+
+// Ask is one request's wish for a target.
+type Ask struct {
+	Service id.Service
+	// Regions is where it may be served. Empty means everywhere.
+	Regions []id.Region
+	// Priority is the rank; 0 is served first.
+	Priority int
+	// MaxWait is how long it may wait for a target.
+	MaxWait time.Duration
+	// MinWeights is the oldest version of weights it may run on.
+	MinWeights int64
+	// Exclude is the targets that it was sent to before.
+	Exclude []id.Target
+}
+
+// Board is safe for concurrent use.
+type Board struct {
+	cfg Settings
+
+	mu       sync.Mutex
+	entries  int
+	targets  map[id.Target]*target
+	services map[id.Service]*service
+}
+
+type service struct {
+	spec *plan.Service
+	// targets is the ones that announced the service and are in service.
+	targets []*target
+	waiters []*waiter
+	// rate is the requests ended in a second by this entry, smoothed.
+	rate  float64
+	ended time.Time
+}
+
+type target struct {
+	muster.Target
+	withdrawn bool
+	// own is the requests in progress from this entry.
+	own int
+	// load is the newest report, ownThen the requests of this entry in it.
+	load    Load
+	loadAt  time.Time
+	ownThen int
+	// coldUntil is when the target says it will be warm.
+	coldUntil time.Time
+	bucket    bucket
+	health    health
+}
+
+// New returns an empty board.
+func New(cfg Settings) *Board {
+	return &Board{
+		cfg: cfg, entries: 1,
+		targets: map[id.Target]*target{}, services: map[id.Service]*service{},
+	}
+}
+
+// Update takes in a new view. Targets that left get nothing more.
+func (b *Board) Update(v *follow.View) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.entries = max(v.Entries, 1)
+	b.takeServices(v.Plan)
+	for k := range b.targets {
+		if _, ok := v.Targets[k]; !ok {
+			delete(b.targets, k)
+		}
+	}
+	for k, t := range v.Targets {
+		o := b.targets[k]
+		if o == nil || o.Born != t.Born {
+			o = &target{}
+			b.targets[k] = o
+		}
+		if t.ColdMs > 0 && (o.ColdMs == 0 || t.Sequence != o.Sequence) {
+			o.coldUntil = time.Now().Add(time.Duration(t.ColdMs) * time.Millisecond)
+		}
+		o.Target = t
+		o.withdrawn = v.Withdrawn[t.Domain]
+	}
+	for _, s := range b.services {
+		s.targets = s.targets[:0]
+	}
+	for _, t := range b.targets {
+		if s := b.services[t.Service]; s != nil {
+			s.targets = append(s.targets, t)
+		}
+	}
+	b.pumpAll()
+}
+
+func (b *Board) takeServices(p *plan.Plan) {
+	if p == nil {
+		return
+	}
+	for k, spec := range p.Services {
+		if b.services[k] == nil {
+			b.services[k] = &service{}
+		}
+		b.services[k].spec = spec
+	}
+}
+
+// Report takes in what a target says of its load.
+func (b *Board) Report(k id.Target, l Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.targets[k]
+	if t == nil {
+		return
+	}
+	t.load, t.loadAt, t.ownThen = l, time.Now(), t.own
+	if s := b.services[t.Service]; s != nil {
+		b.pump(s)
+	}
+}
+
+// Engines returns the address of each target whose service runs a model.
+func (b *Board) Engines() map[id.Target]string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := map[id.Target]string{}
+	for k, t := range b.targets {
+		if s := b.services[t.Service]; s != nil && s.spec.Engine != nil {
+			out[k] = t.Address
+		}
+	}
+	return out
+}
+
+// mayServe reports whether the target may serve the request at all.
+func (b *Board) mayServe(s *service, t *target, a *Ask) bool {
+	if t.Stage != muster.Ready || t.withdrawn {
+		return false
+	}
+	for _, k := range a.Exclude {
+		if k == t.ID {
+			return false
+		}
+	}
+	if len(a.Regions) > 0 && !contains(a.Regions, b.cfg.Regions[t.Domain]) {
+		return false
+	}
+	if s.spec.Engine == nil {
+		return true
+	}
+	weights := t.weights()
+	return weights > 0 && weights >= a.MinWeights
+}
+
+func contains(regions []id.Region, r id.Region) bool {
+	for _, x := range regions {
+		if x == r {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *target) reported() bool { return time.Since(t.loadAt) < reportFresh }
+
+func (t *target) weights() int64 {
+	if t.reported() {
+		return t.load.Weights
+	}
+	return t.Weights
+}
+
+// busy estimates the requests in progress from all entries.
+func (b *Board) busy(t *target) float64 {
+	if t.reported() {
+		return float64(t.own + max(0, t.load.Active+t.load.Queued-t.ownThen))
+	}
+	return float64(t.own) * float64(b.entries)
+}
+
+func (b *Board) limit(s *service, t *target) float64 {
+	slots := t.Slots
+	if s.spec.Engine != nil {
+		if slots == 0 {
+			slots = s.spec.Engine.Slots
+		}
+		return float64(slots + queueSlack)
+	}
+	if slots == 0 {
+		slots = defaultSlots
+	}
+	return float64(slots)*plainOverlap + float64(b.entries)
+}
+
+// hasRoom reports whether the target can begin on the request soon.
+func (b *Board) hasRoom(s *service, t *target) bool {
+	now := time.Now()
+	if t.reported() && t.load.Closed || !t.health.admits(now) {
+		return false
+	}
+	if b.busy(t) >= b.limit(s, t) {
+		return false
+	}
+	return t.bucket.ready(now, b.rateFor(s))
+}
+
+// rateFor returns this entry's share of the requests in a second that a cold
+// target bears, or 0 for no bound. It holds for warm targets too, since they
+// may turn cold at any moment and entries don't talk for each request.
+func (b *Board) rateFor(s *service) float64 {
+	if s.spec.ColdPerSecond <= 0 {
+		return 0
+	}
+	total := s.spec.ColdPerSecond*b.cfg.ColdOverrun + b.cfg.ColdAllowance
+	return total * coldMargin / float64(b.entries)
+}
+
+// pick returns the target with the most room, or nil. found tells whether
+// any target may serve the request later.
+func (b *Board) pick(s *service, a *Ask) (best *target, found bool) {
+	score := 0.0
+	for _, t := range s.targets {
+		if !b.mayServe(s, t, a) {
+			continue
+		}
+		found = true
+		if !b.hasRoom(s, t) {
+			continue
+		}
+		x := b.busy(t) + rand.Float64()
+		if b.cfg.Regions[t.Domain] == b.cfg.Home {
+			x -= homeBonus
+		}
+		if best == nil || x < score {
+			best, score = t, x
+		}
+	}
+	return best, found
+}
--- /dev/null
+++ b/internal/exchange/events/events.go
@@ -0,0 +1,60 @@
+// Package events cuts a stream of server-sent events into whole events.
+package events
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/go-faster/errors"
+)
+
+// ErrTooLong tells that an event exceeds maxEvent.
+var ErrTooLong = errors.New("event is too long")
+
+const (
+	// maxEvent bounds one event in bytes.
+	maxEvent   = 256 << 10
+	readBuffer = 4 << 10
+)
+
+// Reader reads events. Take New.
+type Reader struct {
+	br *bufio.Reader
+	// ID is the id of the newest event that named one.
+	ID string
+}
+
+// New returns a reader of the stream.
+func New(r io.Reader) *Reader {
+	return &Reader{br: bufio.NewReaderSize(r, readBuffer)}
+}
+
+// Next returns the next whole event with the blank line that ends it. At the
+// end of the stream it returns io.EOF, with bytes that form no whole event
+// dropped and reported as io.ErrUnexpectedEOF.
+func (r *Reader) Next() ([]byte, error) {
+	var event []byte
+	for {
+		line, err := r.br.ReadSlice('\n')
+		event = append(event, line...)
+		if len(event) > maxEvent {
+			return nil, ErrTooLong
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if err == io.EOF && len(event) > 0 {
+			return nil, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return nil, err
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return event, nil
+		}
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			r.ID = string(bytes.TrimSpace(id))
+		}
+	}
+}
--- a/internal/kernel/metrics/metrics.go
+++ b/internal/kernel/metrics/metrics.go
@@ -4,6 +4,7 @@
 import (
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -12,10 +13,14 @@
 
 const namespace = "egretproxy"
 
+// latencyBuckets are in seconds and dense around the objectives of callers.
+var latencyBuckets = []float64{.005, .01, .025, .05, .1, .15, .2, .3, .4, .6, 1, 2, 4, 8}
+
 // Set is the metrics of one process.
 type Set struct {
 	registry *prometheus.Registry
 	events   *prometheus.CounterVec
+	seconds  *prometheus.HistogramVec
 	sent     atomic.Int64
 	received atomic.Int64
 }
@@ -29,9 +34,14 @@
 			Namespace: namespace, Name: "events_total", ConstLabels: labels,
 			Help: "Events by name and reason, such as refusals and retries.",
 		}, []string{"event", "reason"}),
+		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "duration_seconds", ConstLabels: labels,
+			Help:    "Durations in seconds by what took them, such as whole answers and first events.",
+			Buckets: latencyBuckets,
+		}, []string{"what"}),
 	}
 	s.registry.MustRegister(
-		s.events,
+		s.events, s.seconds,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		counter("control_sent_bytes_total", "Control bytes sent between processes.", labels, &s.sent),
@@ -57,6 +67,11 @@
 	s.events.WithLabelValues(event, reason).Add(float64(n))
 }
 
+// Observe adds one duration.
+func (s *Set) Observe(what string, d time.Duration) {
+	s.seconds.WithLabelValues(what).Observe(d.Seconds())
+}
+
 // Gauge registers a value that is read at each scrape.
 func (s *Set) Gauge(name, help string, value func() float64) {
 	s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
--- /dev/null
+++ b/internal/role/gateway/answer.go
@@ -0,0 +1,163 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"egretproxy/internal/exchange/dispatch"
+	"egretproxy/internal/kernel/trail"
+	"egretproxy/internal/site/plan"
+)
+
+const (
+	usualKind   = trail.Usual
+	notableKind = trail.Notable
+	failureKind = trail.Failure
+)
+
+const (
+	// retryAfterLeast and retryAfterSpread spread the return of callers over
+	// a second, so that they don't come back all at once.
+	retryAfterLeast  = 400 * time.Millisecond
+	retryAfterSpread = time.Second
+	// retryAfterStart is for a process that is about to learn the plan.
+	retryAfterStart = 300 * time.Millisecond
+)
+
+var outcomeNames = map[dispatch.Outcome]string{
+	dispatch.Served: "Served", dispatch.Cancelled: "Cancelled", dispatch.Failed: "Failed",
+	dispatch.Unreachable: "Unreachable", dispatch.Broken: "Broken",
+	dispatch.Rejected: "Rejected", dispatch.Stale: "Stale",
+}
+
+// refuse answers that the request has not run and never will.
+func (j *job) refuse(reason, text string) {
+	after := retryAfterLeast + rand.N(retryAfterSpread)
+	if reason == "NoPlan" {
+		after = retryAfterStart
+	}
+	j.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	j.g.Metrics.CountReason("Refused", reason)
+	j.end(http.StatusServiceUnavailable, reason, text)
+}
+
+// fail answers with a status that promises nothing about later attempts.
+func (j *job) fail(status int, reason, text string) {
+	j.g.Metrics.CountReason("Failed", reason)
+	j.end(status, reason, text)
+}
+
+func (j *job) end(status int, reason, text string) {
+	j.note("Request was not served", reason, "Status", status, "Cause", text)
+	if j.id != "" {
+		j.w.Header().Set(j.g.Settings.Dialect.Attempt, j.id)
+	}
+	http.Error(j.w, text, status)
+}
+
+// giveUp ends a request for which no further target is tried.
+func (j *job) giveUp(ctx context.Context, err error) {
+	if j.r.Context().Err() != nil {
+		j.callerLeft()
+		return
+	}
+	if j.stream != nil && j.stream.begun {
+		j.note("Stream was cut off", "StreamLost", "Cause", j.last)
+		j.g.Metrics.CountReason("Failed", "StreamLost")
+		panic(http.ErrAbortHandler)
+	}
+	if j.mayHaveRun {
+		j.giveUpSent()
+		return
+	}
+	reason := "NoTarget"
+	switch {
+	case ctx.Err() != nil:
+		reason = "Deadline"
+	case err == errStale:
+		reason = "Stale"
+	case err == dispatch.ErrFull:
+		reason = "Full"
+	case j.sent > 0:
+		reason = "Declined"
+	}
+	j.refuse(reason, err.Error())
+}
+
+// giveUpSent ends a request that a target may have run.
+func (j *job) giveUpSent() {
+	if j.r.Context().Err() != nil {
+		j.callerLeft()
+		return
+	}
+	if j.stream != nil && j.stream.begun {
+		j.note("Stream was cut off", "StreamLost", "Cause", j.last)
+		j.g.Metrics.CountReason("Failed", "StreamLost")
+		panic(http.ErrAbortHandler)
+	}
+	if time.Now().After(j.deadline) {
+		j.fail(http.StatusGatewayTimeout, "Timeout", "target did not answer in time")
+		return
+	}
+	j.fail(http.StatusBadGateway, "OutcomeUnknown", j.last)
+}
+
+func (j *job) callerLeft() {
+	j.note("Caller left", "CallerLeft")
+	j.g.Metrics.Count("CallerLeft")
+	panic(http.ErrAbortHandler)
+}
+
+// note logs how a request ended other than by an answer of a target.
+func (j *job) note(msg, reason string, args ...any) {
+	kind := failureKind
+	if reason == "CallerLeft" {
+		kind = notableKind
+	}
+	all := append([]any{"Request", j.id, "Reason", reason}, args...)
+	all = append(all, "Route", routeName(j.route), "Sent", j.sent, "Tried", j.tried,
+		"MayHaveRun", j.mayHaveRun, "WaitedMs", j.waited.Milliseconds(),
+		"TookMs", time.Since(j.began).Milliseconds(), "ConfirmedMsAgo", j.g.Follower.Age().Milliseconds(),
+		"Plan", planVersion(j.view.Plan))
+	j.g.Trail.Note(kind, msg, all...)
+}
+
+func routeName(r *plan.Route) string {
+	if r == nil {
+		return ""
+	}
+	return r.Name
+}
+
+func planVersion(p *plan.Plan) plan.Version {
+	if p == nil {
+		return 0
+	}
+	return p.Version
+}
+
+// logSend notes the choice of a target, for requests that waited.
+func (j *job) logSend(grant *dispatch.Grant) {
+	if grant.Waited == 0 && j.sent == 0 {
+		return
+	}
+	j.g.Trail.Note(notableKind, "Target was chosen", "Request", j.id, "Target", grant.Target,
+		"Busy", grant.Busy, "ReportMsAgo", grant.Reported.Milliseconds(), "WaitedMs", grant.Waited.Milliseconds())
+}
+
+// answered notes an answer of a target.
+func (j *job) answered(status int, grant *dispatch.Grant) {
+	took := time.Since(j.began)
+	j.g.Metrics.CountReason("Answered", strconv.Itoa(status/100)+"xx")
+	j.g.Metrics.Observe("Answer", took)
+	kind := usualKind
+	if status >= 500 {
+		kind = failureKind
+	}
+	j.g.Trail.Note(kind, "Request was answered", "Request", j.id, "Status", status, "Target", grant.Target,
+		"Route", routeName(j.route), "Busy", grant.Busy, "ReportMsAgo", grant.Reported.Milliseconds(),
+		"WaitedMs", j.waited.Milliseconds(), "TookMs", took.Milliseconds(), "Sent", j.sent+1, "Plan", planVersion(j.view.Plan))
+}
--- /dev/null
+++ b/internal/role/gateway/gateway.go
@@ -0,0 +1,137 @@
+// Package gateway is the role that takes requests from callers and passes
+// them on to the targets of a site.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"k8s.io/klog/v2"
+
+	"egretproxy/internal/exchange/dialect"
+	"egretproxy/internal/exchange/dispatch"
+	"egretproxy/internal/exchange/lines"
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/metrics"
+	"egretproxy/internal/kernel/trail"
+	"egretproxy/internal/site/follow"
+	"egretproxy/internal/wire/liveness"
+)
+
+const (
+	// headerTimeout and headerBytes bound a caller's header. The plan's
+	// limits lie below.
+	headerTimeout = 5 * time.Second
+	headerBytes   = 64 << 10
+	// idleTimeout is above the one that callers are told.
+	idleTimeout = 60 * time.Second
+	// drainNotice is how long new connections are still taken after a stop
+	// was asked for, since the balancer notices only after two questions.
+	drainNotice = 2600 * time.Millisecond
+	// stopMargin is kept free before the platform kills the process.
+	stopMargin = 700 * time.Millisecond
+	// sweepInterval is how often kept connections are looked at.
+	sweepInterval = time.Second
+)
+
+// Settings sets up a Gateway.
+type Settings struct {
+	// Name names the process in logs.
+	Name string
+	// Listen is where callers connect.
+	Listen string
+	// Home is the own region.
+	Home id.Region
+	// Lease is how old the confirmation may be for requests that need a key.
+	Lease time.Duration
+	// WeightsDue is how long after a version was named requests may begin on
+	// an older one.
+	WeightsDue time.Duration
+	// Grace is the time from the request to stop until the process is killed.
+	Grace   time.Duration
+	Dialect dialect.Dialect
+}
+
+// Gateway is one running entry. Its fields are set before Run.
+type Gateway struct {
+	Settings Settings
+	Follower *follow.Follower
+	Board    *dispatch.Board
+	Retries  *dispatch.Retries
+	Pool     *lines.Pool
+	Trail    *trail.Trail
+	Metrics  *metrics.Set
+
+	stopping atomic.Bool
+	active   atomic.Int64
+	weights  weightsClock
+}
+
+// Run serves callers until the context ends, then finishes what was taken.
+func (g *Gateway) Run(ctx context.Context) error {
+	l, err := liveness.ListenConfig().Listen(ctx, "tcp", g.Settings.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	s := &http.Server{
+		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		ErrorLog: quietLog(),
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- s.Serve(l) }()
+	go g.sweep(ctx)
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "serve callers")
+	case <-ctx.Done():
+	}
+	g.drain(s)
+	return nil
+}
+
+// drain goes on serving until the balancer has noticed, then until nothing
+// is in progress or the grace is nearly over.
+func (g *Gateway) drain(s *http.Server) {
+	began := time.Now()
+	g.stopping.Store(true)
+	klog.InfoS("Gateway drains", "InProgress", g.active.Load())
+	time.Sleep(min(drainNotice, g.Settings.Grace/2))
+	left := g.Settings.Grace - stopMargin - time.Since(began)
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		klog.InfoS("Requests were cut off by the stop", "InProgress", g.active.Load(), "Error", err.Error())
+		_ = s.Close()
+	}
+	klog.InfoS("Gateway has stopped", "Took", time.Since(began).String())
+}
+
+// Ready reports why callers should not come here, or nil.
+func (g *Gateway) Ready() error {
+	switch {
+	case g.stopping.Load():
+		return errors.New("the process stops")
+	case g.Follower.View().Plan == nil:
+		return errors.New("no plan is known")
+	case g.Follower.Age() > g.Settings.Lease:
+		return errors.New("the plan is not confirmed")
+	}
+	return nil
+}
+
+func (g *Gateway) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.Pool.Sweep()
+		}
+	}
+}
--- /dev/null
+++ b/internal/role/gateway/request.go
@@ -0,0 +1,219 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"egretproxy/internal/exchange/lines"
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/site/follow"
+	"egretproxy/internal/site/plan"
+)
+
+const (
+	// defaultDeadline stands for callers that name none.
+	defaultDeadline = 30 * time.Second
+	// answerMargin is kept for the way of a failure back to the caller.
+	answerMargin = 30 * time.Millisecond
+	// defaultPriority is the rank of targets for requests without one.
+	maxPriority = 9
+)
+
+// job is one request of a caller on its way.
+type job struct {
+	g    *Gateway
+	w    http.ResponseWriter
+	r    *http.Request
+	id   string
+	view *follow.View
+	// route and tenant are those of view. tenant is nil for public routes.
+	route  *plan.Route
+	tenant *plan.Tenant
+	// service is drawn once from the route's shares.
+	service  *plan.Service
+	priority int
+	regions  [][]id.Region
+	body     []byte
+	began    time.Time
+	// deadline is when the caller must have its final answer.
+	deadline time.Time
+	// tried is the targets that the request was sent to.
+	tried []id.Target
+	// sent counts the requests sent to targets, whether run or not.
+	sent int
+	// mayHaveRun tells that a target may have run the request without a
+	// whole answer.
+	mayHaveRun bool
+	waited     time.Duration
+	// stream is the state of an answer that was begun.
+	stream *stream
+	// last is the newest failure, for the log.
+	last string
+}
+
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	j := &job{g: g, w: w, r: r, id: r.Header.Get(g.Settings.Dialect.Attempt), began: time.Now()}
+	if !j.admit() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
+	defer cancel()
+	j.run(ctx)
+}
+
+// admit finds route and organisation and reads the body. It reports whether
+// the request may go on; otherwise it was answered.
+func (j *job) admit() bool {
+	g := j.g
+	j.view = g.Follower.View()
+	p := j.view.Plan
+	age := g.Follower.Age()
+	if p == nil {
+		j.refuse("NoPlan", "no configuration is known yet")
+		return false
+	}
+	stale := age > g.Settings.Lease
+	if j.route = p.Match(hostOf(j.r.Host), j.r.URL.Path); j.route == nil {
+		if stale {
+			j.refuse("Stale", "configuration is not confirmed")
+			return false
+		}
+		j.fail(http.StatusNotFound, "NoRoute", "no route matches")
+		return false
+	}
+	if p.HasTenants() && !j.route.Public && !j.identify(p, stale) {
+		return false
+	}
+	j.schedule()
+	return j.read(p.Limits.BodyBytes)
+}
+
+// identify finds the organisation that holds the key.
+func (j *job) identify(p *plan.Plan, stale bool) bool {
+	if stale {
+		// The key may have been revoked meanwhile.
+		j.refuse("Stale", "keys are not confirmed")
+		return false
+	}
+	j.tenant = p.TenantOf(j.r.Header.Get(j.g.Settings.Dialect.Key))
+	if j.tenant == nil {
+		j.fail(http.StatusUnauthorized, "UnknownKey", "key is not known")
+		return false
+	}
+	return true
+}
+
+// schedule draws the service and works out rank, regions and deadline.
+func (j *job) schedule() {
+	j.service = j.view.Plan.Services[draw(j.route.Shares)]
+	j.priority = j.route.Priority
+	if len(j.route.Regions) > 0 {
+		j.regions = append(j.regions, j.route.Regions)
+	}
+	if j.tenant != nil {
+		if j.tenant.Priority >= 0 {
+			j.priority = j.tenant.Priority
+		}
+		if len(j.tenant.Regions) > 0 {
+			j.regions = append(j.regions, j.tenant.Regions)
+		}
+	}
+	left := defaultDeadline
+	if ms, err := strconv.ParseInt(j.r.Header.Get(j.g.Settings.Dialect.Deadline), 10, 64); err == nil && ms >= 0 && ms < defaultDeadline.Milliseconds() {
+		left = time.Duration(ms) * time.Millisecond
+	}
+	j.deadline = j.began.Add(min(left, j.route.Timeout) - answerMargin)
+}
+
+func draw(shares []plan.Share) id.Service {
+	total := 0
+	for _, s := range shares {
+		total += s.Weight
+	}
+	at := rand.IntN(total)
+	for _, s := range shares {
+		if at -= s.Weight; at < 0 {
+			return s.Service
+		}
+	}
+	return shares[0].Service
+}
+
+// read takes in the whole body, so that it can be sent to a second target.
+func (j *job) read(limit int64) bool {
+	if limit > 0 {
+		j.r.Body = http.MaxBytesReader(j.w, j.r.Body, limit)
+	}
+	body, err := io.ReadAll(j.r.Body)
+	if err == nil {
+		j.body = body
+		return true
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		j.fail(http.StatusRequestEntityTooLarge, "BodyTooLarge", "body is too large")
+		return false
+	}
+	j.note("Caller left while sending", "CallerLeft")
+	panic(http.ErrAbortHandler)
+}
+
+// target builds the request that goes to a target.
+func (j *job) target(k id.Target, minWeights int64) *lines.Request {
+	d := j.g.Settings.Dialect
+	h := j.r.Header.Clone()
+	for _, field := range h["Connection"] {
+		for name := range strings.SplitSeq(field, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		delete(h, name)
+	}
+	for _, name := range []string{d.Key, d.Organisation, d.Weights, d.Priority} {
+		delete(h, name)
+	}
+	if j.tenant != nil {
+		h[d.Organisation] = []string{string(j.tenant.Name)}
+	}
+	left := max(time.Until(j.deadline), 0)
+	h[d.Deadline] = []string{strconv.FormatInt(left.Milliseconds(), 10)}
+	h[d.Target] = []string{string(k)}
+	h[d.Priority] = []string{strconv.Itoa(min(max(j.priority, 0), maxPriority))}
+	if minWeights > 0 {
+		h[d.Weights] = []string{strconv.FormatInt(minWeights, 10)}
+	}
+	if j.stream != nil && j.stream.last != "" {
+		h[d.LastEvent] = []string{j.stream.last}
+	}
+	return &lines.Request{
+		Method: j.r.Method, URI: j.r.RequestURI, Host: j.r.Host,
+		Header: h, Body: j.body, EchoHeader: d.Attempt,
+	}
+}
+
+// hopHeaders concern one connection only (RFC 9110, section 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+func hostOf(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
--- /dev/null
+++ b/internal/role/gateway/run.go
@@ -0,0 +1,284 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"egretproxy/internal/exchange/dispatch"
+	"egretproxy/internal/exchange/lines"
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/site/plan"
+)
+
+const (
+	// waitPart is the part of the objective that a request may wait for a
+	// target. The rest is left for its prompt and the first event.
+	waitPart = 0.5
+	// lateWait is how long a request whose objective has passed may wait.
+	lateWait = 100 * time.Millisecond
+	// silenceFloor is the shortest silence after which a repeatable request
+	// goes to another target.
+	silenceFloor = time.Second
+	// silenceFactor is that silence in objectives.
+	silenceFactor = 2.5
+	// maxDials bounds the targets that take no connection.
+	maxDials = 4
+	// maxBuffered bounds an answer that is read whole before it is passed on.
+	maxBuffered = 1 << 20
+)
+
+// verdict tells what to do after one attempt.
+type verdict uint8
+
+const (
+	// done means that the caller has its final answer.
+	done verdict = iota
+	// again means that another target may be tried.
+	again
+)
+
+// run sends the request to targets until one answers.
+func (j *job) run(ctx context.Context) {
+	j.g.Retries.Request(j.service.Name)
+	dials := 0
+	for {
+		grant, err := j.g.Board.Acquire(ctx, j.ask())
+		if err != nil {
+			j.giveUp(ctx, err)
+			return
+		}
+		j.waited += grant.Waited
+		if !j.mayDispatch() {
+			grant.End(dispatch.Cancelled)
+			j.giveUp(ctx, errStale)
+			return
+		}
+		v, outcome, sent := j.attempt(ctx, grant)
+		ejected := grant.End(outcome)
+		if ejected {
+			j.g.Metrics.CountReason("TargetEjected", outcomeNames[outcome])
+			j.g.Trail.Note(failureKind, "Target is left out for a while", "Target", grant.Target, "Reason", outcomeNames[outcome])
+			j.g.Pool.Forget(grant.Address)
+		}
+		if v == done {
+			return
+		}
+		j.tried = append(j.tried, grant.Target)
+		if sent {
+			j.sent++
+		} else if dials++; dials >= maxDials {
+			j.giveUp(ctx, errors.New("targets take no connection"))
+			return
+		}
+		if !j.mayRetry(ctx, sent) {
+			j.giveUp(ctx, errors.New(j.last))
+			return
+		}
+		j.g.Metrics.CountReason("Retry", outcomeNames[outcome])
+		j.g.Trail.Note(notableKind, "Request goes to another target", "Request", j.id, "After", grant.Target, "Reason", j.last, "Sent", j.sent)
+	}
+}
+
+var errStale = errors.New("configuration is not confirmed")
+
+// mayDispatch looks again at what may have changed during a wait or a
+// freeze: a key must not be used after its revocation.
+func (j *job) mayDispatch() bool {
+	return j.tenant == nil || j.g.Follower.Age() <= j.g.Settings.Lease
+}
+
+// mayRetry reports whether a further target may be tried.
+func (j *job) mayRetry(ctx context.Context, sent bool) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	if !sent {
+		return true
+	}
+	if j.sent >= max(j.route.MaxAttempts, 1) {
+		return false
+	}
+	if !j.g.Retries.Take(j.service.Name, j.view.Entries) {
+		j.g.Metrics.CountReason("RetryRefused", "Budget")
+		j.last += ", and the retry budget is spent"
+		return false
+	}
+	return true
+}
+
+func (j *job) ask() *dispatch.Ask {
+	return &dispatch.Ask{
+		Service: j.service.Name, Regions: common(j.regions), Priority: j.priority,
+		MaxWait: j.patience(), MinWeights: j.minWeights(), Exclude: j.tried,
+	}
+}
+
+// nowhere is the name of no region. It keeps a list without common regions
+// from meaning everywhere.
+const nowhere id.Region = "-"
+
+// common returns the regions that all lists hold.
+func common(lists [][]id.Region) []id.Region {
+	if len(lists) < 2 {
+		if len(lists) == 0 {
+			return nil
+		}
+		return lists[0]
+	}
+	out := []id.Region{nowhere}
+	for _, r := range lists[0] {
+		for _, o := range lists[1] {
+			if r == o {
+				out = append(out, r)
+			}
+		}
+	}
+	return out
+}
+
+func (j *job) minWeights() int64 {
+	if j.service.Engine == nil {
+		return 0
+	}
+	return j.g.weights.required(j.service.Engine.Model, j.g.Settings.WeightsDue)
+}
+
+// patience returns how long the request may wait for a target now.
+func (j *job) patience() time.Duration {
+	left := time.Duration(float64(j.route.Objective)*waitPart) - time.Since(j.began)
+	return min(max(left, lateWait), time.Until(j.deadline))
+}
+
+// attempt sends the request to one target and passes its answer on.
+func (j *job) attempt(ctx context.Context, grant *dispatch.Grant) (verdict, dispatch.Outcome, bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silent := newSilence(cancel, j.silenceLimit())
+	defer silent.stop()
+	j.logSend(grant)
+	a, err := j.g.Pool.Send(ctx, grant.Address, j.target(grant.Target, j.minWeights()))
+	if err != nil {
+		return j.sendFailed(err, silent.hit())
+	}
+	defer a.Close()
+	if j.notRun(a) {
+		drainBody(a)
+		j.last = "target declined with " + strconv.Itoa(a.Status)
+		if a.Status == http.StatusMisdirectedRequest {
+			return again, dispatch.Stale, true
+		}
+		return again, dispatch.Rejected, true
+	}
+	if a.Status >= 500 && j.route.Repeatable() && j.canTryElsewhere() {
+		drainBody(a)
+		j.mayHaveRun = true
+		j.last = "target failed with " + strconv.Itoa(a.Status)
+		return again, dispatch.Failed, true
+	}
+	if j.route.Kind == plan.Streaming && a.Status < 300 {
+		return j.passStream(ctx, a, silent, grant)
+	}
+	return j.passWhole(a, grant)
+}
+
+func (j *job) silenceLimit() time.Duration {
+	if !j.route.Repeatable() {
+		return 0
+	}
+	return max(silenceFloor, time.Duration(silenceFactor*float64(j.route.Objective)))
+}
+
+func (j *job) canTryElsewhere() bool {
+	return j.sent+1 < j.route.MaxAttempts && time.Until(j.deadline) > j.route.Objective/2
+}
+
+func (j *job) sendFailed(err error, silent bool) (verdict, dispatch.Outcome, bool) {
+	j.last = err.Error()
+	if errors.Is(err, lines.ErrNotSent) {
+		if j.r.Context().Err() != nil {
+			return again, dispatch.Cancelled, false
+		}
+		return again, dispatch.Unreachable, false
+	}
+	j.mayHaveRun = true
+	outcome := dispatch.Broken
+	if j.r.Context().Err() != nil || !silent && time.Now().After(j.deadline) {
+		outcome = dispatch.Cancelled
+	}
+	if silent {
+		j.last = "target was silent"
+	}
+	if !j.route.Repeatable() {
+		j.giveUpSent()
+		return done, outcome, true
+	}
+	return again, outcome, true
+}
+
+// notRun reports whether the target states that it did not run the request.
+func (j *job) notRun(a *lines.Answer) bool {
+	return a.Status == http.StatusMisdirectedRequest || a.Header.Get(j.g.Settings.Dialect.NotRun) != ""
+}
+
+func drainBody(a *lines.Answer) { _, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxBuffered)) }
+
+// passWhole reads the answer to its end before the caller sees any of it, so
+// that one that breaks off is never taken for whole.
+func (j *job) passWhole(a *lines.Answer, grant *dispatch.Grant) (verdict, dispatch.Outcome, bool) {
+	var b bytes.Buffer
+	_, err := io.Copy(&b, io.LimitReader(a.Body, maxBuffered))
+	if err != nil {
+		j.last = "answer broke off: " + err.Error()
+		j.mayHaveRun = true
+		outcome := dispatch.Broken
+		if j.r.Context().Err() != nil || time.Now().After(j.deadline) {
+			outcome = dispatch.Cancelled
+		}
+		if j.route.Repeatable() && j.route.Kind != plan.Streaming {
+			return again, outcome, true
+		}
+		j.giveUpSent()
+		return done, outcome, true
+	}
+	j.copyHeader(a)
+	if !bodyless(a.Status, j.r.Method) {
+		j.w.Header().Set("Content-Length", strconv.Itoa(b.Len()))
+	}
+	j.w.WriteHeader(a.Status)
+	_, _ = j.w.Write(b.Bytes())
+	j.answered(a.Status, grant)
+	if a.Status >= 500 {
+		return done, dispatch.Failed, true
+	}
+	return done, dispatch.Served, true
+}
+
+func bodyless(status int, method string) bool {
+	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
+}
+
+// copyHeader passes the target's header on, less what concerns a connection.
+func (j *job) copyHeader(a *lines.Answer) {
+	h := j.w.Header()
+	for name, values := range a.Header {
+		h[name] = values
+	}
+	for _, name := range hopHeaders {
+		delete(h, name)
+	}
+	if _, ok := a.Header["Content-Type"]; !ok {
+		h["Content-Type"] = nil
+	}
+	if _, ok := a.Header["Date"]; !ok {
+		h["Date"] = nil
+	}
+	if j.g.stopping.Load() {
+		h.Set("Connection", "close")
+	}
+}
--- /dev/null
+++ b/internal/role/gateway/weights.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"io"
+	"log"
+	"sync"
+	"time"
+
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/site/follow"
+)
+
+// weightsClock remembers since when a version of weights is known.
+type weightsClock struct {
+	mu sync.Mutex
+	// known is the versions of each model, in ascending order.
+	known map[id.Model][]named
+}
+
+type named struct {
+	version int64
+	since   time.Time
+	// first tells that the process learnt it with its first view, so that it
+	// may have been named long before.
+	first bool
+}
+
+// note takes in the versions of a view.
+func (c *weightsClock) note(v *follow.View) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first := c.known == nil
+	if first {
+		if v.Plan == nil {
+			return
+		}
+		c.known = map[id.Model][]named{}
+	}
+	for m, version := range v.Weights {
+		if n := len(c.known[m]); n == 0 || c.known[m][n-1].version < version {
+			c.known[m] = append(c.known[m], named{version: version, since: time.Now(), first: first})
+		}
+	}
+}
+
+// required returns the oldest version that a request may begin on now.
+func (c *weightsClock) required(m id.Model, due time.Duration) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out int64
+	for _, n := range c.known[m] {
+		if n.first || time.Since(n.since) >= due {
+			out = n.version
+		}
+	}
+	return out
+}
+
+// OnView takes in a new view.
+func (g *Gateway) OnView(v *follow.View) {
+	g.weights.note(v)
+	g.Board.Update(v)
+}
+
+// quietLog drops the lines of net/http about connections of callers.
+func quietLog() *log.Logger { return log.New(io.Discard, "", 0) }
--- /dev/null
+++ b/internal/role/steward/steward.go
@@ -0,0 +1,177 @@
+// Package steward is the role that holds a site's agreed state and the
+// targets that announce themselves, and tells both to its followers.
+package steward
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"egretproxy/internal/agreement/seat"
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/boottime"
+	"egretproxy/internal/kernel/metrics"
+	"egretproxy/internal/site/charter"
+	"egretproxy/internal/site/feed"
+	"egretproxy/internal/site/muster"
+	"egretproxy/internal/wire/rpc"
+)
+
+const (
+	// proposeTimeout is the longest wait for a quorum. Operators go to
+	// another keeper after a second without an answer.
+	proposeTimeout = 2500 * time.Millisecond
+	// confirmTimeout bounds one confirmation by the leader.
+	confirmTimeout = 1500 * time.Millisecond
+	// confirmInterval keeps what entries believe well below their leases.
+	confirmInterval = 400 * time.Millisecond
+	// followedFor is how long a follower counts after its last call.
+	followedFor = 10 * time.Second
+	epochBytes  = 8
+	// RoleEntry is the role of followers that pass requests on.
+	RoleEntry = "Entry"
+)
+
+// Steward is one running keeper of a site. It is safe for concurrent use.
+// Lock order: mu before those of charter and muster, which never call out.
+type Steward struct {
+	// Charter is the agreed state.
+	Charter charter.Charter
+	// Muster is the targets that announced themselves here.
+	Muster  muster.Muster
+	seat    *seat.Seat
+	metrics *metrics.Set
+	epoch   string
+
+	mu sync.Mutex
+	// confirmedAt is when the newest confirmation began, by the clock of
+	// boottime. Zero means never.
+	confirmedAt time.Duration
+	// followers is the time of each follower's last call, by role and name.
+	followers map[follower]time.Time
+}
+
+type follower struct{ role, name string }
+
+// New returns a steward whose seat is set up but not running.
+func New(cfg seat.Config, set *metrics.Set) (*Steward, error) {
+	var b [epochBytes]byte
+	_, _ = rand.Read(b[:])
+	s := &Steward{metrics: set, epoch: hex.EncodeToString(b[:]), followers: map[follower]time.Time{}}
+	cfg.Machine = &s.Charter
+	cfg.Handlers = map[string]rpc.Handler{feed.MethodWatch: s.handleWatch}
+	cfg.OnLead = func(leads bool) {
+		klog.InfoS("Leadership changed", "Leads", leads)
+		if leads {
+			set.Count("LeadershipWon")
+		}
+	}
+	var err error
+	s.seat, err = seat.Open(cfg)
+	return s, err
+}
+
+// Run serves followers and other keepers until the context ends.
+func (s *Steward) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return s.seat.Run(ctx) })
+	g.Go(func() error { s.confirmAll(ctx); return nil })
+	return g.Wait()
+}
+
+// Propose makes a change and returns once a quorum has stored it.
+func (s *Steward) Propose(ctx context.Context, c charter.Command) error {
+	data, err := charter.Encode(c)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	return s.seat.Propose(ctx, data)
+}
+
+// Confirmed returns the agreed state with every change that was acknowledged
+// before the call.
+func (s *Steward) Confirmed(ctx context.Context) (charter.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	if err := s.seat.Confirm(ctx); err != nil {
+		return charter.State{}, err
+	}
+	return s.Charter.State(), nil
+}
+
+// confirmAll keeps the confirmation fresh while there are followers.
+func (s *Steward) confirmAll(ctx context.Context) {
+	ticker := time.NewTicker(confirmInterval)
+	defer ticker.Stop()
+	lost := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if s.followed("") == 0 {
+			continue
+		}
+		began := boottime.Now()
+		_, err := s.Confirmed(ctx)
+		if (err != nil) != lost {
+			lost = err != nil
+			klog.InfoS("Confirmation by the quorum changed", "Lost", lost, "Error", text(err))
+		}
+		if err != nil {
+			s.metrics.Count("ConfirmationFailed")
+			continue
+		}
+		s.mu.Lock()
+		s.confirmedAt = max(s.confirmedAt, began)
+		s.mu.Unlock()
+	}
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// followed returns the number of followers with the role, or of all.
+func (s *Steward) followed(role string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for f, at := range s.followers {
+		if time.Since(at) > followedFor {
+			delete(s.followers, f)
+			continue
+		}
+		if role == "" || f.role == role {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *Steward) keepers() []string {
+	var out []string
+	for _, m := range s.seat.Status().Membership.Members {
+		out = append(out, m.Address)
+	}
+	return out
+}
+
+func domains(withdrawn map[id.Domain]bool) []id.Domain {
+	var out []id.Domain
+	for d := range withdrawn {
+		out = append(out, d)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/site/charter/charter.go
@@ -0,0 +1,164 @@
+// Package charter is the agreed state of a site: the plan in force, the
+// failure domains that are withdrawn and the versions of weights that are
+// named. Keepers feed it from the agreed log.
+package charter
+
+import (
+	"maps"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/site/plan"
+)
+
+// Command is one change. Exactly one of its parts is set.
+type Command struct {
+	Plan     *PlanChange    `cbor:",omitempty"`
+	Withdraw *DomainChange  `cbor:",omitempty"`
+	Weights  *WeightsChange `cbor:",omitempty"`
+}
+
+// PlanChange sets a plan if its version is higher than the one in force.
+type PlanChange struct {
+	Version plan.Version
+	// Document is the plan as the operator sent it.
+	Document []byte
+}
+
+// DomainChange withdraws a failure domain or takes it back.
+type DomainChange struct {
+	Domain id.Domain
+	Out    bool
+}
+
+// WeightsChange names a version of a model's weights. Lower ones than the
+// newest change nothing.
+type WeightsChange struct {
+	Model   id.Model
+	Version int64
+}
+
+// State is the agreed state at one position of the log.
+type State struct {
+	// Index is the position of the last change that had an effect.
+	Index uint64
+	// Version and Document are those of the plan in force; 0 and nil before
+	// the first.
+	Version  plan.Version
+	Document []byte
+	// PlanIndex is the position at which the plan was set.
+	PlanIndex uint64
+	Withdrawn map[id.Domain]bool
+	Weights   map[id.Model]int64
+}
+
+// Charter is safe for concurrent use. The zero value is the empty state.
+type Charter struct {
+	mu    sync.Mutex
+	state State
+	// changed is closed and replaced at each effect.
+	changed chan struct{}
+}
+
+// Encode returns the command for the log.
+func Encode(c Command) ([]byte, error) { return cbor.Marshal(c) }
+
+// State returns a copy whose document is shared and must not be changed.
+func (c *Charter) State() State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := c.state
+	out.Withdrawn = maps.Clone(out.Withdrawn)
+	out.Weights = maps.Clone(out.Weights)
+	return out
+}
+
+// Changed returns a channel that is closed at the next effect.
+func (c *Charter) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.changed == nil {
+		c.changed = make(chan struct{})
+	}
+	return c.changed
+}
+
+// Apply implements replica.Machine.
+func (c *Charter) Apply(index uint64, command []byte) []byte {
+	var in Command
+	if err := cbor.Unmarshal(command, &in); err != nil {
+		return []byte(err.Error())
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.state.apply(index, in) {
+		return nil
+	}
+	c.state.Index = index
+	c.wake()
+	return nil
+}
+
+// apply reports whether the command had an effect.
+func (s *State) apply(index uint64, in Command) bool {
+	switch {
+	case in.Plan != nil:
+		if in.Plan.Version <= s.Version && s.Document != nil {
+			return false
+		}
+		s.Version, s.Document, s.PlanIndex = in.Plan.Version, in.Plan.Document, index
+	case in.Withdraw != nil:
+		if s.Withdrawn[in.Withdraw.Domain] == in.Withdraw.Out {
+			return false
+		}
+		if s.Withdrawn == nil {
+			s.Withdrawn = map[id.Domain]bool{}
+		}
+		s.Withdrawn[in.Withdraw.Domain] = in.Withdraw.Out
+		if !in.Withdraw.Out {
+			delete(s.Withdrawn, in.Withdraw.Domain)
+		}
+	case in.Weights != nil:
+		if in.Weights.Version <= s.Weights[in.Weights.Model] {
+			return false
+		}
+		if s.Weights == nil {
+			s.Weights = map[id.Model]int64{}
+		}
+		s.Weights[in.Weights.Model] = in.Weights.Version
+	default:
+		return false
+	}
+	return true
+}
+
+// Snapshot implements replica.Machine.
+func (c *Charter) Snapshot() ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return cbor.Marshal(c.state)
+}
+
+// Restore implements replica.Machine.
+func (c *Charter) Restore(data []byte) error {
+	var s State
+	if err := cbor.Unmarshal(data, &s); err != nil {
+		return errors.Wrap(err, "decode state of the site")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state = s
+	c.wake()
+	return nil
+}
+
+// wake runs under mu.
+func (c *Charter) wake() {
+	if c.changed != nil {
+		close(c.changed)
+		c.changed = nil
+	}
+}
--- /dev/null
+++ b/internal/site/feed/feed.go
@@ -0,0 +1,59 @@
+// Package feed defines what keepers send to the processes that follow them.
+package feed
+
+import (
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/site/muster"
+	"egretproxy/internal/site/plan"
+)
+
+// MethodWatch is the call of followers. It answers at once if there is news,
+// and otherwise after Watch.HoldMs.
+const MethodWatch = "site.watch"
+
+// Watch tells what the follower holds.
+type Watch struct {
+	// Name identifies the follower, Role is what it does.
+	Name, Role string
+	// Epoch is that of the keeper's last answer; another one makes Targets
+	// void.
+	Epoch string
+	// Index is the position of the agreed state held, 0 for none.
+	Index uint64
+	// PlanIndex is the position of the plan held.
+	PlanIndex uint64
+	// Targets is the position of the targets held.
+	Targets uint64
+	// HoldMs is the longest wait for news in milliseconds.
+	HoldMs int64
+}
+
+// News is the answer to Watch.
+type News struct {
+	// Epoch names the keeper's incarnation.
+	Epoch string
+	// Confirmed tells that a quorum confirmed the state. Then ConfirmedMs
+	// is when that confirmation began, in milliseconds after the call
+	// arrived. It is negative for an earlier one.
+	Confirmed   bool
+	ConfirmedMs int64
+	State       *State `json:",omitempty"`
+	// Position and Targets are the announcements that changed.
+	Position uint64
+	Targets  []muster.Target `json:",omitempty"`
+	// Keepers is the addresses of all members.
+	Keepers []string
+	// Entries is the number of entries that follow this keeper.
+	Entries int
+}
+
+// State is the agreed state of the site.
+type State struct {
+	Index     uint64
+	PlanIndex uint64
+	Version   plan.Version
+	// Document is left out if the follower holds it.
+	Document  []byte `json:",omitempty"`
+	Withdrawn []id.Domain
+	Weights   map[id.Model]int64
+}
--- /dev/null
+++ b/internal/site/follow/view.go
@@ -0,0 +1,112 @@
+package follow
+
+import (
+	"time"
+
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/site/muster"
+	"egretproxy/internal/site/plan"
+)
+
+// View is what a follower believes. It is immutable.
+type View struct {
+	// Plan is nil until one is known.
+	Plan *plan.Plan
+	// Withdrawn is the failure domains that are out of service.
+	Withdrawn map[id.Domain]bool
+	// Weights is the newest version named of each model.
+	Weights map[id.Model]int64
+	// Targets is all targets that are alive and have not left.
+	Targets map[id.Target]muster.Target
+	// Entries is the number of entries known, 1 at least.
+	Entries int
+}
+
+// list is what one keeper told.
+type list struct {
+	epoch    string
+	position uint64
+	targets  map[id.Target]muster.Target
+	// retained is what the keeper told before it restarted. It counts until
+	// the targets had time to announce themselves again.
+	retained      map[id.Target]muster.Target
+	retainedUntil time.Time
+	// heard is the time of its last answer.
+	heard   time.Time
+	entries int
+	keepers []string
+}
+
+// take replaces or extends the list.
+func (l *list) take(epoch string, position uint64, targets []muster.Target) {
+	if l.epoch != epoch {
+		if len(l.targets) > 0 {
+			l.retained, l.retainedUntil = l.targets, time.Now().Add(muster.SilentAfter)
+		}
+		l.targets = map[id.Target]muster.Target{}
+		l.epoch = epoch
+	}
+	for _, t := range targets {
+		l.targets[t.ID] = t
+	}
+	l.position = position
+	l.heard = time.Now()
+}
+
+// merge returns the targets that are alive by all lists together. Of two
+// that claim an address, the younger one holds it.
+func merge(lists map[string]*list) map[id.Target]muster.Target {
+	out := map[id.Target]muster.Target{}
+	for _, l := range lists {
+		if time.Now().Before(l.retainedUntil) {
+			for _, t := range l.retained {
+				add(out, t)
+			}
+		}
+		for _, t := range l.targets {
+			add(out, t)
+		}
+	}
+	holders := map[string]muster.Target{}
+	for _, t := range out {
+		if h, ok := holders[t.Address]; !ok || t.Born > h.Born {
+			holders[t.Address] = t
+		}
+	}
+	for k, t := range out {
+		if t.Stage == muster.Gone || t.Stage == muster.Silent || holders[t.Address].ID != k {
+			delete(out, k)
+		}
+	}
+	return out
+}
+
+// add joins what two keepers know of the same target. An incarnation never
+// returns from draining or leaving, and its version of weights only grows.
+func add(out map[id.Target]muster.Target, t muster.Target) {
+	old, known := out[t.ID]
+	if !known || t.Born > old.Born {
+		out[t.ID] = t
+		return
+	}
+	if t.Born < old.Born {
+		return
+	}
+	merged := old
+	if t.Sequence > old.Sequence {
+		merged = t
+	}
+	merged.Weights = max(t.Weights, old.Weights)
+	merged.Stage = joined(t.Stage, old.Stage)
+	out[t.ID] = merged
+}
+
+func joined(a, b muster.Stage) muster.Stage {
+	if a == muster.Silent {
+		return b
+	}
+	if b == muster.Silent {
+		return a
+	}
+	return max(a, b)
+}
--- /dev/null
+++ b/internal/weights/barter/barter.go
@@ -0,0 +1,132 @@
+// Package barter passes pieces of weights between the processes beside
+// engines, over HTTP.
+package barter
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/alexedwards/flow"
+	"github.com/go-faster/errors"
+
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/weights/relay"
+	"egretproxy/internal/wire/liveness"
+)
+
+const (
+	// maxBytes bounds a piece or manifest.
+	maxBytes = 64 << 20
+	// idleTimeout closes connections to peers between versions.
+	idleTimeout = 5 * time.Second
+	perPeer     = 4
+)
+
+// Client asks peers. Take NewClient.
+type Client struct {
+	http *http.Client
+	// port is where the processes beside engines listen.
+	port string
+}
+
+// NewClient returns a client of the peers, which all listen on the port.
+func NewClient(port string) *Client {
+	return &Client{
+		port: port,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext: liveness.Dialer().DialContext, DisableCompression: true,
+			IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: perPeer, MaxConnsPerHost: perPeer,
+		}},
+	}
+}
+
+// Manifest implements relay.Peers.
+func (c *Client) Manifest(ctx context.Context, address string, b relay.Bundle) (relay.Manifest, error) {
+	var m relay.Manifest
+	data, err := c.get(ctx, address, "/weights/manifest", b, -1)
+	if err != nil {
+		return m, err
+	}
+	return m, json.Unmarshal(data, &m)
+}
+
+// Piece implements relay.Peers.
+func (c *Client) Piece(ctx context.Context, address string, b relay.Bundle, n int) ([]byte, error) {
+	return c.get(ctx, address, "/weights/piece", b, n)
+}
+
+func (c *Client) get(ctx context.Context, address, path string, b relay.Bundle, n int) ([]byte, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	u := fmt.Sprintf("http://%s%s?Model=%s&Version=%d&Piece=%d",
+		net.JoinHostPort(host, c.port), path, url.QueryEscape(string(b.Model)), b.Version, n)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
+	if err != nil {
+		return nil, err
+	}
+	res, err := c.http.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		return nil, errors.Wrap(relay.ErrNotHeld, res.Status)
+	}
+	return io.ReadAll(io.LimitReader(res.Body, maxBytes))
+}
+
+// Handler serves what the relay holds to peers.
+func Handler(r *relay.Relay) http.Handler {
+	mux := flow.New()
+	mux.HandleFunc("/weights/manifest", func(w http.ResponseWriter, q *http.Request) {
+		b, _, err := parse(q)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		m, err := r.ServeManifest(q.Context(), b)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusNotFound)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(m)
+	}, http.MethodGet)
+	mux.HandleFunc("/weights/piece", func(w http.ResponseWriter, q *http.Request) {
+		b, n, err := parse(q)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		data, err := r.Serve(q.Context(), b, n)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusNotFound)
+			return
+		}
+		w.Header().Set("Content-Type", "application/octet-stream")
+		w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+		_, _ = w.Write(data)
+	}, http.MethodGet)
+	return mux
+}
+
+func parse(q *http.Request) (relay.Bundle, int, error) {
+	v := q.URL.Query()
+	version, err := strconv.ParseInt(v.Get("Version"), 10, 64)
+	if err != nil {
+		return relay.Bundle{}, 0, errors.Wrap(err, "version")
+	}
+	n, err := strconv.Atoi(v.Get("Piece"))
+	if err != nil {
+		return relay.Bundle{}, 0, errors.Wrap(err, "piece")
+	}
+	return relay.Bundle{Model: id.Model(v.Get("Model")), Version: version}, n, nil
+}
--- /dev/null
+++ b/internal/weights/relay/fetch.go
@@ -0,0 +1,160 @@
+package relay
+
+import (
+	"context"
+
+	"k8s.io/klog/v2"
+)
+
+// anyPiece asks the routes for the manifest.
+const anyPiece = 0
+
+// fetch returns a checked piece from memory, a peer or the origin.
+func (r *Relay) fetch(ctx context.Context, b Bundle, n int) ([]byte, error) {
+	if data := r.kept(b, n); data != nil {
+		return data, nil
+	}
+	for _, address := range r.Routes(b, n) {
+		data, err := r.fromPeer(ctx, address, b, n)
+		if err == nil {
+			r.keep(b, n, data)
+			return data, nil
+		}
+		klog.V(1).InfoS("Peer did not give a piece", "Peer", address, "Piece", n, "Error", err.Error())
+	}
+	call, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	data, err := r.Origin.Piece(call, b, n)
+	if err != nil {
+		return nil, err
+	}
+	if err := r.check(b, n, data); err != nil {
+		r.doubt(b)
+		return nil, err
+	}
+	r.keep(b, n, data)
+	return data, nil
+}
+
+func (r *Relay) fromPeer(ctx context.Context, address string, b Bundle, n int) ([]byte, error) {
+	call, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	data, err := r.Peers.Piece(call, address, b, n)
+	if err != nil {
+		return nil, err
+	}
+	return data, r.check(b, n, data)
+}
+
+func (r *Relay) kept(b Bundle, n int) []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.of(b).pieces[n]
+}
+
+// doubt forgets the manifest once several pieces of the origin did not match
+// it, as it may have been spoilt on its way itself.
+func (r *Relay) doubt(b Bundle) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := r.of(b)
+	if h.mismatch++; h.mismatch < maxMismatch {
+		return
+	}
+	klog.InfoS("Manifest is doubted and read anew", "Model", b.Model, "Version", b.Version)
+	h.manifest, h.mismatch = nil, 0
+}
+
+// manifest returns the manifest from memory, a peer or the origin.
+func (r *Relay) manifest(ctx context.Context, b Bundle) (Manifest, error) {
+	r.mu.Lock()
+	m := r.of(b).manifest
+	r.mu.Unlock()
+	if m != nil {
+		return *m, nil
+	}
+	for _, address := range r.Routes(b, anyPiece) {
+		call, cancel := context.WithTimeout(ctx, fetchTimeout)
+		got, err := r.Peers.Manifest(call, address, b)
+		cancel()
+		if err == nil {
+			return r.keepManifest(b, got), nil
+		}
+	}
+	call, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	got, err := r.Origin.Manifest(call, b)
+	if err != nil {
+		return Manifest{}, err
+	}
+	return r.keepManifest(b, got), nil
+}
+
+func (r *Relay) keepManifest(b Bundle, m Manifest) Manifest {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := r.of(b)
+	h.manifest = &m
+	h.wake()
+	return m
+}
+
+// Serve returns a piece for a peer. It waits a while for one that is just
+// being fetched, and looks into the own stage for one that it once staged.
+func (r *Relay) Serve(ctx context.Context, b Bundle, n int) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, awaitPiece)
+	defer cancel()
+	if _, err := r.ServeManifest(ctx, b); err != nil {
+		return nil, err
+	}
+	for looked := false; ; {
+		r.mu.Lock()
+		h := r.of(b)
+		data, changed, bringing := h.pieces[n], h.changed, h.bringing
+		r.mu.Unlock()
+		if data != nil {
+			return data, nil
+		}
+		if !looked {
+			looked = true
+			if r.staged(ctx, b, n) {
+				continue
+			}
+		}
+		if !bringing {
+			return nil, ErrNotHeld
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, ErrNotHeld
+		}
+	}
+}
+
+// ServeManifest returns the manifest for a peer. It waits for one that is
+// just being fetched and never asks peers, so that no two wait for each
+// other.
+func (r *Relay) ServeManifest(ctx context.Context, b Bundle) (Manifest, error) {
+	for {
+		r.mu.Lock()
+		h := r.of(b)
+		m, changed, bringing := h.manifest, h.changed, h.bringing
+		r.mu.Unlock()
+		if m != nil {
+			return *m, nil
+		}
+		if !bringing {
+			got, err := r.Origin.Manifest(ctx, b)
+			if err != nil {
+				return Manifest{}, err
+			}
+			return r.keepManifest(b, got), nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return Manifest{}, ErrNotHeld
+		}
+	}
+}
--- /dev/null
+++ b/internal/weights/relay/relay.go
@@ -0,0 +1,252 @@
+// Package relay brings a version of weights to one engine: from engines of
+// the same failure domain where it can, over each link between regions once,
+// and from the origin once. Every piece is checked before it is used or
+// passed on.
+package relay
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"egretproxy/internal/fleet/id"
+)
+
+// Errors of the relay.
+var (
+	// ErrSpoilt tells that bytes do not match their digest.
+	ErrSpoilt = errors.New("piece does not match its digest")
+	// ErrNotHeld tells that a peer does not hold the piece.
+	ErrNotHeld = errors.New("piece is not held")
+)
+
+const (
+	// parallel is the pieces that are fetched at once. A few keep the links
+	// busy while one waits for its source.
+	parallel = 4
+	// awaitPiece is how long a peer is waited for, since it may just be
+	// fetching the piece itself.
+	awaitPiece = 1500 * time.Millisecond
+	// fetchTimeout bounds one transfer.
+	fetchTimeout = 2500 * time.Millisecond
+	retryPause   = 100 * time.Millisecond
+	// maxMismatch is the spoilt pieces from the origin after which the
+	// manifest itself is doubted.
+	maxMismatch = 3
+	// keptVersions is the versions that are kept for peers.
+	keptVersions = 2
+)
+
+// Bundle names a version of a model's weights.
+type Bundle struct {
+	Model   id.Model
+	Version int64
+}
+
+// Manifest lists the SHA-256 digests of the pieces in hexadecimal.
+type Manifest struct{ Digests []string }
+
+// Origin is where weights come from at first.
+type Origin interface {
+	Manifest(ctx context.Context, b Bundle) (Manifest, error)
+	Piece(ctx context.Context, b Bundle, n int) ([]byte, error)
+}
+
+// Peers asks other engines' processes.
+type Peers interface {
+	Manifest(ctx context.Context, address string, b Bundle) (Manifest, error)
+	Piece(ctx context.Context, address string, b Bundle, n int) ([]byte, error)
+}
+
+// Stage is the place of the own engine from which it loads.
+type Stage interface {
+	Put(ctx context.Context, m id.Model, n int, data []byte) error
+	// Get returns ErrNotHeld for a piece that is not there.
+	Get(ctx context.Context, m id.Model, n int) ([]byte, error)
+}
+
+// Routes returns the peers to ask for a piece, best first. The origin comes
+// after them.
+type Routes func(b Bundle, n int) []string
+
+// Relay is safe for concurrent use. Its fields are set before use.
+type Relay struct {
+	Origin Origin
+	Peers  Peers
+	Stage  Stage
+	Routes Routes
+
+	mu      sync.Mutex
+	bundles map[Bundle]*held
+	recent  []Bundle
+}
+
+// held is what is known of one bundle.
+type held struct {
+	manifest *Manifest
+	pieces   map[int][]byte
+	// mismatch counts spoilt pieces from the origin in a row.
+	mismatch int
+	// bringing tells that the bundle is on its way to the own engine.
+	bringing bool
+	// changed is closed and replaced when a piece or the manifest arrives.
+	changed chan struct{}
+}
+
+func (r *Relay) of(b Bundle) *held {
+	if r.bundles == nil {
+		r.bundles = map[Bundle]*held{}
+	}
+	h := r.bundles[b]
+	if h != nil {
+		return h
+	}
+	h = &held{pieces: map[int][]byte{}, changed: make(chan struct{})}
+	r.bundles[b] = h
+	r.recent = append(r.recent, b)
+	if len(r.recent) > keptVersions {
+		delete(r.bundles, r.recent[0])
+		r.recent = r.recent[1:]
+	}
+	return h
+}
+
+func (h *held) wake() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// Bring stages every piece of the bundle at the own engine.
+func (r *Relay) Bring(ctx context.Context, b Bundle) error {
+	r.setBringing(b, true)
+	defer r.setBringing(b, false)
+	m, err := r.manifest(ctx, b)
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(parallel)
+	for _, n := range r.order(b, len(m.Digests)) {
+		g.Go(func() error { return r.bringPiece(ctx, b, n) })
+	}
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	klog.InfoS("Weights are staged", "Model", b.Model, "Version", b.Version, "Took", time.Since(began).String())
+	return nil
+}
+
+func (r *Relay) setBringing(b Bundle, on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.of(b).bringing = on
+}
+
+// order returns the pieces, those first for which this process goes to the
+// origin, so that others need not wait for them.
+func (r *Relay) order(b Bundle, count int) []int {
+	var first, rest []int
+	for n := range count {
+		if len(r.Routes(b, n)) == 0 {
+			first = append(first, n)
+		} else {
+			rest = append(rest, n)
+		}
+	}
+	return append(first, rest...)
+}
+
+func (r *Relay) bringPiece(ctx context.Context, b Bundle, n int) error {
+	if r.staged(ctx, b, n) {
+		return nil
+	}
+	for {
+		data, err := r.fetch(ctx, b, n)
+		if err == nil {
+			err = r.Stage.Put(ctx, b.Model, n, data)
+		}
+		if err == nil {
+			return nil
+		}
+		klog.V(1).InfoS("Piece is not there yet", "Piece", n, "Version", b.Version, "Error", err.Error())
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+// staged reports whether the own engine holds the piece already, as after a
+// restart.
+func (r *Relay) staged(ctx context.Context, b Bundle, n int) bool {
+	data, err := r.Stage.Get(ctx, b.Model, n)
+	if err != nil || r.check(b, n, data) != nil {
+		return false
+	}
+	r.keep(b, n, data)
+	return true
+}
+
+// Verify reads all pieces back and mends those that are missing or spoilt.
+func (r *Relay) Verify(ctx context.Context, b Bundle) error {
+	m, err := r.manifest(ctx, b)
+	if err != nil {
+		return err
+	}
+	for n := range m.Digests {
+		data, err := r.Stage.Get(ctx, b.Model, n)
+		if err == nil && r.check(b, n, data) == nil {
+			continue
+		}
+		klog.InfoS("Staged piece is spoilt or missing", "Piece", n, "Version", b.Version)
+		if err := r.mend(ctx, b, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Relay) mend(ctx context.Context, b Bundle, n int) error {
+	data, err := r.fetch(ctx, b, n)
+	if err != nil {
+		return err
+	}
+	if err := r.Stage.Put(ctx, b.Model, n, data); err != nil {
+		return err
+	}
+	data, err = r.Stage.Get(ctx, b.Model, n)
+	if err != nil {
+		return err
+	}
+	return r.check(b, n, data)
+}
+
+func (r *Relay) check(b Bundle, n int, data []byte) error {
+	r.mu.Lock()
+	m := r.of(b).manifest
+	r.mu.Unlock()
+	if m == nil || n < 0 || n >= len(m.Digests) {
+		return ErrNotHeld
+	}
+	sum := sha256.Sum256(data)
+	if hex.EncodeToString(sum[:]) != m.Digests[n] {
+		return ErrSpoilt
+	}
+	return nil
+}
+
+func (r *Relay) keep(b Bundle, n int, data []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := r.of(b)
+	h.pieces[n] = data
+	h.wake()
+}
--- a/internal/wire/rpc/client.go
+++ b/internal/wire/rpc/client.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"egretproxy/internal/wire/frame"
+	"egretproxy/internal/wire/liveness"
 )
 
 // DefaultDialTimeout bounds the setup of a connection.
@@ -101,7 +102,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	dialer := &net.Dialer{}
+	dialer := liveness.Dialer()
 	if c.TLS != nil {
 		secure := tls.Dialer{NetDialer: dialer, Config: c.TLS}
 		return secure.DialContext(ctx, "tcp", c.Address)
--- a/main.go
+++ b/main.go
@@ -24,6 +24,7 @@
 	_ "egretproxy/internal/target/service"
 	_ "egretproxy/internal/weights/direct"
 	_ "egretproxy/internal/weights/swarm"
+	_ "egretproxy/platform"
 )
 
 func main() {
