weights: pass pieces in chains, load one engine after the other

Cause: engines of the same domain asked for the same piece at once, and the origin's domain passed every piece to all others. Engines loaded in groups of a third. Entries chose the same least busy engine by the same reports.

--- a/internal/exchange/dialect/dialect.go
+++ b/internal/exchange/dialect/dialect.go
@@ -20,6 +20,8 @@
 	Priority string
 	// LastEvent is the event after which a stream goes on.
 	LastEvent string
+	// Usage is the tokens of the prompt and the most of the answer.
+	Usage string
 	// NotRun is on answers of targets that did not run the request.
 	NotRun string
 	// Signature is on answers that a target made.
--- a/internal/exchange/dispatch/acquire.go
+++ b/internal/exchange/dispatch/acquire.go
@@ -32,6 +32,8 @@
 
 	board  *Board
 	target *target
+	// prompt is the tokens that still count as being read.
+	prompt int
 }
 
 type waiter struct {
@@ -52,7 +54,7 @@
 	ahead := s.ahead(a)
 	t, found := b.pick(s, a)
 	if t != nil && ahead == 0 {
-		g := b.grant(s, t, time.Now())
+		g := b.grant(s, t, a, time.Now())
 		b.mu.Unlock()
 		return g, nil
 	}
@@ -142,20 +144,21 @@
 			kept = append(kept, w)
 			continue
 		}
-		w.done <- b.grant(s, t, w.since)
+		w.done <- b.grant(s, t, w.ask, w.since)
 	}
 	clear(s.waiters[len(kept):])
 	s.waiters = kept
 }
 
-func (b *Board) grant(s *service, t *target, since time.Time) *Grant {
+func (b *Board) grant(s *service, t *target, a *Ask, since time.Time) *Grant {
 	now := time.Now()
 	t.own++
+	t.reading += a.Prompt
 	t.bucket.take(now, b.rateFor(s))
 	t.health.begin(now)
 	g := &Grant{
 		Target: t.ID, Address: t.Address, Domain: t.Domain, Busy: b.busy(t), Reported: -1,
-		Waited: now.Sub(since), board: b, target: t,
+		Waited: now.Sub(since), board: b, target: t, prompt: a.Prompt,
 	}
 	if t.reported() {
 		g.Reported = now.Sub(t.loadAt)
@@ -163,6 +166,19 @@
 	return g
 }
 
+// Begun tells that the target has read the prompt.
+func (g *Grant) Begun() {
+	g.board.mu.Lock()
+	defer g.board.mu.Unlock()
+	g.begun()
+}
+
+// begun runs under the board's mu.
+func (g *Grant) begun() {
+	g.target.reading -= g.prompt
+	g.prompt = 0
+}
+
 // End gives the target's place back. It reports whether the target is left
 // out for a while because of the outcome.
 func (g *Grant) End(o Outcome) bool {
@@ -171,6 +187,7 @@
 	defer b.mu.Unlock()
 	now := time.Now()
 	g.target.own--
+	g.begun()
 	ejected := g.target.health.end(now, o)
 	s := b.services[g.target.Service]
 	if s == nil {
--- a/internal/exchange/dispatch/board.go
+++ b/internal/exchange/dispatch/board.go
@@ -34,7 +34,12 @@
 	// while an entry is not known to the others yet.
 	coldMargin = 0.8
 	// homeBonus is what a target of the own region is worth, in requests.
-	homeBonus = 0.8
+	// Besides the thin links it keeps entries of different regions from
+	// choosing the same target by the same reports.
+	homeBonus = 3
+	// readingWeight is the weight of a prompt of usual size that is being
+	// read, in requests: reading holds up all others at an engine.
+	readingWeight = 2
 	// reportFresh is how long a target's own report counts.
 	reportFresh = 1500 * time.Millisecond
 	// defaultSlots stands for targets that name none.
@@ -75,6 +80,8 @@
 	MinWeights int64
 	// Exclude is the targets that it was sent to before.
 	Exclude []id.Target
+	// Prompt is the number of tokens to read first.
+	Prompt int
 }
 
 // Board is safe for concurrent use.
@@ -100,8 +107,10 @@
 type target struct {
 	muster.Target
 	withdrawn bool
-	// own is the requests in progress from this entry.
-	own int
+	// own is the requests in progress from this entry, reading the prompt
+	// tokens of those that have not begun to answer.
+	own     int
+	reading int
 	// load is the newest report, ownThen the requests of this entry in it.
 	load    Load
 	loadAt  time.Time
@@ -288,7 +297,7 @@
 		if !b.hasRoom(s, t) {
 			continue
 		}
-		x := b.busy(t) + rand.Float64()
+		x := b.busy(t) + s.reading(t) + rand.Float64()
 		if b.cfg.Regions[t.Domain] == b.cfg.Home {
 			x -= homeBonus
 		}
@@ -298,3 +307,11 @@
 	}
 	return best, found
 }
+
+// reading returns what the prompts that are being read count, in requests.
+func (s *service) reading(t *target) float64 {
+	if s.spec.Engine == nil || s.spec.Engine.UsualPrompt <= 0 {
+		return 0
+	}
+	return readingWeight * float64(t.reading) / s.spec.Engine.UsualPrompt
+}
--- a/internal/role/gateway/answer.go
+++ b/internal/role/gateway/answer.go
@@ -157,7 +157,16 @@
 	if status >= 500 {
 		kind = failureKind
 	}
+	var first, gap time.Duration
+	events := 0
+	if j.stream != nil {
+		first, gap, events = j.stream.first, j.stream.gap, j.stream.events
+	}
+	if first > j.route.Objective || j.route.Gap > 0 && gap > j.route.Gap {
+		kind = max(kind, notableKind)
+	}
 	j.g.Trail.Note(kind, "Request was answered", "Request", j.id, "Status", status, "Target", grant.Target,
 		"Route", routeName(j.route), "Busy", grant.Busy, "ReportMsAgo", grant.Reported.Milliseconds(),
-		"WaitedMs", j.waited.Milliseconds(), "TookMs", took.Milliseconds(), "Sent", j.sent+1, "Plan", planVersion(j.view.Plan))
+		"WaitedMs", j.waited.Milliseconds(), "TookMs", took.Milliseconds(), "Sent", j.sent+1,
+		"FirstMs", first.Milliseconds(), "GapMs", gap.Milliseconds(), "Events", events, "Plan", planVersion(j.view.Plan))
 }
--- a/internal/role/gateway/run.go
+++ b/internal/role/gateway/run.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -115,7 +116,7 @@
 func (j *job) ask() *dispatch.Ask {
 	return &dispatch.Ask{
 		Service: j.service.Name, Regions: common(j.regions), Priority: j.priority,
-		MaxWait: j.patience(), MinWeights: j.minWeights(), Exclude: j.tried,
+		MaxWait: j.patience(), MinWeights: j.minWeights(), Exclude: j.tried, Prompt: j.prompt(),
 	}
 }
 
@@ -123,6 +124,19 @@
 // from meaning everywhere.
 const nowhere id.Region = "-"
 
+// prompt returns the tokens that an engine must read first.
+func (j *job) prompt() int {
+	if j.service.Engine == nil {
+		return 0
+	}
+	field, _, _ := strings.Cut(j.r.Header.Get(j.g.Settings.Dialect.Usage), ",")
+	n, err := strconv.Atoi(strings.TrimSpace(field))
+	if err != nil || n < 0 {
+		return int(j.service.Engine.UsualPrompt)
+	}
+	return n
+}
+
 // common returns the regions that all lists hold.
 func common(lists [][]id.Region) []id.Region {
 	if len(lists) < 2 {
--- a/internal/role/gateway/stream.go
+++ b/internal/role/gateway/stream.go
@@ -22,6 +22,20 @@
 	events int
 	// begun tells that the caller has the header.
 	begun bool
+	// first is the time to the first event, gap the longest pause after it.
+	first, gap time.Duration
+	at         time.Time
+}
+
+// pace notes when an event passed.
+func (s *stream) pace(began time.Time) {
+	now := time.Now()
+	if s.events == 0 {
+		s.first = now.Sub(began)
+	} else {
+		s.gap = max(s.gap, now.Sub(s.at))
+	}
+	s.at = now
 }
 
 var errOutOfOrder = errors.New("target sent an event out of order")
@@ -31,7 +45,7 @@
 	if j.stream == nil {
 		j.stream = &stream{last: j.r.Header.Get(j.g.Settings.Dialect.LastEvent)}
 	}
-	err := j.copyEvents(a, silent)
+	err := j.copyEvents(a, silent, grant)
 	if err == nil {
 		j.answered(a.Status, grant)
 		return done, dispatch.Served, true
@@ -58,9 +72,10 @@
 
 var errCallerLeft = errors.New("caller left")
 
-func (j *job) copyEvents(a *lines.Answer, silent *silence) error {
+func (j *job) copyEvents(a *lines.Answer, silent *silence, grant *dispatch.Grant) error {
 	r := events.New(a.Body)
 	flush := http.NewResponseController(j.w)
+	begun := false
 	for {
 		event, err := r.Next()
 		if err == io.EOF {
@@ -70,6 +85,10 @@
 			return err
 		}
 		silent.heard()
+		if !begun {
+			begun = true
+			grant.Begun()
+		}
 		if !follows(j.stream.last, r.ID) {
 			return errOutOfOrder
 		}
@@ -85,6 +104,7 @@
 		if err := flush.Flush(); err != nil {
 			return errCallerLeft
 		}
+		j.stream.pace(j.began)
 		j.stream.last = r.ID
 		j.stream.events++
 	}
--- a/internal/role/tender/choose.go
+++ b/internal/role/tender/choose.go
@@ -1,6 +1,7 @@
 package tender
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 
@@ -23,30 +24,34 @@
 	return best
 }
 
-// rank returns the position of the address among the targets of a service.
-// Targets are ordered by failure domain, so that waves spread over all.
-func rank(targets map[id.Target]muster.Target, service id.Service, address string) int {
-	var all []string
+// rank returns the position of the address among the targets of a service,
+// and their number. Neighbours are of different failure domains.
+func rank(targets map[id.Target]muster.Target, service id.Service, address string) (at, count int) {
+	domains := map[id.Domain][]string{}
 	for _, t := range targets {
 		if t.Service == service {
-			all = append(all, string(t.Domain)+"/"+t.Address)
+			domains[t.Domain] = append(domains[t.Domain], t.Address)
 		}
 	}
-	slices.Sort(all)
-	for i, a := range all {
-		_, own := cut(a)
-		if own == address {
-			return i
+	type place struct {
+		row     int
+		domain  id.Domain
+		address string
+	}
+	var all []place
+	for d, addresses := range domains {
+		slices.Sort(addresses)
+		for row, a := range addresses {
+			all = append(all, place{row, d, a})
 		}
 	}
-	return 0
-}
-
-func cut(key string) (domain, address string) {
-	for i := range key {
-		if key[i] == '/' {
-			return key[:i], key[i+1:]
+	slices.SortFunc(all, func(a, b place) int {
+		return cmp.Or(cmp.Compare(a.row, b.row), cmp.Compare(a.domain, b.domain))
+	})
+	for i, p := range all {
+		if p.address == address {
+			at = i
 		}
 	}
-	return "", key
+	return at, max(len(all), 1)
 }
--- a/internal/role/tender/tend.go
+++ b/internal/role/tender/tend.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -15,12 +14,11 @@
 const (
 	// tendInterval is how often the version is compared.
 	tendInterval = 100 * time.Millisecond
-	// waves is the number of groups that the engines of a service load in.
-	waves = 3
-	// firstWave leaves time to stage; waveGap is about a stream and a load.
-	// The last wave ends well before the bound of 8 s after the naming.
-	firstWave = 2200 * time.Millisecond
-	waveGap   = 1300 * time.Millisecond
+	// firstLoad leaves time to stage. Engines load one after the other over
+	// loadSpan, so that few are out of service at once; the last one ends
+	// before requests must run on the new version, 8 s after its naming.
+	firstLoad = 2400 * time.Millisecond
+	loadSpan  = 3600 * time.Millisecond
 	// announceFirst is how long entries are told before the order goes out.
 	announceFirst = 60 * time.Millisecond
 	// loadTimeout is the longest wait for a load before it is ordered again.
@@ -84,7 +82,7 @@
 		return err
 	}
 	if r.Weights > 0 {
-		t.awaitWave(ctx, b)
+		t.awaitTurn(ctx, b)
 	}
 	if err := t.Relay.Verify(ctx, b); err != nil {
 		return err
@@ -121,14 +119,14 @@
 	}
 }
 
-// awaitWave waits for the engine's turn, so that most engines serve while
+// awaitTurn waits for the engine's turn, so that most engines serve while
 // others load.
-func (t *Tender) awaitWave(ctx context.Context, b relay.Bundle) {
+func (t *Tender) awaitTurn(ctx context.Context, b relay.Bundle) {
 	t.mu.Lock()
 	named := t.named[b]
 	t.mu.Unlock()
-	wave := rank(t.Follower.View().Targets, t.Settings.Service, t.Settings.Address) % waves
-	sleep(ctx, time.Until(named.Add(firstWave+time.Duration(wave)*waveGap)))
+	i, n := rank(t.Follower.View().Targets, t.Settings.Service, t.Settings.Address)
+	sleep(ctx, time.Until(named.Add(firstLoad+loadSpan*time.Duration(i)/time.Duration(n))))
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -143,55 +141,6 @@
 	}
 }
 
-// Routes returns the peers to ask for a piece, best first: one of the own
-// failure domain that holds the version, the one there that brings the piece
-// in, one elsewhere that holds it, and the one that draws it from the origin.
-// An empty answer means that this process draws it.
-func (t *Tender) Routes(b relay.Bundle, n int) []string {
-	v := t.Follower.View()
-	if v.Plan == nil {
-		return nil
-	}
-	var near, nearHolding, holding, drawing, all []string
-	origin := originDomain(v.Plan)
-	for _, o := range v.Targets {
-		if o.Service != t.Settings.Service {
-			continue
-		}
-		all = append(all, o.Address)
-		if o.Domain == t.Settings.Domain {
-			near = append(near, o.Address)
-		}
-		if o.Domain == origin {
-			drawing = append(drawing, o.Address)
-		}
-		if o.Weights == b.Version && o.Address != t.Settings.Address {
-			holding = append(holding, o.Address)
-			if o.Domain == t.Settings.Domain {
-				nearHolding = append(nearHolding, o.Address)
-			}
-		}
-	}
-	if len(drawing) == 0 {
-		drawing = all
-	}
-	var out []string
-	for _, group := range [][]string{nearHolding, near, holding, drawing} {
-		a := chosen(group, n)
-		if a == t.Settings.Address && len(holding) == 0 {
-			// The next group holds the piece's source for this process.
-			continue
-		}
-		if a != "" && a != t.Settings.Address && !slices.Contains(out, a) {
-			out = append(out, a)
-		}
-	}
-	if chosen(drawing, n) == t.Settings.Address && len(holding) == 0 {
-		return nil
-	}
-	return out
-}
-
 // originDomain returns where the origin of weights is.
 func originDomain(p *plan.Plan) id.Domain {
 	for _, s := range p.Services {
--- a/internal/role/tender/tender.go
+++ b/internal/role/tender/tender.go
@@ -24,7 +24,7 @@
 const (
 	// reportInterval is how often the engine is asked for its load while
 	// entries listen. It bounds the error of their choice to a few requests.
-	reportInterval = 100 * time.Millisecond
+	reportInterval = 50 * time.Millisecond
 	// idleInterval is the same while nobody listens.
 	idleInterval = 500 * time.Millisecond
 	// repeatInterval is how often an unchanged load is sent again.
--- a/internal/weights/barter/barter.go
+++ b/internal/weights/barter/barter.go
@@ -26,7 +26,7 @@
 	maxBytes = 64 << 20
 	// idleTimeout closes connections to peers between versions.
 	idleTimeout = 5 * time.Second
-	perPeer     = 4
+	perPeer     = 8
 )
 
 // Client asks peers. Take NewClient.
--- a/internal/weights/relay/relay.go
+++ b/internal/weights/relay/relay.go
@@ -5,9 +5,12 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,14 +30,14 @@
 )
 
 const (
-	// parallel is the pieces that are fetched at once. A few keep the links
-	// busy while one waits for its source.
-	parallel = 4
+	// parallel is the pieces that are fetched at once. Most of them wait for
+	// a source that is just fetching the piece itself.
+	parallel = 8
 	// awaitPiece is how long a peer is waited for, since it may just be
 	// fetching the piece itself.
-	awaitPiece = 1500 * time.Millisecond
+	awaitPiece = 2200 * time.Millisecond
 	// fetchTimeout bounds one transfer.
-	fetchTimeout = 2500 * time.Millisecond
+	fetchTimeout = 2800 * time.Millisecond
 	retryPause   = 100 * time.Millisecond
 	// maxMismatch is the spoilt pieces from the origin after which the
 	// manifest itself is doubted.
@@ -81,6 +84,9 @@
 	Peers  Peers
 	Stage  Stage
 	Routes Routes
+	// Duty ranks a piece by how many depend on this process for it; 0 comes
+	// first.
+	Duty func(b Bundle, n int) int
 
 	mu      sync.Mutex
 	bundles map[Bundle]*held
@@ -149,18 +155,12 @@
 	r.of(b).bringing = on
 }
 
-// order returns the pieces, those first for which this process goes to the
-// origin, so that others need not wait for them.
+// order returns the pieces, those first that others get from here. The rest
+// is shuffled, so that not all processes ask the same source at once.
 func (r *Relay) order(b Bundle, count int) []int {
-	var first, rest []int
-	for n := range count {
-		if len(r.Routes(b, n)) == 0 {
-			first = append(first, n)
-		} else {
-			rest = append(rest, n)
-		}
-	}
-	return append(first, rest...)
+	out := rand.Perm(count)
+	slices.SortStableFunc(out, func(x, y int) int { return cmp.Compare(r.Duty(b, x), r.Duty(b, y)) })
+	return out
 }
 
 func (r *Relay) bringPiece(ctx context.Context, b Bundle, n int) error {
