--- a/internal/agreement/replica/apply.go
+++ b/internal/agreement/replica/apply.go
@@ -51,8 +51,11 @@
 func (r *Replica) apply(ready raft.Ready) error {
 	applied := r.appliedIndex()
 	if ready.Snapshot != nil {
-		if err := r.machine.Restore(ready.Snapshot.Data); err != nil {
-			return errors.Wrap(err, "restore snapshot")
+		// The snapshot of a group's first start holds no state.
+		if len(ready.Snapshot.Data) > 0 {
+			if err := r.machine.Restore(ready.Snapshot.Data); err != nil {
+				return errors.Wrap(err, "restore snapshot")
+			}
 		}
 		applied = ready.Snapshot.Index
 	}
--- a/internal/kernel/trail/trail.go
+++ b/internal/kernel/trail/trail.go
@@ -28,7 +28,7 @@
 
 // budgets is the lines in a second of each kind. Failures go before
 // successes, as they are what is looked for afterwards.
-var budgets = [kinds]int{400, 400, 400}
+var budgets = [kinds]int{4, 10, 30}
 
 var names = [kinds]string{"Usual", "Notable", "Failure"}
 
