--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -50,6 +50,9 @@
 	// WeightsDue is how long after a version was named requests may begin on
 	// an older one.
 	WeightsDue time.Duration
+	// SettleTime is how long after a disturbance of the keepers that time
+	// begins to count.
+	SettleTime time.Duration
 	// Grace is the time from the request to stop until the process is killed.
 	Grace   time.Duration
 	Dialect dialect.Dialect
--- a/internal/role/gateway/weights.go
+++ b/internal/role/gateway/weights.go
@@ -43,13 +43,25 @@
 	}
 }
 
-// required returns the oldest version that a request may begin on now.
-func (c *weightsClock) required(m id.Model, due time.Duration) int64 {
+// learntLate is the time that is left for a version that was known before
+// the process started. It is below the time after which a restarted process
+// is expected to be up to date.
+const learntLate = 2500 * time.Millisecond
+
+// required returns the oldest version that a request may begin on now. The
+// time that is given for a version counts anew after each disturbance of the
+// keepers, as the users' rules allow: targets that still hold the older one
+// are then better than none.
+func (c *weightsClock) required(m id.Model, due, calm time.Duration) int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out int64
 	for _, n := range c.known[m] {
-		if n.first || time.Since(n.since) >= due {
+		limit := due
+		if n.first {
+			limit = learntLate
+		}
+		if min(time.Since(n.since), calm) >= limit {
 			out = n.version
 		}
 	}
--- a/internal/role/steward/steward.go
+++ b/internal/role/steward/steward.go
@@ -47,6 +47,7 @@
 	seat    *seat.Seat
 	metrics *metrics.Set
 	epoch   string
+	region  id.Region
 
 	mu sync.Mutex
 	// confirmedAt is when the newest confirmation began, by the clock of
@@ -58,11 +59,11 @@
 
 type follower struct{ role, name string }
 
-// New returns a steward whose seat is set up but not running.
-func New(cfg seat.Config, set *metrics.Set) (*Steward, error) {
+// New returns a steward of a region whose seat is set up but not running.
+func New(cfg seat.Config, region id.Region, set *metrics.Set) (*Steward, error) {
 	var b [epochBytes]byte
 	_, _ = rand.Read(b[:])
-	s := &Steward{metrics: set, epoch: hex.EncodeToString(b[:]), followers: map[follower]time.Time{}}
+	s := &Steward{metrics: set, region: region, epoch: hex.EncodeToString(b[:]), followers: map[follower]time.Time{}}
 	cfg.Machine = &s.Charter
 	cfg.Handlers = map[string]rpc.Handler{feed.MethodWatch: s.handleWatch}
 	cfg.OnLead = func(leads bool) {
--- a/internal/role/steward/watch.go
+++ b/internal/role/steward/watch.go
@@ -57,7 +57,8 @@
 		return true
 	}
 	changed, _ := s.Muster.Since(in.Targets)
-	return len(changed) > 0 || s.Charter.State().Index > in.Index
+	st := s.Charter.State()
+	return len(changed) > 0 || st.Index > in.Index || in.Document && st.PlanIndex > in.PlanIndex
 }
 
 func (s *Steward) news(in feed.Watch, arrived time.Duration) feed.News {
@@ -68,19 +69,20 @@
 		in.Targets = 0
 	}
 	out := feed.News{
-		Epoch: s.epoch, Confirmed: confirmed > 0, ConfirmedMs: (confirmed - arrived).Milliseconds(),
+		Epoch: s.epoch, Region: s.region, Confirmed: confirmed > 0, ConfirmedMs: (confirmed - arrived).Milliseconds(),
 		Keepers: s.keepers(), Entries: s.followed(RoleEntry),
 	}
 	out.Targets, out.Position = s.Muster.Since(in.Targets)
 	st := s.Charter.State()
-	if st.Index <= in.Index {
+	wanted := in.Document && st.PlanIndex > in.PlanIndex
+	if st.Index <= in.Index && !wanted {
 		return out
 	}
 	out.State = &feed.State{
 		Index: st.Index, PlanIndex: st.PlanIndex, Version: st.Version,
 		Withdrawn: domains(st.Withdrawn), Weights: st.Weights,
 	}
-	if st.PlanIndex > in.PlanIndex {
+	if wanted {
 		out.State.Document = st.Document
 	}
 	return out
--- a/internal/role/tender/routes.go
+++ b/internal/role/tender/routes.go
@@ -76,8 +76,7 @@
 // the version, the one nearby that brings the piece in, one elsewhere that
 // holds it, and whoever has it earlier in the chain. It is empty for the one
 // that draws the piece from the origin.
-func (f *fleet) sources(n int) []string {
-	var out []string
+func (f *fleet) sources(n int) (out []string, drawn bool) {
 	add := func(a string) {
 		if a != "" && a != f.own && !slices.Contains(out, a) {
 			out = append(out, a)
@@ -90,7 +89,7 @@
 		add(chosen(f.holding[d], n))
 	}
 	if f.held {
-		return out
+		return out, false
 	}
 	// Backwards along the chain, from the domain before the own one.
 	chain := f.chain(n)
@@ -100,14 +99,14 @@
 	if near != f.own {
 		add(chosen(f.domains[f.origin], n))
 	}
-	return out
+	return out, len(out) > 0
 }
 
 // Routes implements relay.Routes.
-func (t *Tender) Routes(b relay.Bundle, n int) []string {
+func (t *Tender) Routes(b relay.Bundle, n int) (peers []string, drawn bool) {
 	v := t.Follower.View()
 	if v.Plan == nil {
-		return nil
+		return nil, false
 	}
 	f := t.fleet(v, b)
 	return f.sources(n)
--- a/internal/role/tender/tend.go
+++ b/internal/role/tender/tend.go
@@ -19,6 +19,8 @@
 	// before requests must run on the new version, 8 s after its naming.
 	firstLoad = 2400 * time.Millisecond
 	loadSpan  = 3600 * time.Millisecond
+	// lateSpan is the same for weights that were staged too late.
+	lateSpan = 1500 * time.Millisecond
 	// announceFirst is how long entries are told before the order goes out.
 	announceFirst = 60 * time.Millisecond
 	// loadTimeout is the longest wait for a load before it is ordered again.
@@ -126,7 +128,12 @@
 	named := t.named[b]
 	t.mu.Unlock()
 	i, n := rank(t.Follower.View().Targets, t.Settings.Service, t.Settings.Address)
-	sleep(ctx, time.Until(named.Add(firstLoad+loadSpan*time.Duration(i)/time.Duration(n))))
+	part := func(span time.Duration) time.Duration { return span * time.Duration(i) / time.Duration(n) }
+	turn := time.Until(named.Add(firstLoad + part(loadSpan)))
+	if time.Since(named) > firstLoad+loadSpan {
+		turn = part(lateSpan)
+	}
+	sleep(ctx, turn)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/site/charter/charter.go
+++ b/internal/site/charter/charter.go
@@ -24,7 +24,7 @@
 // PlanChange sets a plan if its version is higher than the one in force.
 type PlanChange struct {
 	Version plan.Version
-	// Document is the plan as the operator sent it.
+	// Document is the plan as the operator sent it, packed.
 	Document []byte
 }
 
--- a/internal/site/feed/feed.go
+++ b/internal/site/feed/feed.go
@@ -22,6 +22,9 @@
 	Index uint64
 	// PlanIndex is the position of the plan held.
 	PlanIndex uint64
+	// Document asks for the plan if it is newer than PlanIndex. A follower
+	// asks one keeper only, since plans are large.
+	Document bool
 	// Targets is the position of the targets held.
 	Targets uint64
 	// HoldMs is the longest wait for news in milliseconds.
@@ -32,6 +35,8 @@
 type News struct {
 	// Epoch names the keeper's incarnation.
 	Epoch string
+	// Region is where the keeper is.
+	Region id.Region
 	// Confirmed tells that a quorum confirmed the state. Then ConfirmedMs
 	// is when that confirmation began, in milliseconds after the call
 	// arrived. It is negative for an earlier one.
@@ -52,7 +57,7 @@
 	Index     uint64
 	PlanIndex uint64
 	Version   plan.Version
-	// Document is left out if the follower holds it.
+	// Document is compressed. It is left out unless the follower asked for it.
 	Document  []byte `json:",omitempty"`
 	Withdrawn []id.Domain
 	Weights   map[id.Model]int64
--- a/internal/site/follow/follow.go
+++ b/internal/site/follow/follow.go
@@ -9,12 +9,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
 
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/kernel/boottime"
 	"egretproxy/internal/site/feed"
 	"egretproxy/internal/site/muster"
+	"egretproxy/internal/site/packed"
 	"egretproxy/internal/site/plan"
 	"egretproxy/internal/wire/rpc"
 )
@@ -23,6 +25,8 @@
 	// hold is how long a keeper may wait for news. It bounds how old the
 	// confirmation gets.
 	hold = 600 * time.Millisecond
+	// lazyHold is the same for processes that need no confirmation.
+	lazyHold = 1800 * time.Millisecond
 	// answerTimeout bounds one call beyond hold. A silent connection is
 	// given up after it.
 	answerTimeout = 700 * time.Millisecond
@@ -32,6 +36,14 @@
 	retryPause = 100 * time.Millisecond
 	// refreshInterval is how often silence and restarts are looked at.
 	refreshInterval = 500 * time.Millisecond
+	// withheldPause and withheldFor are the waits for a plan from the
+	// preferred keeper before all others are asked for it.
+	withheldPause = 60 * time.Millisecond
+	withheldFor   = 250 * time.Millisecond
+	// minPlanPause keeps a storm of plans from using up the processor. It is
+	// well below the time in which a plan must be in force.
+	minPlanPause  = 200 * time.Millisecond
+	lazyPlanPause = time.Second
 	// maxKeepers bounds the keepers that are followed.
 	maxKeepers = 16
 )
@@ -40,6 +52,11 @@
 type Follower struct {
 	// Name and Role tell the keepers who follows.
 	Name, Role string
+	// Region is where the process is. Keepers of the same one are preferred.
+	Region id.Region
+	// Lazy processes need no fresh confirmation and no plan at once. They ask
+	// less often.
+	Lazy bool
 	// Seeds returns the addresses to begin with.
 	Seeds func() []string
 	// Decode reads a plan as the operator sent it.
@@ -51,6 +68,9 @@
 	// fresh is the start of the newest confirmation by the clock of
 	// boottime, 0 for none.
 	fresh atomic.Int64
+	// disturbed is when a keeper was last lost or found, by the clock of
+	// boottime.
+	disturbed atomic.Int64
 
 	mu sync.Mutex
 	// lists is keyed by keeper.
@@ -60,9 +80,13 @@
 	index   uint64
 	// planIndex is the position of the plan in view.
 	planIndex uint64
-	plan      *plan.Plan
-	withdrawn map[id.Domain]bool
-	weights   map[id.Model]int64
+	// withheldAt is since when a newer plan is known but not held.
+	withheldAt time.Time
+	// plannedAt is when the newest plan was taken in.
+	plannedAt time.Time
+	plan       *plan.Plan
+	withdrawn  map[id.Domain]bool
+	weights    map[id.Model]int64
 }
 
 // View returns the newest view. It is never nil after Run began.
@@ -83,6 +107,12 @@
 	return boottime.Now() - time.Duration(at)
 }
 
+// Calm returns for how long all keepers have been there, or not, without a
+// change.
+func (f *Follower) Calm() time.Duration {
+	return boottime.Now() - time.Duration(f.disturbed.Load())
+}
+
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.mu.Lock()
@@ -161,47 +191,86 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errWithheld) {
+			pause(ctx, withheldPause)
+			err = nil
+		}
 		if (err != nil) != lost {
 			lost = err != nil
 			reason := ""
 			if err != nil {
 				reason = err.Error()
 			}
+			f.disturbed.Store(int64(boottime.Now()))
 			klog.InfoS("Connection to keeper changed", "Keeper", address, "Lost", lost, "Reason", reason)
 		}
 		if err == nil {
 			continue
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(retryPause + rand.N(retryPause)):
+		pause(ctx, retryPause+rand.N(retryPause))
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// preferred reports whether the keeper is the one to ask for plans: one of
+// the own region among those that answer.
+func (f *Follower) preferred(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	best, near := "", false
+	for a, l := range f.lists {
+		if time.Since(l.heard) > f.hold()+answerTimeout || f.running[a] == nil {
+			continue
+		}
+		home := l.region == f.Region
+		if best == "" || home && !near || home == near && a < best {
+			best, near = a, home
 		}
 	}
+	return best == "" || best == address
 }
 
+// errWithheld tells that the keeper has a newer plan, which comes from
+// another one.
+var errWithheld = errors.New("plan was not asked for")
+
 func (f *Follower) watch(ctx context.Context, client *rpc.Client) error {
+	document := f.preferred(client.Address)
 	f.mu.Lock()
+	if !f.withheldAt.IsZero() && time.Since(f.withheldAt) > withheldFor {
+		document = true
+	}
+	if time.Since(f.plannedAt) < f.planPause() {
+		document = false
+	}
 	in := feed.Watch{
-		Name: f.Name, Role: f.Role, Index: f.index, PlanIndex: f.planIndex, HoldMs: hold.Milliseconds(),
+		Name: f.Name, Role: f.Role, Index: f.index, PlanIndex: f.planIndex, HoldMs: f.hold().Milliseconds(),
+		Document: document,
 	}
 	if l := f.lists[client.Address]; l != nil {
 		in.Epoch, in.Targets = l.epoch, l.position
 	}
 	f.mu.Unlock()
-	call, cancel := context.WithTimeout(ctx, hold+answerTimeout)
+	call, cancel := context.WithTimeout(ctx, f.hold()+answerTimeout)
 	defer cancel()
 	sent := boottime.Now()
 	var news feed.News
 	if err := client.Call(call, feed.MethodWatch, in, &news); err != nil {
 		return err
 	}
-	f.take(client.Address, sent, &news)
-	return nil
+	return f.take(client.Address, sent, &news)
 }
 
 // take merges the news of one keeper.
-func (f *Follower) take(address string, sent time.Duration, news *feed.News) {
+func (f *Follower) take(address string, sent time.Duration, news *feed.News) error {
 	f.mu.Lock()
 	l := f.lists[address]
 	if l == nil {
@@ -210,17 +279,25 @@
 	}
 	changed := len(news.Targets) > 0 || l.epoch != news.Epoch || l.entries != news.Entries
 	l.take(news.Epoch, news.Position, f.dated(news.Targets))
-	l.entries, l.keepers = news.Entries, news.Keepers
-	if news.State != nil && news.State.Index > f.index {
+	l.entries, l.keepers, l.region = news.Entries, news.Keepers, news.Region
+	withheld := news.State != nil && news.State.PlanIndex > f.planIndex && news.State.Document == nil
+	if withheld && f.withheldAt.IsZero() {
+		f.withheldAt = time.Now()
+	}
+	if news.State != nil && !withheld && (news.State.Index > f.index || news.State.PlanIndex > f.planIndex) {
 		changed = f.takeState(news.State) || changed
 	}
 	f.mu.Unlock()
 	if changed {
 		f.publish()
 	}
+	if withheld {
+		return errWithheld
+	}
 	if news.Confirmed {
 		f.confirm(sent + time.Duration(news.ConfirmedMs)*time.Millisecond)
 	}
+	return nil
 }
 
 // dated gives targets that left without a known start the one that other
@@ -240,15 +317,21 @@
 // takeState runs under mu.
 func (f *Follower) takeState(s *feed.State) bool {
 	if s.PlanIndex > f.planIndex {
-		p, err := f.Decode(s.Document)
+		document, err := packed.Open(s.Document)
+		if err != nil {
+			klog.ErrorS(err, "Plan can't be read", "Version", s.Version)
+			return false
+		}
+		p, err := f.Decode(document)
 		if err != nil {
 			klog.ErrorS(err, "Plan can't be read", "Version", s.Version)
 			return false
 		}
 		f.plan, f.planIndex = p, s.PlanIndex
+		f.withheldAt, f.plannedAt = time.Time{}, time.Now()
 		klog.InfoS("Plan is in force", "Version", p.Version, "Routes", len(p.Routes), "Position", s.Index)
 	}
-	f.index = s.Index
+	f.index = max(f.index, s.Index)
 	f.withdrawn = map[id.Domain]bool{}
 	for _, d := range s.Withdrawn {
 		f.withdrawn[d] = true
@@ -258,6 +341,21 @@
 	return true
 }
 
+func (f *Follower) hold() time.Duration {
+	if f.Lazy {
+		return lazyHold
+	}
+	return hold
+}
+
+// planPause bounds how often plans are taken in, as they take time to read.
+func (f *Follower) planPause() time.Duration {
+	if f.Lazy {
+		return lazyPlanPause
+	}
+	return minPlanPause
+}
+
 // confirm raises the time of the newest confirmation.
 func (f *Follower) confirm(at time.Duration) {
 	for {
--- a/internal/site/follow/view.go
+++ b/internal/site/follow/view.go
@@ -35,6 +35,7 @@
 	heard   time.Time
 	entries int
 	keepers []string
+	region  id.Region
 }
 
 // take replaces or extends the list.
--- a/internal/weights/barter/barter.go
+++ b/internal/weights/barter/barter.go
@@ -26,7 +26,8 @@
 	maxBytes = 64 << 20
 	// idleTimeout closes connections to peers between versions.
 	idleTimeout = 5 * time.Second
-	perPeer     = 8
+	// perPeer bounds the connections to one peer; most of them wait.
+	perPeer = 64
 )
 
 // Client asks peers. Take NewClient.
--- a/internal/weights/relay/fetch.go
+++ b/internal/weights/relay/fetch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
 )
 
@@ -14,14 +15,22 @@
 	if data := r.kept(b, n); data != nil {
 		return data, nil
 	}
-	for _, address := range r.Routes(b, n) {
-		data, err := r.fromPeer(ctx, address, b, n)
+	peers, drawn := r.Routes(b, n)
+	var err error
+	for _, address := range peers {
+		var data []byte
+		data, err = r.fromPeer(ctx, address, b, n)
 		if err == nil {
 			r.keep(b, n, data)
 			return data, nil
 		}
 		klog.V(1).InfoS("Peer did not give a piece", "Peer", address, "Piece", n, "Error", err.Error())
 	}
+	if drawn && errors.Is(err, ErrNotHeld) {
+		// The one that draws it is there. Going past it would make every
+		// process draw from an origin that is slow or out of service.
+		return nil, err
+	}
 	call, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	data, err := r.Origin.Piece(call, b, n)
@@ -33,6 +42,9 @@
 		return nil, err
 	}
 	r.keep(b, n, data)
+	r.mu.Lock()
+	r.of(b).drawn++
+	r.mu.Unlock()
 	return data, nil
 }
 
@@ -73,14 +85,20 @@
 	if m != nil {
 		return *m, nil
 	}
-	for _, address := range r.Routes(b, anyPiece) {
+	peers, drawn := r.Routes(b, anyPiece)
+	var err error
+	for _, address := range peers {
+		var got Manifest
 		call, cancel := context.WithTimeout(ctx, fetchTimeout)
-		got, err := r.Peers.Manifest(call, address, b)
+		got, err = r.Peers.Manifest(call, address, b)
 		cancel()
 		if err == nil {
 			return r.keepManifest(b, got), nil
 		}
 	}
+	if drawn && errors.Is(err, ErrNotHeld) {
+		return Manifest{}, err
+	}
 	call, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	got, err := r.Origin.Manifest(call, b)
--- a/internal/weights/relay/relay.go
+++ b/internal/weights/relay/relay.go
@@ -31,8 +31,9 @@
 
 const (
 	// parallel is the pieces that are fetched at once. Most of them wait for
-	// a source that is just fetching the piece itself.
-	parallel = 8
+	// a source that is just fetching the piece itself, so a small number
+	// would leave links idle.
+	parallel = 64
 	// awaitPiece is how long a peer is waited for, since it may just be
 	// fetching the piece itself.
 	awaitPiece = 2200 * time.Millisecond
@@ -74,9 +75,9 @@
 	Get(ctx context.Context, m id.Model, n int) ([]byte, error)
 }
 
-// Routes returns the peers to ask for a piece, best first. The origin comes
-// after them.
-type Routes func(b Bundle, n int) []string
+// Routes returns the peers to ask for a piece, best first. drawn tells that
+// the last of them draws it from the origin, which is then left to it.
+type Routes func(b Bundle, n int) (peers []string, drawn bool)
 
 // Relay is safe for concurrent use. Its fields are set before use.
 type Relay struct {
@@ -99,6 +100,8 @@
 	pieces   map[int][]byte
 	// mismatch counts spoilt pieces from the origin in a row.
 	mismatch int
+	// drawn counts the pieces taken from the origin.
+	drawn int
 	// bringing tells that the bundle is on its way to the own engine.
 	bringing bool
 	// changed is closed and replaced when a piece or the manifest arrives.
@@ -145,7 +148,11 @@
 	if err := g.Wait(); err != nil {
 		return err
 	}
-	klog.InfoS("Weights are staged", "Model", b.Model, "Version", b.Version, "Took", time.Since(began).String())
+	r.mu.Lock()
+	drawn := r.of(b).drawn
+	r.mu.Unlock()
+	klog.InfoS("Weights are staged", "Model", b.Model, "Version", b.Version, "Took", time.Since(began).String(),
+		"Pieces", len(m.Digests), "DrawnFromOrigin", drawn)
 	return nil
 }
 
