--- a/internal/site/follow/follow.go
+++ b/internal/site/follow/follow.go
@@ -84,9 +84,9 @@
 	withheldAt time.Time
 	// plannedAt is when the newest plan was taken in.
 	plannedAt time.Time
-	plan       *plan.Plan
-	withdrawn  map[id.Domain]bool
-	weights    map[id.Model]int64
+	plan      *plan.Plan
+	withdrawn map[id.Domain]bool
+	weights   map[id.Model]int64
 }
 
 // View returns the newest view. It is never nil after Run began.
@@ -185,8 +185,9 @@
 func (f *Follower) followOne(ctx context.Context, address string) {
 	client := &rpc.Client{Address: address, DialTimeout: dialTimeout}
 	defer client.Close()
-	lost := true
+	link := link{keeper: address, lost: true}
 	for ctx.Err() == nil {
+		began := boottime.Now()
 		err := f.watch(ctx, client)
 		if ctx.Err() != nil {
 			return
@@ -195,19 +196,12 @@
 			pause(ctx, withheldPause)
 			err = nil
 		}
-		if (err != nil) != lost {
-			lost = err != nil
-			reason := ""
-			if err != nil {
-				reason = err.Error()
-			}
-			f.disturbed.Store(int64(boottime.Now()))
-			klog.InfoS("Connection to keeper changed", "Keeper", address, "Lost", lost, "Reason", reason)
+		if at, changed := link.note(err, began); changed {
+			f.disturbed.Store(int64(at))
 		}
-		if err == nil {
-			continue
+		if err != nil {
+			pause(ctx, retryPause+rand.N(retryPause))
 		}
-		pause(ctx, retryPause+rand.N(retryPause))
 	}
 }
 
--- /dev/null
+++ b/internal/site/follow/link.go
@@ -0,0 +1,45 @@
+package follow
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"egretproxy/internal/kernel/boottime"
+)
+
+// failuresToLose is the calls in a row that must fail before a keeper counts
+// as lost. A single one may have met a full link.
+const failuresToLose = 2
+
+// link is the connection to one keeper.
+type link struct {
+	keeper   string
+	lost     bool
+	failures int
+	// failedAt is when the first of the failed calls began.
+	failedAt time.Duration
+}
+
+// note takes in the end of a call that began at a time. It returns when the
+// keeper was lost or found, if it was.
+func (l *link) note(err error, began time.Duration) (at time.Duration, changed bool) {
+	if err == nil {
+		l.failures = 0
+		if !l.lost {
+			return 0, false
+		}
+		l.lost = false
+		klog.InfoS("Connection to keeper changed", "Keeper", l.keeper, "Lost", false)
+		return boottime.Now(), true
+	}
+	if l.failures++; l.failures == 1 {
+		l.failedAt = began
+	}
+	if l.lost || l.failures < failuresToLose {
+		return 0, false
+	}
+	l.lost = true
+	klog.InfoS("Connection to keeper changed", "Keeper", l.keeper, "Lost", true, "Reason", err.Error())
+	return l.failedAt, true
+}
--- a/internal/weights/barter/barter.go
+++ b/internal/weights/barter/barter.go
@@ -63,6 +63,12 @@
 	return c.get(ctx, address, "/weights/piece", b, n)
 }
 
+// Await implements relay.Peers.
+func (c *Client) Await(ctx context.Context, address string, b relay.Bundle, n int) error {
+	_, err := c.get(ctx, address, "/weights/held", b, n)
+	return err
+}
+
 func (c *Client) get(ctx context.Context, address, path string, b relay.Bundle, n int) ([]byte, error) {
 	host, _, err := net.SplitHostPort(address)
 	if err != nil {
@@ -101,6 +107,16 @@
 		}
 		_ = json.NewEncoder(w).Encode(m)
 	}, http.MethodGet)
+	mux.HandleFunc("/weights/held", func(w http.ResponseWriter, q *http.Request) {
+		b, n, err := parse(q)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if _, err := r.Serve(q.Context(), b, n); err != nil {
+			http.Error(w, err.Error(), http.StatusNotFound)
+		}
+	}, http.MethodGet)
 	mux.HandleFunc("/weights/piece", func(w http.ResponseWriter, q *http.Request) {
 		b, n, err := parse(q)
 		if err != nil {
--- a/internal/weights/relay/fetch.go
+++ b/internal/weights/relay/fetch.go
@@ -31,9 +31,7 @@
 		// process draw from an origin that is slow or out of service.
 		return nil, err
 	}
-	call, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	data, err := r.Origin.Piece(call, b, n)
+	data, err := r.fromOrigin(ctx, b, n)
 	if err != nil {
 		return nil, err
 	}
@@ -48,7 +46,26 @@
 	return data, nil
 }
 
+func (r *Relay) fromOrigin(ctx context.Context, b Bundle, n int) ([]byte, error) {
+	if err := r.acquire(ctx); err != nil {
+		return nil, err
+	}
+	defer r.release()
+	call, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	return r.Origin.Piece(call, b, n)
+}
+
 func (r *Relay) fromPeer(ctx context.Context, address string, b Bundle, n int) ([]byte, error) {
+	wait, cancelWait := context.WithTimeout(ctx, fetchTimeout)
+	defer cancelWait()
+	if err := r.Peers.Await(wait, address, b, n); err != nil {
+		return nil, err
+	}
+	if err := r.acquire(ctx); err != nil {
+		return nil, err
+	}
+	defer r.release()
 	call, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	data, err := r.Peers.Piece(call, address, b, n)
--- a/internal/weights/relay/relay.go
+++ b/internal/weights/relay/relay.go
@@ -34,6 +34,9 @@
 	// a source that is just fetching the piece itself, so a small number
 	// would leave links idle.
 	parallel = 64
+	// transfers is the pieces that are on their way to this process at once.
+	// More would queue on the instance's link ahead of live requests.
+	transfers = 2
 	// awaitPiece is how long a peer is waited for, since it may just be
 	// fetching the piece itself.
 	awaitPiece = 2200 * time.Millisecond
@@ -66,6 +69,8 @@
 type Peers interface {
 	Manifest(ctx context.Context, address string, b Bundle) (Manifest, error)
 	Piece(ctx context.Context, address string, b Bundle, n int) ([]byte, error)
+	// Await returns once the peer holds the piece, or ErrNotHeld.
+	Await(ctx context.Context, address string, b Bundle, n int) error
 }
 
 // Stage is the place of the own engine from which it loads.
@@ -92,8 +97,28 @@
 	mu      sync.Mutex
 	bundles map[Bundle]*held
 	recent  []Bundle
+	// slots holds a token for each transfer in progress.
+	slots chan struct{}
 }
 
+// acquire waits for the right to begin a transfer.
+func (r *Relay) acquire(ctx context.Context) error {
+	r.mu.Lock()
+	if r.slots == nil {
+		r.slots = make(chan struct{}, transfers)
+	}
+	slots := r.slots
+	r.mu.Unlock()
+	select {
+	case slots <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (r *Relay) release() { <-r.slots }
+
 // held is what is known of one bundle.
 type held struct {
 	manifest *Manifest
