weights: let pieces pass by turns and wait for the one that brings them

Cause: by hashing, some engines passed on three times as many pieces as others, and those that waited went past them and drew on the same links.

--- a/internal/role/gateway/request.go
+++ b/internal/role/gateway/request.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -52,7 +53,9 @@
 	// mayHaveRun tells that a target may have run the request without a
 	// whole answer.
 	mayHaveRun bool
-	waited     time.Duration
+	// reserved tells that the next retry is in the budget already.
+	reserved atomic.Bool
+	waited   time.Duration
 	// stream is the state of an answer that was begun.
 	stream *stream
 	// last is the newest failure, for the log.
--- a/internal/role/gateway/run.go
+++ b/internal/role/gateway/run.go
@@ -105,6 +105,9 @@
 	if j.sent >= max(j.route.MaxAttempts, 1) {
 		return false
 	}
+	if j.reserved.Swap(false) {
+		return true
+	}
 	if !j.g.Retries.Take(j.service.Name, j.view.Entries) {
 		j.g.Metrics.CountReason("RetryRefused", "Budget")
 		j.last += ", and the retry budget is spent"
@@ -113,6 +116,13 @@
 	return true
 }
 
+// reserve takes a retry out of the budget before an attempt is given up.
+func (j *job) reserve() bool {
+	ok := j.g.Retries.Take(j.service.Name, j.view.Entries)
+	j.reserved.Store(ok)
+	return ok
+}
+
 func (j *job) ask() *dispatch.Ask {
 	return &dispatch.Ask{
 		Service: j.service.Name, Regions: common(j.regions), Priority: j.priority,
@@ -173,7 +183,7 @@
 func (j *job) attempt(ctx context.Context, grant *dispatch.Grant) (verdict, dispatch.Outcome, bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silent := newSilence(cancel, j.silenceLimit())
+	silent := newSilence(cancel, j.silenceLimit(), j.reserve)
 	defer silent.stop()
 	j.logSend(grant)
 	a, err := j.g.Pool.Send(ctx, grant.Address, j.target(grant.Target, j.minWeights()))
@@ -202,7 +212,7 @@
 }
 
 func (j *job) silenceLimit() time.Duration {
-	if !j.route.Repeatable() {
+	if !j.route.Repeatable() || j.sent+1 >= j.route.MaxAttempts {
 		return 0
 	}
 	return max(silenceFloor, time.Duration(silenceFactor*float64(j.route.Objective)))
--- a/internal/role/gateway/silence.go
+++ b/internal/role/gateway/silence.go
@@ -6,18 +6,21 @@
 	"time"
 )
 
-// silence cancels an attempt whose target sends nothing for a while. A limit
-// of 0 never cancels.
+// silence cancels an attempt whose target sends nothing for a while, if
+// another one is permitted. A limit of 0 never cancels.
 type silence struct {
 	limit time.Duration
 	timer *time.Timer
 	fired atomic.Bool
 }
 
-func newSilence(cancel context.CancelFunc, limit time.Duration) *silence {
+func newSilence(cancel context.CancelFunc, limit time.Duration, permit func() bool) *silence {
 	s := &silence{limit: limit}
 	if limit > 0 {
 		s.timer = time.AfterFunc(limit, func() {
+			if !permit() {
+				return
+			}
 			s.fired.Store(true)
 			cancel()
 		})
--- a/internal/role/tender/choose.go
+++ b/internal/role/tender/choose.go
@@ -3,25 +3,20 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
-
-	"github.com/cespare/xxhash/v2"
 
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/site/muster"
 )
 
-// chosen returns the member of the group for a piece, by rendezvous hashing,
-// so that processes with the same view agree without an exchange.
+// chosen returns the member of the group for a piece. Members take turns, so
+// that each has as many pieces as the others, and processes with the same
+// view agree without an exchange.
 func chosen(group []string, n int) string {
-	best, high := "", uint64(0)
-	for _, a := range group {
-		h := xxhash.Sum64String(a + "/" + strconv.Itoa(n))
-		if best == "" || h > high || h == high && a < best {
-			best, high = a, h
-		}
+	if len(group) == 0 {
+		return ""
 	}
-	return best
+	sorted := slices.Sorted(slices.Values(group))
+	return sorted[n%len(sorted)]
 }
 
 // rank returns the position of the address among the targets of a service,
--- a/internal/weights/relay/fetch.go
+++ b/internal/weights/relay/fetch.go
@@ -2,11 +2,23 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
 )
 
+// steadfast is how long only the designated peer is asked for a piece that is
+// on its way. Going past it would use up links that others wait for.
+const steadfast = 3500 * time.Millisecond
+
+// age returns for how long the bundle has been on its way.
+func (r *Relay) age(b Bundle) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.of(b).since)
+}
+
 // anyPiece asks the routes for the manifest.
 const anyPiece = 0
 
@@ -25,6 +37,9 @@
 			return data, nil
 		}
 		klog.V(1).InfoS("Peer did not give a piece", "Peer", address, "Piece", n, "Error", err.Error())
+		if drawn && errors.Is(err, ErrNotHeld) && r.age(b) < steadfast {
+			return nil, err
+		}
 	}
 	if drawn && errors.Is(err, ErrNotHeld) {
 		// The one that draws it is there. Going past it would make every
--- a/internal/weights/relay/relay.go
+++ b/internal/weights/relay/relay.go
@@ -36,7 +36,7 @@
 	parallel = 64
 	// transfers is the pieces that are on their way to this process at once.
 	// More would queue on the instance's link ahead of live requests.
-	transfers = 2
+	transfers = 4
 	// awaitPiece is how long a peer is waited for, since it may just be
 	// fetching the piece itself.
 	awaitPiece = 2200 * time.Millisecond
@@ -129,6 +129,7 @@
 	drawn int
 	// bringing tells that the bundle is on its way to the own engine.
 	bringing bool
+	since    time.Time
 	// changed is closed and replaced when a piece or the manifest arrives.
 	changed chan struct{}
 }
@@ -184,7 +185,11 @@
 func (r *Relay) setBringing(b Bundle, on bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.of(b).bringing = on
+	h := r.of(b)
+	h.bringing = on
+	if on && h.since.IsZero() {
+		h.since = time.Now()
+	}
 }
 
 // order returns the pieces, those first that others get from here. The rest
