--- a/internal/exchange/lines/exchange.go
+++ b/internal/exchange/lines/exchange.go
@@ -94,7 +94,7 @@
 		if err != nil {
 			return nil, errors.Wrap(ErrBroken, err.Error())
 		}
-		if r.EchoHeader == "" || a.Header.Get(r.EchoHeader) == r.Header.Get(r.EchoHeader) || a.Header.Get(r.EchoHeader) == "" {
+		if a.answers(r) {
 			return a, nil
 		}
 		if !a.Framed || a.close {
@@ -107,6 +107,16 @@
 	return nil, errors.Wrap(ErrBroken, "too many answers of other requests")
 }
 
+// answers reports whether the answer is to the request. Only a failure may
+// lack the mark of the request.
+func (a *Answer) answers(r *Request) bool {
+	if r.EchoHeader == "" {
+		return true
+	}
+	echo := a.Header.Get(r.EchoHeader)
+	return echo == r.Header.Get(r.EchoHeader) || echo == "" && a.Status >= http.StatusBadRequest
+}
+
 func (p *Pool) read(address string, l *line, r *Request) (*Answer, error) {
 	for {
 		res, err := http.ReadResponse(l.br, &http.Request{Method: r.Method})
--- /dev/null
+++ b/internal/exchange/lines/lines_test.go
@@ -0,0 +1,196 @@
+package lines
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// target answers each request on a connection with what the script returns;
+// an empty answer closes the connection.
+type target struct {
+	net.Listener
+	conns, requests atomic.Int32
+}
+
+func newTarget(t *testing.T, script func(n int32, r *http.Request) string) *target {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &target{Listener: l}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go s.serve(c, script)
+		}
+	}()
+	return s
+}
+
+func (s *target) serve(c net.Conn, script func(n int32, r *http.Request) string) {
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		answer := script(s.requests.Add(1), r)
+		if answer == "" {
+			return
+		}
+		_, _ = io.WriteString(c, answer)
+	}
+}
+
+func request(attempt string) *Request {
+	return &Request{
+		Method: "POST", URI: "/x/?q=1", Host: "h", Body: []byte("body"),
+		Header: http.Header{"Attempt": {attempt}}, EchoHeader: "Attempt",
+	}
+}
+
+const whole = "HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Length: 2\r\n\r\nok"
+
+func send(t *testing.T, p *Pool, address string) (string, error) {
+	t.Helper()
+	a, err := p.Send(t.Context(), address, request("1"))
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	body, err := io.ReadAll(a.Body)
+	return string(body), err
+}
+
+func TestConnectionIsKept(t *testing.T) {
+	s := newTarget(t, func(int32, *http.Request) string { return whole })
+	var p Pool
+	for range 3 {
+		if body, err := send(t, &p, s.Addr().String()); body != "ok" || err != nil {
+			t.Fatalf("%q, %v", body, err)
+		}
+	}
+	if n := s.conns.Load(); n != 1 {
+		t.Errorf("%d connections", n)
+	}
+}
+
+// TestStrayAnswerIsSkipped answers a target that sends the answer of an
+// earlier request first.
+func TestStrayAnswerIsSkipped(t *testing.T) {
+	s := newTarget(t, func(int32, *http.Request) string {
+		return "HTTP/1.1 200 OK\r\nAttempt: 0\r\nContent-Length: 5\r\n\r\nother" + whole
+	})
+	var p Pool
+	if body, err := send(t, &p, s.Addr().String()); body != "ok" || err != nil {
+		t.Errorf("%q, %v", body, err)
+	}
+}
+
+// TestNoisyConnectionIsNotReused answers a target that sends bytes after a
+// whole answer.
+func TestNoisyConnectionIsNotReused(t *testing.T) {
+	s := newTarget(t, func(int32, *http.Request) string { return whole + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra" })
+	var p Pool
+	for range 2 {
+		if body, err := send(t, &p, s.Addr().String()); body != "ok" || err != nil {
+			t.Fatalf("%q, %v", body, err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if n := s.conns.Load(); n != 2 {
+		t.Errorf("%d connections", n)
+	}
+}
+
+func TestClosedConnectionIsNotReused(t *testing.T) {
+	s := newTarget(t, func(n int32, _ *http.Request) string {
+		if n == 1 {
+			return "HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok"
+		}
+		return whole
+	})
+	var p Pool
+	for range 2 {
+		if body, err := send(t, &p, s.Addr().String()); body != "ok" || err != nil {
+			t.Fatalf("%q, %v", body, err)
+		}
+	}
+	if n := s.conns.Load(); n != 2 {
+		t.Errorf("%d connections", n)
+	}
+}
+
+// TestBrokenAnswerIsNeverWhole answers targets that break off.
+func TestBrokenAnswerIsNeverWhole(t *testing.T) {
+	for name, answer := range map[string]string{
+		"short":       "HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Length: 9\r\nConnection: close\r\n\r\nok",
+		"chunks":      "HTTP/1.1 200 OK\r\nAttempt: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+		"no mark":     "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nno",
+		"no answer":   "\x00\x01\x02 not an answer\r\n\r\n",
+		"other, last": "HTTP/1.1 200 OK\r\nAttempt: 7\r\nConnection: close\r\nContent-Length: 2\r\n\r\nno",
+	} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+			}
+			_, _ = io.WriteString(c, answer)
+			_ = c.Close()
+		}()
+		var p Pool
+		if body, err := send(t, &p, l.Addr().String()); err == nil {
+			t.Errorf("%s: taken as whole: %q", name, body)
+		}
+		_ = l.Close()
+	}
+}
+
+func TestNotSentIsCertain(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	var p Pool
+	if _, err := p.Send(t.Context(), address, request("1")); !errors.Is(err, ErrNotSent) {
+		t.Errorf("no listener: %v", err)
+	}
+	s := newTarget(t, func(int32, *http.Request) string { return "" })
+	if _, err := p.Send(t.Context(), s.Addr().String(), request("1")); !errors.Is(err, ErrBroken) {
+		t.Errorf("closed after the request: %v", err)
+	}
+}
+
+func TestCancelClosesTheConnection(t *testing.T) {
+	s := newTarget(t, func(int32, *http.Request) string { time.Sleep(time.Minute); return "" })
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	var p Pool
+	if _, err := p.Send(ctx, s.Addr().String(), request("1")); !errors.Is(err, ErrBroken) {
+		t.Errorf("%v", err)
+	}
+}
--- /dev/null
+++ b/internal/site/charter/charter_test.go
@@ -0,0 +1,91 @@
+package charter
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/site/plan"
+)
+
+func apply(t interface{ Fatal(...any) }, c *Charter, index uint64, in Command) {
+	data, err := Encode(in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Apply(index, data)
+}
+
+// TestHoldsHighestVersionStays plays random changes and compares with a model:
+// the highest version wins, the first content under a version stays.
+func TestHoldsHighestVersionStays(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var c Charter
+		var version plan.Version
+		var document string
+		withdrawn := map[id.Domain]bool{}
+		weights := map[id.Model]int64{}
+		for i := range rapid.IntRange(1, 40).Draw(t, "changes") {
+			index := uint64(i + 1)
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				v := plan.Version(rapid.IntRange(1, 9).Draw(t, "version"))
+				d := rapid.StringN(1, 3, 3).Draw(t, "document")
+				apply(t, &c, index, Command{Plan: &PlanChange{Version: v, Document: []byte(d)}})
+				if v > version {
+					version, document = v, d
+				}
+			case 1:
+				d := id.Domain(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "domain"))
+				out := rapid.Bool().Draw(t, "out")
+				apply(t, &c, index, Command{Withdraw: &DomainChange{Domain: d, Out: out}})
+				if out {
+					withdrawn[d] = true
+				} else {
+					delete(withdrawn, d)
+				}
+			case 2:
+				v := int64(rapid.IntRange(1, 5).Draw(t, "weights"))
+				apply(t, &c, index, Command{Weights: &WeightsChange{Model: "m", Version: v}})
+				weights["m"] = max(weights["m"], v)
+			default:
+				data, err := c.Snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				c = Charter{}
+				if err := c.Restore(data); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		s := c.State()
+		if s.Version != version || string(s.Document) != document {
+			t.Fatalf("plan %d %q, want %d %q", s.Version, s.Document, version, document)
+		}
+		if len(withdrawn) != len(s.Withdrawn) || len(withdrawn) > 0 && !cmp.Equal(withdrawn, s.Withdrawn) {
+			t.Fatalf("withdrawn %v, want %v", s.Withdrawn, withdrawn)
+		}
+		if s.Weights["m"] != weights["m"] {
+			t.Fatalf("weights %v, want %v", s.Weights, weights)
+		}
+	})
+}
+
+func TestResentChangeHasNoEffect(t *testing.T) {
+	var c Charter
+	change := Command{Plan: &PlanChange{Version: 3, Document: []byte("x")}}
+	apply(t, &c, 1, change)
+	changed := c.Changed()
+	apply(t, &c, 2, change)
+	select {
+	case <-changed:
+		t.Error("a change that was sent again woke followers")
+	default:
+	}
+	if s := c.State(); s.Index != 1 || s.PlanIndex != 1 {
+		t.Errorf("position moved: %+v", s)
+	}
+}
