--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -58,10 +58,19 @@
 	Dialect dialect.Dialect
 }
 
+// Follower tells what the keepers know.
+type Follower interface {
+	View() *follow.View
+	// Age is how old the newest confirmation by a quorum is.
+	Age() time.Duration
+	// Calm is for how long no keeper was lost or found.
+	Calm() time.Duration
+}
+
 // Gateway is one running entry. Its fields are set before Run.
 type Gateway struct {
 	Settings Settings
-	Follower *follow.Follower
+	Follower Follower
 	Board    *dispatch.Board
 	Retries  *dispatch.Retries
 	Pool     *lines.Pool
--- /dev/null
+++ b/internal/role/gateway/gateway_test.go
@@ -0,0 +1,393 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"egretproxy/internal/exchange/dialect"
+	"egretproxy/internal/exchange/dispatch"
+	"egretproxy/internal/exchange/lines"
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/metrics"
+	"egretproxy/internal/site/follow"
+	"egretproxy/internal/site/muster"
+	"egretproxy/internal/site/plan"
+)
+
+var testDialect = dialect.Dialect{
+	Attempt: "Attempt", Deadline: "Deadline", Key: "Key", Organisation: "Org", Target: "Target",
+	Weights: "Weights", Priority: "Priority", LastEvent: "Last-Event-Id", NotRun: "Not-Run",
+	Usage: "Usage", Signature: "Signature",
+}
+
+// beliefs is a Follower whose answers a test sets.
+type beliefs struct {
+	view *follow.View
+	age  time.Duration
+}
+
+func (b *beliefs) View() *follow.View  { return b.view }
+func (b *beliefs) Age() time.Duration  { return b.age }
+func (b *beliefs) Calm() time.Duration { return time.Hour }
+
+// fakeTarget plays one target: the script writes its answer to each request
+// on the connection, which is then closed.
+type fakeTarget struct {
+	mu   sync.Mutex
+	seen []*http.Request
+	// closed is closed when the caller of the first connection leaves.
+	closed chan struct{}
+}
+
+func (f *fakeTarget) requests() []*http.Request {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.seen
+}
+
+func startTarget(t *testing.T, script func(w io.Writer, r *http.Request)) (*fakeTarget, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fakeTarget{closed: make(chan struct{})}
+	var once sync.Once
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				br := bufio.NewReader(c)
+				r, err := http.ReadRequest(br)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				f.mu.Lock()
+				f.seen = append(f.seen, r)
+				f.mu.Unlock()
+				go func() {
+					_, _ = br.ReadByte()
+					once.Do(func() { close(f.closed) })
+				}()
+				script(c, r)
+			}()
+		}
+	}()
+	t.Cleanup(func() { _ = l.Close() })
+	return f, l.Addr().String()
+}
+
+func head(r *http.Request, status string, fields ...string) string {
+	return "HTTP/1.1 " + status + "\r\nAttempt: " + r.Header.Get("Attempt") + "\r\nSignature: s\r\nConnection: close\r\n" +
+		strings.Join(append(fields, ""), "\r\n") + "\r\n"
+}
+
+func whole(body string) func(io.Writer, *http.Request) {
+	return func(w io.Writer, r *http.Request) {
+		_, _ = io.WriteString(w, head(r, "200 OK", fmt.Sprintf("Content-Length: %d", len(body)))+body)
+	}
+}
+
+func declines(w io.Writer, r *http.Request) {
+	_, _ = io.WriteString(w, head(r, "503 Service Unavailable", "Not-Run: 1", "Content-Length: 0"))
+}
+
+func breaksOff(w io.Writer, r *http.Request) {
+	_, _ = io.WriteString(w, head(r, "200 OK", "Content-Length: 100")+"part")
+}
+
+func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: x\n\n", n) }
+
+type bench struct {
+	*httptest.Server
+	beliefs *beliefs
+	plan    *plan.Plan
+}
+
+// startGateway starts a gateway before targets that are tried in the order
+// given: each has more requests in progress than the one before.
+func startGateway(t *testing.T, addresses ...string) *bench {
+	t.Helper()
+	p := &plan.Plan{
+		Version: 1,
+		Routes: []plan.Route{
+			{Name: "once", Host: "once", Prefix: "/", Kind: plan.NonIdempotent},
+			{Name: "read", Host: "read", Prefix: "/", Kind: plan.Idempotent},
+			{Name: "stream", Host: "stream", Prefix: "/", Kind: plan.Streaming, Resumable: true},
+			{Name: "cut", Host: "cut", Prefix: "/", Kind: plan.Streaming},
+			{Name: "single", Host: "single", Prefix: "/", Kind: plan.Streaming, Resumable: true, MaxAttempts: 1},
+			{Name: "short", Host: "short", Prefix: "/", Kind: plan.NonIdempotent, Timeout: 300 * time.Millisecond},
+		},
+		Services: map[id.Service]*plan.Service{"s": {Name: "s"}},
+		Tenants:  []plan.Tenant{{Name: "org", Keys: []string{"secret"}, Priority: 0}},
+		Limits:   plan.Limits{BodyBytes: 1000},
+	}
+	for i := range p.Routes {
+		r := &p.Routes[i]
+		r.Shares = []plan.Share{{Service: "s", Weight: 1}}
+		r.Objective = 200 * time.Millisecond
+		if r.Timeout == 0 {
+			r.Timeout = 5 * time.Second
+		}
+		if r.MaxAttempts == 0 {
+			r.MaxAttempts = 2
+		}
+	}
+	if err := p.Index(); err != nil {
+		t.Fatal(err)
+	}
+	v := &follow.View{Plan: p, Targets: map[id.Target]muster.Target{}, Entries: 1}
+	for i, a := range addresses {
+		k := id.Target(fmt.Sprintf("t%d", i))
+		v.Targets[k] = muster.Target{ID: k, Service: "s", Address: a, Domain: "z", Slots: 8, Born: 1}
+	}
+	b := &beliefs{view: v}
+	g := &Gateway{
+		Settings: Settings{Lease: time.Second, Dialect: testDialect},
+		Follower: b, Board: dispatch.New(dispatch.Settings{}), Pool: &lines.Pool{}, Metrics: metrics.New("Test"),
+		Retries: &dispatch.Retries{Ratio: 1, Allowance: 100, Window: 10 * time.Second},
+	}
+	g.OnView(v)
+	for i := range addresses {
+		g.Board.Report(id.Target(fmt.Sprintf("t%d", i)), dispatch.Load{Active: 2 * i})
+	}
+	s := httptest.NewServer(http.HandlerFunc(g.serve))
+	t.Cleanup(s.Close)
+	return &bench{s, b, p}
+}
+
+func (b *bench) call(t *testing.T, host string, fields ...string) (*http.Response, string, error) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, b.URL+"/x?q=1", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = host
+	r.Header.Set("Attempt", "a1")
+	r.Header.Set("Key", "secret")
+	for i := 0; i+1 < len(fields); i += 2 {
+		r.Header.Set(fields[i], fields[i+1])
+	}
+	res, err := b.Client().Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	return res, string(body), err
+}
+
+// TestHoldsRequestRunsOnce answers targets that break off: a request that may
+// not be repeated goes nowhere else, and nobody says that it has not run.
+func TestHoldsRequestRunsOnce(t *testing.T) {
+	first, a1 := startTarget(t, breaksOff)
+	second, a2 := startTarget(t, whole("ok"))
+	b := startGateway(t, a1, a2)
+	res, _, err := b.call(t, "once")
+	if err != nil || res.StatusCode != http.StatusBadGateway || res.Header.Get("Signature") != "" {
+		t.Errorf("%v, %v", res, err)
+	}
+	if len(first.requests()) != 1 || len(second.requests()) != 0 {
+		t.Errorf("%d and %d requests", len(first.requests()), len(second.requests()))
+	}
+}
+
+func TestDeclinedRequestGoesElsewhere(t *testing.T) {
+	_, a1 := startTarget(t, declines)
+	second, a2 := startTarget(t, whole("ok"))
+	b := startGateway(t, a1, a2)
+	res, body, err := b.call(t, "once")
+	if err != nil || res.StatusCode != http.StatusOK || body != "ok" || res.Header.Get("Signature") != "s" {
+		t.Fatalf("%v, %q, %v", res, body, err)
+	}
+	r := second.requests()[0]
+	if r.Header.Get("Key") != "" || r.Header.Get("Org") != "org" || r.Header.Get("Target") != "t1" || r.RequestURI != "/x?q=1" {
+		t.Errorf("request at the target: %+v %v", r.RequestURI, r.Header)
+	}
+}
+
+// TestRefusalIsTruthful lets all targets decline: the caller is told that the
+// request has not run and when to come back.
+func TestRefusalIsTruthful(t *testing.T) {
+	_, a1 := startTarget(t, declines)
+	_, a2 := startTarget(t, declines)
+	b := startGateway(t, a1, a2)
+	res, _, err := b.call(t, "once")
+	if err != nil || res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Retry-After") == "" {
+		t.Errorf("%v, %v", res, err)
+	}
+}
+
+func TestBrokenAnswerIsFetchedElsewhere(t *testing.T) {
+	_, a1 := startTarget(t, breaksOff)
+	_, a2 := startTarget(t, whole("ok"))
+	b := startGateway(t, a1, a2)
+	res, body, err := b.call(t, "read")
+	if err != nil || res.StatusCode != http.StatusOK || body != "ok" {
+		t.Errorf("%v, %q, %v", res, body, err)
+	}
+}
+
+// TestHoldsStreamResumes breaks a stream in the middle of an event. The
+// caller sees every event once, in one answer.
+func TestHoldsStreamResumes(t *testing.T) {
+	_, a1 := startTarget(t, func(w io.Writer, r *http.Request) {
+		_, _ = io.WriteString(w, head(r, "200 OK", "Transfer-Encoding: chunked")+chunk(event(1))+chunk(event(2))+chunk("id: 3\nda"))
+	})
+	second, a2 := startTarget(t, func(w io.Writer, r *http.Request) {
+		_, _ = io.WriteString(w, head(r, "200 OK", "Transfer-Encoding: chunked")+chunk(event(3))+chunk(event(4))+"0\r\n\r\n")
+	})
+	b := startGateway(t, a1, a2)
+	res, body, err := b.call(t, "stream")
+	if err != nil || res.StatusCode != http.StatusOK || body != event(1)+event(2)+event(3)+event(4) {
+		t.Errorf("%v, %q, %v", res, body, err)
+	}
+	if got := second.requests()[0].Header.Get("Last-Event-Id"); got != "2" {
+		t.Errorf("resumed after %q", got)
+	}
+}
+
+// TestHoldsCutStreamIsNotWhole breaks a stream that may not be resumed.
+func TestHoldsCutStreamIsNotWhole(t *testing.T) {
+	_, a1 := startTarget(t, func(w io.Writer, r *http.Request) {
+		_, _ = io.WriteString(w, head(r, "200 OK", "Transfer-Encoding: chunked")+chunk(event(1)))
+	})
+	b := startGateway(t, a1)
+	if _, body, err := b.call(t, "cut"); err == nil {
+		t.Errorf("taken as whole: %q", body)
+	}
+}
+
+// TestSilenceAloneEndsNothing answers a target that pauses for long while no
+// other attempt is left: the stream goes on.
+func TestSilenceAloneEndsNothing(t *testing.T) {
+	_, a1 := startTarget(t, func(w io.Writer, r *http.Request) {
+		_, _ = io.WriteString(w, head(r, "200 OK", "Transfer-Encoding: chunked")+chunk(event(1)))
+		time.Sleep(silenceFloor + 300*time.Millisecond)
+		_, _ = io.WriteString(w, chunk(event(2))+"0\r\n\r\n")
+	})
+	b := startGateway(t, a1)
+	_, body, err := b.call(t, "single")
+	if err != nil || body != event(1)+event(2) {
+		t.Errorf("%q, %v", body, err)
+	}
+}
+
+func TestSilentTargetIsLeftForAnother(t *testing.T) {
+	_, a1 := startTarget(t, func(io.Writer, *http.Request) { time.Sleep(4 * time.Second) })
+	_, a2 := startTarget(t, whole("ok"))
+	b := startGateway(t, a1, a2)
+	if res, body, err := b.call(t, "read"); err != nil || res.StatusCode != http.StatusOK {
+		t.Errorf("%v, %q, %v", res, body, err)
+	}
+}
+
+// TestHoldsKeyNeedsConfirmation lets the confirmation grow older than the
+// lease, as behind a cut: a key may have been revoked, so nothing runs.
+func TestHoldsKeyNeedsConfirmation(t *testing.T) {
+	first, a1 := startTarget(t, whole("ok"))
+	b := startGateway(t, a1)
+	b.beliefs.age = 2 * time.Second
+	res, _, err := b.call(t, "read")
+	if err != nil || res.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("%v, %v", res, err)
+	}
+	if n := len(first.requests()); n != 0 {
+		t.Errorf("%d requests ran", n)
+	}
+}
+
+func TestWrongCallersAreTurnedAway(t *testing.T) {
+	_, a1 := startTarget(t, whole("ok"))
+	b := startGateway(t, a1)
+	for name, c := range map[string]struct {
+		host   string
+		fields []string
+		want   int
+	}{
+		"unknown key":   {"read", []string{"Key", "other"}, http.StatusUnauthorized},
+		"unknown route": {"nowhere", nil, http.StatusNotFound},
+	} {
+		res, _, err := b.call(t, c.host, c.fields...)
+		if err != nil || res.StatusCode != c.want {
+			t.Errorf("%s: %v, %v", name, res, err)
+		}
+	}
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, b.URL+"/", strings.NewReader(strings.Repeat("x", 2000)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "read"
+	r.Header.Set("Key", "secret")
+	res, err := b.Client().Do(r)
+	if err != nil || res.StatusCode != http.StatusRequestEntityTooLarge {
+		t.Errorf("large body: %v, %v", res, err)
+	}
+}
+
+func TestTimeoutEndsTheRequest(t *testing.T) {
+	_, a1 := startTarget(t, func(io.Writer, *http.Request) { time.Sleep(3 * time.Second) })
+	b := startGateway(t, a1)
+	res, _, err := b.call(t, "short")
+	if err != nil || res.StatusCode != http.StatusGatewayTimeout {
+		t.Errorf("%v, %v", res, err)
+	}
+}
+
+// TestLeavingCallerStopsTheTarget closes the caller's connection and waits
+// until the target's is closed too.
+func TestLeavingCallerStopsTheTarget(t *testing.T) {
+	first, a1 := startTarget(t, func(w io.Writer, r *http.Request) {
+		_, _ = io.WriteString(w, head(r, "200 OK", "Transfer-Encoding: chunked")+chunk(event(1)))
+		time.Sleep(10 * time.Second)
+	})
+	b := startGateway(t, a1)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, b.URL+"/", strings.NewReader(""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "stream"
+	r.Header.Set("Attempt", "a1")
+	r.Header.Set("Key", "secret")
+	res, err := b.Client().Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = res.Body.Close()
+	select {
+	case <-first.closed:
+	case <-time.After(5 * time.Second):
+		t.Error("the target still works")
+	}
+}
+
+// TestWeightsAreRequiredInTime counts the time for each version from its own
+// naming.
+func TestWeightsAreRequiredInTime(t *testing.T) {
+	var c weightsClock
+	c.note(&follow.View{Plan: &plan.Plan{}})
+	c.note(&follow.View{Plan: &plan.Plan{}, Weights: map[id.Model]int64{"m": 2}})
+	time.Sleep(50 * time.Millisecond)
+	c.note(&follow.View{Plan: &plan.Plan{}, Weights: map[id.Model]int64{"m": 3}})
+	if got := c.required("m", 40*time.Millisecond, time.Hour); got != 2 {
+		t.Errorf("version %d is required, want 2 and not yet 3", got)
+	}
+	if got := c.required("m", 40*time.Millisecond, 10*time.Millisecond); got != 0 {
+		t.Errorf("version %d is required just after a disturbance", got)
+	}
+}
