--- /dev/null
+++ b/internal/agreement/seat/seat_test.go
@@ -0,0 +1,177 @@
+package seat
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"egretproxy/internal/agreement/record"
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/site/charter"
+)
+
+func group(voters ...id.Keeper) record.Membership {
+	var m record.Membership
+	for _, k := range voters {
+		m = m.With(record.Member{ID: k, Name: string(k[:1]), Address: string(k[:1]), Voter: true})
+	}
+	return m
+}
+
+func steps(t *testing.T, c change, j joiner) record.Membership {
+	t.Helper()
+	for range 10 {
+		next, ok := c.admit(j)
+		if !ok {
+			return c.members
+		}
+		c.members = next
+	}
+	t.Fatal("the change never ends")
+	return record.Membership{}
+}
+
+// TestHoldsLostDiskReturnsAsNewMember replaces a member by one of the same
+// name. The old one goes first, so no step needs a vote of it.
+func TestHoldsLostDiskReturnsAsNewMember(t *testing.T) {
+	j := joiner{Member: record.Member{ID: "a2", Name: "a", Address: "a"}, durable: true}
+	c := change{members: group("a1", "b1", "c1"), voters: 3, last: 9, match: map[id.Keeper]uint64{"a2": 9}}
+	next, _ := c.admit(j)
+	if _, ok := next.Find("a1"); ok || len(next.Voters()) != 2 {
+		t.Errorf("first step: %+v", next)
+	}
+	if m := steps(t, c, j); !m.IsVoter("a2") || len(m.Voters()) != 3 {
+		t.Errorf("in the end: %+v", m)
+	}
+}
+
+func TestHoldsMuteLearnerStaysLearner(t *testing.T) {
+	j := joiner{Member: record.Member{ID: "d1", Name: "d", Address: "d"}, durable: true}
+	c := change{members: group("a1", "b1", "c1"), voters: 5, last: 9, match: map[id.Keeper]uint64{}}
+	if m := steps(t, c, j); m.IsVoter("d1") || len(m.Members) != 4 {
+		t.Errorf("%+v", m)
+	}
+}
+
+// TestSilentVoterIsReplaced waits for a spare member and for long silence.
+func TestSilentVoterIsReplaced(t *testing.T) {
+	j := joiner{Member: record.Member{ID: "d1", Name: "d", Address: "d"}, durable: true}
+	c := change{
+		members: group("a1", "b1", "c1"), voters: 3, last: 9,
+		match: map[id.Keeper]uint64{"d1": 9}, silent: map[id.Keeper]int{"b1": int(replaceAfter / tick)},
+	}
+	if m := steps(t, c, j); m.IsVoter("d1") || !m.IsVoter("b1") {
+		t.Errorf("replaced too soon: %+v", m)
+	}
+	c.silent["b1"]++
+	if m := steps(t, c, j); !m.IsVoter("d1") || m.IsVoter("b1") || len(m.Voters()) != 3 {
+		t.Errorf("not replaced: %+v", m)
+	}
+	j.durable = false
+	if m := steps(t, c, j); m.IsVoter("d1") {
+		t.Errorf("a member without a disk votes: %+v", m)
+	}
+}
+
+// keeper is a running seat of a test.
+type keeper struct {
+	*Seat
+	state *charter.Charter
+	stop  func()
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func startKeeper(t *testing.T, address, folder string, all, founders []string) *keeper {
+	t.Helper()
+	k := &keeper{state: &charter.Charter{}}
+	var err error
+	k.Seat, err = Open(Config{
+		Address: address, Folder: folder, Founders: founders, Known: func() []string { return all },
+		Durable: true, Voters: 3, Machine: k.state,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- k.Run(ctx) }()
+	stopped := false
+	k.stop = func() {
+		if stopped {
+			return
+		}
+		stopped = true
+		cancel()
+		if err := <-ended; err != nil {
+			t.Errorf("keeper %s ended: %v", address, err)
+		}
+	}
+	t.Cleanup(k.stop)
+	return k
+}
+
+func propose(t *testing.T, k *keeper, version int64) {
+	t.Helper()
+	data, err := charter.Encode(charter.Command{Weights: &charter.WeightsChange{Model: "m", Version: version}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	if err := k.Propose(ctx, data); err != nil {
+		t.Fatalf("propose %d: %v", version, err)
+	}
+}
+
+// TestHoldsAcknowledgedSurvivesLostDisk plays a first start, the loss of one
+// disk and of all processes. The keeper without its disk joins a group whose
+// only snapshot is the founding one, which holds no state.
+func TestHoldsAcknowledgedSurvivesLostDisk(t *testing.T) {
+	var all []string
+	var keepers []*keeper
+	folders := []string{t.TempDir(), t.TempDir(), t.TempDir()}
+	for range 3 {
+		all = append(all, freeAddress(t))
+	}
+	for i, a := range all {
+		keepers = append(keepers, startKeeper(t, a, folders[i], all, all))
+	}
+	propose(t, keepers[0], 2)
+	keepers[1].stop()
+	propose(t, keepers[2], 3)
+	folders[1] = t.TempDir()
+	keepers[1] = startKeeper(t, all[1], folders[1], all, nil)
+	for deadline := time.Now().Add(20 * time.Second); !keepers[1].Status().Membership.IsVoter(keepers[1].own.ID); {
+		if time.Now().After(deadline) {
+			t.Fatalf("not a voter: %+v", keepers[1].Status().Membership)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	propose(t, keepers[1], 4)
+	for _, k := range keepers {
+		k.stop()
+	}
+	for i, a := range all {
+		keepers[i] = startKeeper(t, a, folders[i], all, nil)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	for i, k := range keepers {
+		if err := k.Confirm(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if got := k.state.State().Weights["m"]; got != 4 {
+			t.Errorf("keeper %d holds version %d", i, got)
+		}
+	}
+}
--- a/internal/exchange/dispatch/board_test.go
+++ b/internal/exchange/dispatch/board_test.go
@@ -133,6 +133,8 @@
 		}
 		b.Report("e0", Load{Active: 16, Weights: 1})
 		time.Sleep(time.Second)
+		mu.Lock()
+		defer mu.Unlock()
 		if fmt.Sprint(order) != "[1 2 2]" {
 			t.Errorf("order %v", order)
 		}
--- /dev/null
+++ b/internal/role/tender/spread_test.go
@@ -0,0 +1,265 @@
+package tender
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/site/follow"
+	"egretproxy/internal/site/muster"
+	"egretproxy/internal/site/plan"
+	"egretproxy/internal/weights/relay"
+)
+
+const pieces = 48
+
+func piece(n int) []byte { return fmt.Appendf(nil, "piece %d", n) }
+
+// world is engines in failure domains that pass weights on in memory.
+type world struct {
+	relays map[string]*relay.Relay
+	domain map[string]id.Domain
+
+	mu sync.Mutex
+	// drawn counts pieces from the origin, crossed those between domains.
+	drawn, crossed int
+	// downUntil is when the origin answers again.
+	downUntil time.Time
+	// spoil is the pieces that arrive spoilt once.
+	spoil map[int]bool
+}
+
+func (w *world) Manifest(context.Context, relay.Bundle) (relay.Manifest, error) {
+	if err := w.down(); err != nil {
+		return relay.Manifest{}, err
+	}
+	var m relay.Manifest
+	for n := range pieces {
+		sum := sha256.Sum256(piece(n))
+		m.Digests = append(m.Digests, hex.EncodeToString(sum[:]))
+	}
+	return m, nil
+}
+
+func (w *world) down() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if time.Now().Before(w.downUntil) {
+		return errors.New("connection refused")
+	}
+	return nil
+}
+
+func (w *world) Piece(_ context.Context, _ relay.Bundle, n int) ([]byte, error) {
+	if err := w.down(); err != nil {
+		return nil, err
+	}
+	time.Sleep(20 * time.Millisecond)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.drawn++
+	if w.spoil[n] {
+		delete(w.spoil, n)
+		return []byte("spoilt"), nil
+	}
+	return piece(n), nil
+}
+
+// peers asks the other relays of the world on behalf of one engine.
+type peers struct {
+	*world
+	own string
+}
+
+func (p peers) Manifest(ctx context.Context, address string, b relay.Bundle) (relay.Manifest, error) {
+	return p.relays[address].ServeManifest(ctx, b)
+}
+
+func (p peers) Piece(ctx context.Context, address string, b relay.Bundle, n int) ([]byte, error) {
+	time.Sleep(40 * time.Millisecond)
+	if p.domain[address] != p.domain[p.own] {
+		p.mu.Lock()
+		p.crossed++
+		p.mu.Unlock()
+	}
+	return p.relays[address].Serve(ctx, b, n)
+}
+
+func (p peers) Await(ctx context.Context, address string, b relay.Bundle, n int) error {
+	_, err := p.relays[address].Serve(ctx, b, n)
+	return err
+}
+
+type stage struct {
+	mu     sync.Mutex
+	pieces map[int][]byte
+}
+
+func (s *stage) Put(_ context.Context, _ id.Model, n int, data []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pieces[n] = data
+	return nil
+}
+
+func (s *stage) Get(_ context.Context, _ id.Model, n int) ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pieces[n] == nil {
+		return nil, relay.ErrNotHeld
+	}
+	return s.pieces[n], nil
+}
+
+// views is a Follower with one view for all.
+type views struct{ view *follow.View }
+
+func (v views) View() *follow.View { return v.view }
+
+func newWorld(domains, each int) (*world, []*stage) {
+	w := &world{relays: map[string]*relay.Relay{}, domain: map[string]id.Domain{}, spoil: map[int]bool{}}
+	v := &follow.View{
+		Plan: &plan.Plan{Services: map[id.Service]*plan.Service{
+			"llm": {Name: "llm", Engine: &plan.Engine{Model: "m"}}, "origin": {Name: "origin", Origin: "o", Domain: "d0"},
+		}},
+		Targets: map[id.Target]muster.Target{},
+	}
+	var stages []*stage
+	for d := range domains {
+		for e := range each {
+			address := fmt.Sprintf("10.%d.0.%d:80", d, e)
+			domain := id.Domain(fmt.Sprintf("d%d", d))
+			s := &stage{pieces: map[int][]byte{}}
+			stages = append(stages, s)
+			t := &Tender{Settings: Settings{Service: "llm", Address: address, Domain: domain}, Follower: views{v}}
+			w.domain[address] = domain
+			w.relays[address] = &relay.Relay{Origin: w, Peers: peers{w, address}, Stage: s, Routes: t.Routes, Duty: t.Duty}
+			k := id.Target(address)
+			v.Targets[k] = muster.Target{ID: k, Service: "llm", Address: address, Domain: domain}
+		}
+	}
+	return w, stages
+}
+
+func (w *world) bringAll(t *testing.T) time.Duration {
+	began := time.Now()
+	var wg sync.WaitGroup
+	for _, r := range w.relays {
+		wg.Go(func() {
+			for r.Bring(t.Context(), relay.Bundle{Model: "m", Version: 2}) != nil {
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+	}
+	wg.Wait()
+	return time.Since(began)
+}
+
+func checkStages(t *testing.T, stages []*stage) {
+	t.Helper()
+	for i, s := range stages {
+		for n := range pieces {
+			if string(s.pieces[n]) != string(piece(n)) {
+				t.Fatalf("engine %d, piece %d: %q", i, n, s.pieces[n])
+			}
+		}
+	}
+}
+
+// TestHoldsOneCopyFromTheOrigin brings a version to 24 engines in three
+// domains. Every piece leaves the origin once and enters each further domain
+// once.
+func TestHoldsOneCopyFromTheOrigin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, stages := newWorld(3, 8)
+		took := w.bringAll(t)
+		checkStages(t, stages)
+		if w.drawn != pieces || w.crossed != 2*pieces {
+			t.Errorf("%d pieces drawn, %d crossed", w.drawn, w.crossed)
+		}
+		if took > 3*time.Second {
+			t.Errorf("took %s", took)
+		}
+	})
+}
+
+// TestHoldsOriginIsNotStormed plays an origin that is away for six seconds
+// while all engines want a version: afterwards it is drawn from once, not by
+// every engine that waited.
+func TestHoldsOriginIsNotStormed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, stages := newWorld(3, 5)
+		w.downUntil = time.Now().Add(6 * time.Second)
+		took := w.bringAll(t)
+		checkStages(t, stages)
+		if w.drawn > pieces+pieces/4 {
+			t.Errorf("%d pieces drawn, %d wanted", w.drawn, pieces)
+		}
+		if took > 12*time.Second {
+			t.Errorf("took %s", took)
+		}
+	})
+}
+
+// TestHoldsSpoiltPiecesAreReplaced spoils pieces on their way and at rest.
+func TestHoldsSpoiltPiecesAreReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, stages := newWorld(2, 3)
+		w.spoil[3], w.spoil[30] = true, true
+		w.bringAll(t)
+		checkStages(t, stages)
+		stages[0].pieces[7] = []byte("rotten")
+		delete(stages[0].pieces, 9)
+		r := w.relays["10.0.0.0:80"]
+		if err := r.Verify(t.Context(), relay.Bundle{Model: "m", Version: 2}); err != nil {
+			t.Fatal(err)
+		}
+		checkStages(t, stages)
+	})
+}
+
+// TestPiecesAreSharedEvenly counts for how many pieces each engine is the one
+// that brings them into its domain.
+func TestPiecesAreSharedEvenly(t *testing.T) {
+	group := []string{"a", "b", "c", "d", "e", "f", "g"}
+	count := map[string]int{}
+	for n := range pieces {
+		count[chosen(group, n)]++
+	}
+	for a, n := range count {
+		if n < pieces/len(group) || n > pieces/len(group)+1 {
+			t.Errorf("%s has %d pieces", a, n)
+		}
+	}
+}
+
+// TestNeighboursLoadInTurn checks that engines of one domain don't load one
+// right after the other.
+func TestNeighboursLoadInTurn(t *testing.T) {
+	targets := map[id.Target]muster.Target{}
+	order := make([]id.Domain, 9)
+	for i := range 9 {
+		a := fmt.Sprint(i)
+		targets[id.Target(a)] = muster.Target{Service: "s", Address: a, Domain: id.Domain(fmt.Sprint(i / 3))}
+	}
+	for _, o := range targets {
+		at, n := rank(targets, "s", o.Address)
+		if n != 9 {
+			t.Fatalf("%d targets", n)
+		}
+		order[at] = o.Domain
+	}
+	for i := 1; i < len(order); i++ {
+		if order[i] == order[i-1] {
+			t.Errorf("order %v", order)
+		}
+	}
+}
--- a/internal/role/tender/tender.go
+++ b/internal/role/tender/tender.go
@@ -69,10 +69,13 @@
 	Listen string
 }
 
+// Follower tells what the keepers know.
+type Follower interface{ View() *follow.View }
+
 // Tender is one running process. Its fields are set before Run.
 type Tender struct {
 	Settings Settings
-	Follower *follow.Follower
+	Follower Follower
 	Engine   Engine
 	Relay    *relay.Relay
 	Sender   *pulse.Sender
