follow: learn from keepers for how long a version of weights is named

Keepers now send the age with each version, and a keeper found for the first time is no disturbance.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -79,7 +79,6 @@
 
 	stopping atomic.Bool
 	active   atomic.Int64
-	weights  weightsClock
 }
 
 // Run serves callers until the context ends, then finishes what was taken.
--- a/internal/role/gateway/run.go
+++ b/internal/role/gateway/run.go
@@ -170,7 +170,7 @@
 	if j.service.Engine == nil {
 		return 0
 	}
-	return j.g.weights.required(j.service.Engine.Model, j.g.Settings.WeightsDue, j.g.Follower.Calm()-j.g.Settings.SettleTime)
+	return requiredWeights(j.g.Follower.View(), j.service.Engine.Model, j.g.Settings.WeightsDue, j.g.Follower.Calm()-j.g.Settings.SettleTime)
 }
 
 // patience returns how long the request may wait for a target now.
--- a/internal/role/steward/watch.go
+++ b/internal/role/steward/watch.go
@@ -80,7 +80,10 @@
 	}
 	out.State = &feed.State{
 		Index: st.Index, PlanIndex: st.PlanIndex, Version: st.Version,
-		Withdrawn: domains(st.Withdrawn), Weights: st.Weights,
+		Withdrawn: domains(st.Withdrawn),
+	}
+	for _, n := range s.Charter.Namings() {
+		out.State.Weights = append(out.State.Weights, feed.Naming{Model: n.Model, Version: n.Version, AgeMs: n.Age.Milliseconds()})
 	}
 	if wanted {
 		out.State.Document = st.Document
--- a/internal/role/tender/tend.go
+++ b/internal/role/tender/tend.go
@@ -61,7 +61,7 @@
 	if s == nil || s.Engine == nil {
 		return relay.Bundle{}, false
 	}
-	b := relay.Bundle{Model: s.Engine.Model, Version: max(v.Weights[s.Engine.Model], firstKnown)}
+	b := relay.Bundle{Model: s.Engine.Model, Version: max(v.Newest(s.Engine.Model), firstKnown)}
 	for _, o := range v.Targets {
 		if o.Service == t.Settings.Service {
 			b.Version = max(b.Version, o.Weights)
--- a/internal/site/charter/charter.go
+++ b/internal/site/charter/charter.go
@@ -6,11 +6,13 @@
 import (
 	"maps"
 	"sync"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/boottime"
 	"egretproxy/internal/site/plan"
 )
 
@@ -61,6 +63,45 @@
 	state State
 	// changed is closed and replaced at each effect.
 	changed chan struct{}
+	// namings is when this keeper learnt of the newest versions of weights,
+	// in ascending order. It is not part of the agreed state.
+	namings []naming
+}
+
+type naming struct {
+	WeightsChange
+	// at is by the clock of boottime.
+	at time.Duration
+}
+
+// Naming is a version of weights and for how long it has been known.
+type Naming struct {
+	WeightsChange
+	Age time.Duration
+}
+
+// keptNamings bounds the versions whose age is known. Older ones are due long
+// since.
+const keptNamings = 8
+
+// Namings returns the newest versions of weights, oldest first.
+func (c *Charter) Namings() []Naming {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := boottime.Now()
+	var out []Naming
+	for _, n := range c.namings {
+		out = append(out, Naming{n.WeightsChange, now - n.at})
+	}
+	return out
+}
+
+// learn notes a version of weights. It runs under mu.
+func (c *Charter) learn(w WeightsChange) {
+	c.namings = append(c.namings, naming{w, boottime.Now()})
+	if len(c.namings) > keptNamings {
+		c.namings = c.namings[1:]
+	}
 }
 
 // Encode returns the command for the log.
@@ -98,6 +139,9 @@
 		return nil
 	}
 	c.state.Index = index
+	if in.Weights != nil {
+		c.learn(*in.Weights)
+	}
 	c.wake()
 	return nil
 }
@@ -151,6 +195,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state = s
+	c.namings = nil
+	for m, v := range s.Weights {
+		c.learn(WeightsChange{Model: m, Version: v})
+	}
 	c.wake()
 	return nil
 }
--- a/internal/site/feed/feed.go
+++ b/internal/site/feed/feed.go
@@ -60,5 +60,14 @@
 	// Document is compressed. It is left out unless the follower asked for it.
 	Document  []byte `json:",omitempty"`
 	Withdrawn []id.Domain
-	Weights   map[id.Model]int64
+	// Weights is the newest versions that were named, oldest first.
+	Weights []Naming
+}
+
+// Naming is a version of weights and for how long the keeper has known it,
+// in milliseconds.
+type Naming struct {
+	Model   id.Model
+	Version int64
+	AgeMs   int64
 }
--- a/internal/site/follow/follow.go
+++ b/internal/site/follow/follow.go
@@ -86,7 +86,7 @@
 	plannedAt time.Time
 	plan      *plan.Plan
 	withdrawn map[id.Domain]bool
-	weights   map[id.Model]int64
+	weights   []Naming
 }
 
 // View returns the newest view. It is never nil after Run began.
@@ -330,7 +330,7 @@
 	for _, d := range s.Withdrawn {
 		f.withdrawn[d] = true
 	}
-	f.weights = s.Weights
+	f.takeWeights(s.Weights)
 	klog.InfoS("Agreed state changed", "Position", s.Index, "Withdrawn", s.Withdrawn, "Weights", s.Weights)
 	return true
 }
@@ -342,6 +342,23 @@
 	return hold
 }
 
+// takeWeights keeps the longest age that any keeper knows of a version, as
+// one that restarted knows a shorter one. It runs under mu.
+func (f *Follower) takeWeights(named []feed.Naming) {
+	now := boottime.Now()
+	old := f.weights
+	f.weights = nil
+	for _, n := range named {
+		since := now - time.Duration(n.AgeMs)*time.Millisecond
+		for _, o := range old {
+			if o.Model == n.Model && o.Version == n.Version {
+				since = min(since, o.Since)
+			}
+		}
+		f.weights = append(f.weights, Naming{Model: n.Model, Version: n.Version, Since: since})
+	}
+}
+
 // planPause bounds how often plans are taken in, as they take time to read.
 func (f *Follower) planPause() time.Duration {
 	if f.Lazy {
--- a/internal/site/follow/link.go
+++ b/internal/site/follow/link.go
@@ -14,15 +14,17 @@
 
 // link is the connection to one keeper.
 type link struct {
-	keeper   string
-	lost     bool
+	keeper string
+	lost   bool
+	// known tells that the keeper was found before.
+	known    bool
 	failures int
 	// failedAt is when the first of the failed calls began.
 	failedAt time.Duration
 }
 
 // note takes in the end of a call that began at a time. It returns when the
-// keeper was lost or found, if it was.
+// keeper was lost or found again, if it was.
 func (l *link) note(err error, began time.Duration) (at time.Duration, changed bool) {
 	if err == nil {
 		l.failures = 0
@@ -31,7 +33,9 @@
 		}
 		l.lost = false
 		klog.InfoS("Connection to keeper changed", "Keeper", l.keeper, "Lost", false)
-		return boottime.Now(), true
+		again := l.known
+		l.known = true
+		return boottime.Now(), again
 	}
 	if l.failures++; l.failures == 1 {
 		l.failedAt = began
--- a/internal/site/follow/view.go
+++ b/internal/site/follow/view.go
@@ -14,14 +14,33 @@
 	Plan *plan.Plan
 	// Withdrawn is the failure domains that are out of service.
 	Withdrawn map[id.Domain]bool
-	// Weights is the newest version named of each model.
-	Weights map[id.Model]int64
+	// Weights is the newest versions that were named, oldest first.
+	Weights []Naming
 	// Targets is all targets that are alive and have not left.
 	Targets map[id.Target]muster.Target
 	// Entries is the number of entries known, 1 at least.
 	Entries int
 }
 
+// Naming is a version of weights that was named.
+type Naming struct {
+	Model   id.Model
+	Version int64
+	// Since is when it was named, by the clock of boottime.
+	Since time.Duration
+}
+
+// Newest returns the newest version of the model that was named, or 0.
+func (v *View) Newest(m id.Model) int64 {
+	newest := int64(0)
+	for _, n := range v.Weights {
+		if n.Model == m {
+			newest = max(newest, n.Version)
+		}
+	}
+	return newest
+}
+
 // list is what one keeper told.
 type list struct {
 	epoch    string
