--- a/internal/exchange/dispatch/acquire.go
+++ b/internal/exchange/dispatch/acquire.go
@@ -76,13 +76,25 @@
 func (s *service) ahead(a *Ask) int {
 	n := 0
 	for _, w := range s.waiters {
-		if w.ask.Priority <= a.Priority {
+		if compare(w.ask, a) <= 0 {
 			n++
 		}
 	}
 	return n
 }
 
+// compare orders requests by rank, and late ones after others.
+func compare(a, b *Ask) int {
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(late(a), late(b)))
+}
+
+func late(a *Ask) int {
+	if a.Late {
+		return 1
+	}
+	return 0
+}
+
 // tooLong reports whether those ahead take longer than the wait, at the rate
 // at which requests end.
 func (s *service) tooLong(ahead int, wait time.Duration) bool {
@@ -94,7 +106,7 @@
 
 func (s *service) enqueue(w *waiter) {
 	s.waiters = append(s.waiters, w)
-	slices.SortStableFunc(s.waiters, func(x, y *waiter) int { return cmp.Compare(x.ask.Priority, y.ask.Priority) })
+	slices.SortStableFunc(s.waiters, func(x, y *waiter) int { return compare(x.ask, y.ask) })
 }
 
 func (b *Board) await(ctx context.Context, s *service, w *waiter) (*Grant, error) {
--- a/internal/exchange/dispatch/board.go
+++ b/internal/exchange/dispatch/board.go
@@ -39,7 +39,7 @@
 	homeBonus = 3
 	// readingWeight is the weight of a prompt of usual size that is being
 	// read, in requests: reading holds up all others at an engine.
-	readingWeight = 2
+	readingWeight = 6
 	// reportFresh is how long a target's own report counts.
 	reportFresh = 1500 * time.Millisecond
 	// defaultSlots stands for targets that name none.
@@ -76,6 +76,9 @@
 	Priority int
 	// MaxWait is how long it may wait for a target.
 	MaxWait time.Duration
+	// Late requests have missed their objective. They go after others of
+	// their rank.
+	Late bool
 	// MinWeights is the oldest version of weights it may run on.
 	MinWeights int64
 	// Exclude is the targets that it was sent to before.
--- a/internal/role/gateway/answer.go
+++ b/internal/role/gateway/answer.go
@@ -19,12 +19,14 @@
 )
 
 const (
-	// retryAfterLeast and retryAfterSpread spread the return of callers over
-	// a second, so that they don't come back all at once.
-	retryAfterLeast  = 400 * time.Millisecond
+	// retryAfterLeast and retryAfterSpread spread the return of callers, so
+	// that they don't come back all at once.
+	retryAfterLeast  = 700 * time.Millisecond
 	retryAfterSpread = time.Second
-	// retryAfterStart is for a process that is about to learn the plan.
-	retryAfterStart = 300 * time.Millisecond
+	// outageLeast and outageSpread are for refusals while nothing can be
+	// served. Keepers and targets are back after about two seconds.
+	outageLeast  = 1400 * time.Millisecond
+	outageSpread = 600 * time.Millisecond
 )
 
 var outcomeNames = map[dispatch.Outcome]string{
@@ -36,8 +38,8 @@
 // refuse answers that the request has not run and never will.
 func (j *job) refuse(reason, text string) {
 	after := retryAfterLeast + rand.N(retryAfterSpread)
-	if reason == "NoPlan" {
-		after = retryAfterStart
+	if reason == "NoPlan" || reason == "Stale" || reason == "NoTarget" {
+		after = outageLeast + rand.N(outageSpread)
 	}
 	j.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	j.g.Metrics.CountReason("Refused", reason)
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -79,6 +79,7 @@
 
 	stopping atomic.Bool
 	active   atomic.Int64
+	floor    floor
 }
 
 // Run serves callers until the context ends, then finishes what was taken.
--- a/internal/role/gateway/gateway_test.go
+++ b/internal/role/gateway/gateway_test.go
@@ -386,10 +386,17 @@
 		{Model: "m", Version: 3, Since: now - 6*time.Second},
 		{Model: "other", Version: 9, Since: now - 60*time.Second},
 	}}
-	if got := requiredWeights(v, "m", 7*time.Second, time.Hour); got != 2 {
+	var f floor
+	f.raise(v, 7*time.Second, 5*time.Second)
+	if got := f.of("m"); got != 0 {
+		t.Errorf("version %d is required soon after a disturbance", got)
+	}
+	f.raise(v, 7*time.Second, time.Hour)
+	if got := f.of("m"); got != 2 {
 		t.Errorf("version %d is required, want 2 and not yet 3", got)
 	}
-	if got := requiredWeights(v, "m", 7*time.Second, 5*time.Second); got != 0 {
-		t.Errorf("version %d is required soon after a disturbance", got)
+	f.raise(v, 7*time.Second, time.Second)
+	if got := f.of("m"); got != 2 {
+		t.Errorf("version %d is required after another disturbance, want still 2", got)
 	}
 }
--- a/internal/role/gateway/run.go
+++ b/internal/role/gateway/run.go
@@ -23,6 +23,9 @@
 	waitPart = 0.5
 	// lateWait is how long a request whose objective has passed may wait.
 	lateWait = 100 * time.Millisecond
+	// returnedWait is how long a caller that came back may wait. It has
+	// missed its objective, and a second refusal would lose it.
+	returnedWait = 1200 * time.Millisecond
 	// silenceFloor is the shortest silence after which a repeatable request
 	// goes to another target.
 	silenceFloor = time.Second
@@ -126,7 +129,7 @@
 func (j *job) ask() *dispatch.Ask {
 	return &dispatch.Ask{
 		Service: j.service.Name, Regions: common(j.regions), Priority: j.priority,
-		MaxWait: j.patience(), MinWeights: j.minWeights(), Exclude: j.tried, Prompt: j.prompt(),
+		MaxWait: j.patience(), Late: j.late(), MinWeights: j.minWeights(), Exclude: j.tried, Prompt: j.prompt(),
 	}
 }
 
@@ -170,11 +173,22 @@
 	if j.service.Engine == nil {
 		return 0
 	}
-	return requiredWeights(j.g.Follower.View(), j.service.Engine.Model, j.g.Settings.WeightsDue, j.g.Follower.Calm()-j.g.Settings.SettleTime)
+	j.g.raiseFloor(j.view)
+	return j.g.floor.of(j.service.Engine.Model)
+}
+
+// late reports whether the objective can't be met any more, as for callers
+// that come back after a refusal: they have less time left than the route
+// gives.
+func (j *job) late() bool {
+	return j.returned || time.Since(j.began) > j.route.Objective
 }
 
 // patience returns how long the request may wait for a target now.
 func (j *job) patience() time.Duration {
+	if j.returned {
+		return min(returnedWait, time.Until(j.deadline)/2)
+	}
 	left := time.Duration(float64(j.route.Objective)*waitPart) - time.Since(j.began)
 	return min(max(left, lateWait), time.Until(j.deadline))
 }
--- a/internal/role/gateway/weights.go
+++ b/internal/role/gateway/weights.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"log"
+	"sync"
 	"time"
 
 	"egretproxy/internal/fleet/id"
@@ -10,22 +11,45 @@
 	"egretproxy/internal/site/follow"
 )
 
-// requiredWeights returns the oldest version that a request may begin on now.
-// The time that is given for a version counts from its naming, and anew after
-// each disturbance of the keepers, as the users' rules allow: targets that
-// still hold the older one are then better than none.
-func requiredWeights(v *follow.View, m id.Model, due, calm time.Duration) int64 {
-	var out int64
+// floor is the oldest version of each model's weights that requests may begin
+// on. It never falls. The zero value allows all.
+type floor struct {
+	mu       sync.Mutex
+	versions map[id.Model]int64
+}
+
+// raise takes in for how long versions are named. The time that is given for
+// a version begins anew after each disturbance of the keepers, as the users'
+// rules allow: targets that still hold the older one are then better than
+// none. Once it has passed, the version stays required.
+func (f *floor) raise(v *follow.View, due, calm time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.versions == nil {
+		f.versions = map[id.Model]int64{}
+	}
 	for _, n := range v.Weights {
-		if n.Model == m && min(boottime.Now()-n.Since, calm) >= due {
-			out = max(out, n.Version)
+		if min(boottime.Now()-n.Since, calm) >= due {
+			f.versions[n.Model] = max(f.versions[n.Model], n.Version)
 		}
 	}
-	return out
+}
+
+func (f *floor) of(m id.Model) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.versions[m]
 }
 
 // OnView takes in a new view.
-func (g *Gateway) OnView(v *follow.View) { g.Board.Update(v) }
+func (g *Gateway) OnView(v *follow.View) {
+	g.raiseFloor(v)
+	g.Board.Update(v)
+}
+
+func (g *Gateway) raiseFloor(v *follow.View) {
+	g.floor.raise(v, g.Settings.WeightsDue, g.Follower.Calm()-g.Settings.SettleTime)
+}
 
 // quietLog drops the lines of net/http about connections of callers.
 func quietLog() *log.Logger { return log.New(io.Discard, "", 0) }
