--- a/internal/exchange/dispatch/board.go
+++ b/internal/exchange/dispatch/board.go
@@ -39,7 +39,7 @@
 	homeBonus = 3
 	// readingWeight is the weight of a prompt of usual size that is being
 	// read, in requests: reading holds up all others at an engine.
-	readingWeight = 6
+	readingWeight = 2
 	// reportFresh is how long a target's own report counts.
 	reportFresh = 1500 * time.Millisecond
 	// defaultSlots stands for targets that name none.
--- a/internal/role/gateway/gateway_test.go
+++ b/internal/role/gateway/gateway_test.go
@@ -118,6 +118,7 @@
 	*httptest.Server
 	beliefs *beliefs
 	plan    *plan.Plan
+	gateway *Gateway
 }
 
 // startGateway starts a gateway before targets that are tried in the order
@@ -169,7 +170,7 @@
 	}
 	s := httptest.NewServer(http.HandlerFunc(g.serve))
 	t.Cleanup(s.Close)
-	return &bench{s, b, p}
+	return &bench{s, b, p, g}
 }
 
 func (b *bench) call(t *testing.T, host string, fields ...string) (*http.Response, string, error) {
@@ -400,3 +401,30 @@
 		t.Errorf("version %d is required after another disturbance, want still 2", got)
 	}
 }
+
+// TestHoldsWaitingRequestSeesNewWeights lets a version become due while a
+// request waits for a place: it must not begin on the older one.
+func TestHoldsWaitingRequestSeesNewWeights(t *testing.T) {
+	first, a1 := startTarget(t, whole("ok"))
+	b := startGateway(t, a1)
+	b.plan.Services["s"].Engine = &plan.Engine{Model: "m", Slots: 1}
+	for k, o := range b.beliefs.view.Targets {
+		o.Slots, o.Weights = 1, 1
+		b.beliefs.view.Targets[k] = o
+	}
+	b.gateway.OnView(b.beliefs.view)
+	b.gateway.Board.Report("t0", dispatch.Load{Active: 9, Weights: 1})
+	time.AfterFunc(40*time.Millisecond, func() {
+		v := *b.beliefs.view
+		v.Weights = []follow.Naming{{Model: "m", Version: 2, Since: boottime.Now() - time.Hour}}
+		b.gateway.floor.raise(&v, time.Second, time.Hour)
+		b.gateway.Board.Report("t0", dispatch.Load{Weights: 1})
+	})
+	res, _, err := b.call(t, "once")
+	if err != nil || res.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("%v, %v", res, err)
+	}
+	if n := len(first.requests()); n != 0 {
+		t.Errorf("%d requests began on the older version", n)
+	}
+}
--- a/internal/role/gateway/run.go
+++ b/internal/role/gateway/run.go
@@ -52,7 +52,8 @@
 	j.g.Retries.Request(j.service.Name)
 	dials := 0
 	for {
-		grant, err := j.g.Board.Acquire(ctx, j.ask())
+		ask := j.ask()
+		grant, err := j.g.Board.Acquire(ctx, ask)
 		if err != nil {
 			j.giveUp(ctx, err)
 			return
@@ -63,6 +64,11 @@
 			j.giveUp(ctx, errStale)
 			return
 		}
+		if j.minWeights() > ask.MinWeights {
+			// A newer version became due during the wait.
+			grant.End(dispatch.Cancelled)
+			continue
+		}
 		v, outcome, sent := j.attempt(ctx, grant)
 		ejected := grant.End(outcome)
 		if ejected {
