--- a/internal/exchange/dialect/dialect.go
+++ b/internal/exchange/dialect/dialect.go
@@ -16,6 +16,8 @@
 	Target string
 	// Weights is the version that must serve the request, or none.
 	Weights string
+	// ServedWeights is the version that an answer comes from.
+	ServedWeights string
 	// Priority is the urgency for targets, 0 is first.
 	Priority string
 	// LastEvent is the event after which a stream goes on.
--- a/internal/exchange/dispatch/board.go
+++ b/internal/exchange/dispatch/board.go
@@ -81,6 +81,9 @@
 	Late bool
 	// MinWeights is the oldest version of weights it may run on.
 	MinWeights int64
+	// OnlyWeights is the version it must run on, 0 for any: a stream goes
+	// on with the version that it began with.
+	OnlyWeights int64
 	// Exclude is the targets that it was sent to before.
 	Exclude []id.Target
 	// Prompt is the number of tokens to read first.
@@ -222,6 +225,9 @@
 		return true
 	}
 	weights := t.weights()
+	if a.OnlyWeights > 0 && weights != a.OnlyWeights {
+		return false
+	}
 	return weights > 0 && weights >= a.MinWeights
 }
 
--- a/internal/kernel/trail/trail.go
+++ b/internal/kernel/trail/trail.go
@@ -44,10 +44,11 @@
 	left   [kinds]int
 }
 
-// Open starts the log on the writer and sends klog there as well.
-func Open(w io.Writer) *Trail {
+// Open starts the log on the writer and sends klog there as well. Each line
+// bears the attributes, names and values by turns.
+func Open(w io.Writer, attributes ...any) *Trail {
 	o := newOutlet(w)
-	log := slog.New(slog.NewJSONHandler(o, &slog.HandlerOptions{Level: slog.LevelInfo}))
+	log := slog.New(slog.NewJSONHandler(o, &slog.HandlerOptions{Level: slog.LevelInfo})).With(attributes...)
 	klog.SetSlogLogger(log)
 	var flags flag.FlagSet
 	klog.InitFlags(&flags)
--- a/internal/role/gateway/run.go
+++ b/internal/role/gateway/run.go
@@ -136,6 +136,7 @@
 	return &dispatch.Ask{
 		Service: j.service.Name, Regions: common(j.regions), Priority: j.priority,
 		MaxWait: j.patience(), Late: j.late(), MinWeights: j.minWeights(), Exclude: j.tried, Prompt: j.prompt(),
+		OnlyWeights: j.begunWeights(),
 	}
 }
 
@@ -183,6 +184,14 @@
 	return j.g.floor.of(j.service.Engine.Model)
 }
 
+// begunWeights returns the version that a stream began with, 0 for none.
+func (j *job) begunWeights() int64 {
+	if j.stream == nil || !j.stream.begun {
+		return 0
+	}
+	return j.stream.weights
+}
+
 // late reports whether the objective can't be met any more, as for callers
 // that come back after a refusal: they have less time left than the route
 // gives.
@@ -206,7 +215,7 @@
 	silent := newSilence(cancel, j.silenceLimit(), j.reserve)
 	defer silent.stop()
 	j.logSend(grant)
-	a, err := j.g.Pool.Send(ctx, grant.Address, j.target(grant.Target, j.minWeights()))
+	a, err := j.g.Pool.Send(ctx, grant.Address, j.target(grant.Target, max(j.minWeights(), j.begunWeights())))
 	if err != nil {
 		return j.sendFailed(err, silent.hit())
 	}
--- a/internal/role/gateway/stream.go
+++ b/internal/role/gateway/stream.go
@@ -22,6 +22,8 @@
 	events int
 	// begun tells that the caller has the header.
 	begun bool
+	// weights is the version that it began with, 0 if unknown.
+	weights int64
 	// first is the time to the first event, gap the longest pause after it.
 	first, gap time.Duration
 	at         time.Time
@@ -94,6 +96,7 @@
 		}
 		if !j.stream.begun {
 			j.stream.begun = true
+			j.stream.weights = j.servedWeights(a)
 			j.copyHeader(a)
 			j.w.WriteHeader(a.Status)
 			j.g.Metrics.Observe("FirstEvent", time.Since(j.began))
@@ -110,6 +113,15 @@
 	}
 }
 
+// servedWeights returns the version that an answer comes from, 0 if unknown.
+func (j *job) servedWeights(a *lines.Answer) int64 {
+	v, err := strconv.ParseInt(a.Header.Get(j.g.Settings.Dialect.ServedWeights), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return v
+}
+
 // endStream reports whether the target's stream may be taken for whole.
 func (j *job) endStream(a *lines.Answer) error {
 	if j.stream.events == 0 && !j.stream.begun {
--- a/internal/role/tender/routes.go
+++ b/internal/role/tender/routes.go
@@ -82,7 +82,9 @@
 			out = append(out, a)
 		}
 	}
-	add(chosen(f.holding[f.domain], n))
+	for i := range f.holding[f.domain] {
+		add(chosen(f.holding[f.domain], n+i))
+	}
 	near := chosen(f.domains[f.domain], n)
 	add(near)
 	for _, d := range f.chain(n) {
--- a/internal/weights/relay/fetch.go
+++ b/internal/weights/relay/fetch.go
@@ -12,6 +12,39 @@
 // on its way. Going past it would use up links that others wait for.
 const steadfast = 3500 * time.Millisecond
 
+const (
+	// slowPiece is how long a piece may take until its peer is asked after
+	// others. On an instance's link it takes about 40 ms, times the pieces
+	// under way.
+	slowPiece = 600 * time.Millisecond
+	// slowFor is how long that is remembered.
+	slowFor = 5 * time.Second
+)
+
+func (r *Relay) noteSlow(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.slow == nil {
+		r.slow = map[string]time.Time{}
+	}
+	r.slow[address] = time.Now()
+}
+
+// fastFirst returns the peers with those that were slow lately at the end.
+func (r *Relay) fastFirst(peers []string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var fast, slow []string
+	for _, a := range peers {
+		if time.Since(r.slow[a]) < slowFor {
+			slow = append(slow, a)
+		} else {
+			fast = append(fast, a)
+		}
+	}
+	return append(fast, slow...)
+}
+
 // age returns for how long the bundle has been on its way.
 func (r *Relay) age(b Bundle) time.Duration {
 	r.mu.Lock()
@@ -28,6 +61,9 @@
 		return data, nil
 	}
 	peers, drawn := r.Routes(b, n)
+	if !drawn {
+		peers = r.fastFirst(peers)
+	}
 	var err error
 	for _, address := range peers {
 		var data []byte
@@ -62,28 +98,34 @@
 }
 
 func (r *Relay) fromOrigin(ctx context.Context, b Bundle, n int) ([]byte, error) {
-	if err := r.acquire(ctx); err != nil {
+	_, drawing := r.places()
+	if err := acquire(ctx, drawing); err != nil {
 		return nil, err
 	}
-	defer r.release()
+	defer func() { <-drawing }()
 	call, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	return r.Origin.Piece(call, b, n)
 }
 
 func (r *Relay) fromPeer(ctx context.Context, address string, b Bundle, n int) ([]byte, error) {
-	wait, cancelWait := context.WithTimeout(ctx, fetchTimeout)
+	wait, cancelWait := context.WithTimeout(ctx, awaitTimeout)
 	defer cancelWait()
 	if err := r.Peers.Await(wait, address, b, n); err != nil {
 		return nil, err
 	}
-	if err := r.acquire(ctx); err != nil {
+	slots, _ := r.places()
+	if err := acquire(ctx, slots); err != nil {
 		return nil, err
 	}
-	defer r.release()
+	defer func() { <-slots }()
 	call, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
+	began := time.Now()
 	data, err := r.Peers.Piece(call, address, b, n)
+	if err != nil || time.Since(began) > slowPiece {
+		r.noteSlow(address)
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/weights/relay/relay.go
+++ b/internal/weights/relay/relay.go
@@ -37,9 +37,14 @@
 	// transfers is the pieces that are on their way to this process at once.
 	// More would queue on the instance's link ahead of live requests.
 	transfers = 4
-	// awaitPiece is how long a peer is waited for, since it may just be
-	// fetching the piece itself.
-	awaitPiece = 2200 * time.Millisecond
+	// draws is the same for pieces from the origin, which others wait for.
+	draws = 4
+	// awaitPiece is how long a peer lets another one wait for a piece that it
+	// is just fetching itself.
+	awaitPiece = 800 * time.Millisecond
+	// awaitTimeout is how long a peer may leave that question unanswered
+	// until it is taken for gone.
+	awaitTimeout = 1300 * time.Millisecond
 	// fetchTimeout bounds one transfer.
 	fetchTimeout = 2800 * time.Millisecond
 	retryPause   = 100 * time.Millisecond
@@ -97,28 +102,33 @@
 	mu      sync.Mutex
 	bundles map[Bundle]*held
 	recent  []Bundle
-	// slots holds a token for each transfer in progress.
-	slots chan struct{}
+	// slow is when a peer last took long for a piece.
+	slow map[string]time.Time
+	// slots and drawing hold a token for each transfer in progress.
+	slots, drawing chan struct{}
 }
 
-// acquire waits for the right to begin a transfer.
-func (r *Relay) acquire(ctx context.Context) error {
+// places returns the tokens for transfers from peers and from the origin.
+func (r *Relay) places() (slots, drawing chan struct{}) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	if r.slots == nil {
-		r.slots = make(chan struct{}, transfers)
+		r.slots, r.drawing = make(chan struct{}, transfers), make(chan struct{}, draws)
 	}
-	slots := r.slots
-	r.mu.Unlock()
+	return r.slots, r.drawing
+}
+
+// acquire waits for the right to begin a transfer. The caller takes the token
+// back.
+func acquire(ctx context.Context, places chan struct{}) error {
 	select {
-	case slots <- struct{}{}:
+	case places <- struct{}{}:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 }
 
-func (r *Relay) release() { <-r.slots }
-
 // held is what is known of one bundle.
 type held struct {
 	manifest *Manifest
