--- a/internal/role/gateway/request.go
+++ b/internal/role/gateway/request.go
@@ -24,7 +24,7 @@
 	defaultDeadline = 30 * time.Second
 	// answerMargin is kept for the way of a failure back to the caller.
 	answerMargin = 30 * time.Millisecond
-	// defaultPriority is the rank of targets for requests without one.
+	// maxPriority is the lowest rank that targets know.
 	maxPriority = 9
 )
 
--- a/main.go
+++ b/main.go
@@ -14,6 +14,7 @@
 	_ "egretproxy/internal/command/bundle"
 	_ "egretproxy/internal/command/config"
 	_ "egretproxy/internal/command/domain"
+	_ "egretproxy/internal/command/explain"
 	_ "egretproxy/internal/command/role"
 	_ "egretproxy/internal/command/target"
 	"egretproxy/internal/kernel/registry"
