--- a/internal/exchange/dispatch/board.go
+++ b/internal/exchange/dispatch/board.go
@@ -324,3 +324,37 @@
 	}
 	return readingWeight * float64(t.reading) / s.spec.Engine.UsualPrompt
 }
+
+// Summary is the state of a service's targets, for the log.
+type Summary struct {
+	// Targets is all that are known; Out are draining, withdrawn or without
+	// weights, Closed take nothing for now, Ejected failed lately.
+	Targets, Out, Closed, Ejected int
+	Waiting                       int
+	// LeastBusy is the fewest requests at a target that is left.
+	LeastBusy float64
+}
+
+// Summary describes the targets of a service.
+func (b *Board) Summary(k id.Service) Summary {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.services[k]
+	if s == nil {
+		return Summary{}
+	}
+	out := Summary{Targets: len(s.targets), Waiting: len(s.waiters), LeastBusy: -1}
+	for _, t := range s.targets {
+		switch {
+		case !b.mayServe(s, t, &Ask{}):
+			out.Out++
+		case t.reported() && t.load.Closed:
+			out.Closed++
+		case !t.health.admits(time.Now()):
+			out.Ejected++
+		case out.LeastBusy < 0 || b.busy(t) < out.LeastBusy:
+			out.LeastBusy = b.busy(t)
+		}
+	}
+	return out
+}
--- a/internal/role/gateway/answer.go
+++ b/internal/role/gateway/answer.go
@@ -120,7 +120,12 @@
 		kind = notableKind
 	}
 	all := append([]any{"Request", j.id, "Reason", reason}, args...)
-	all = append(all, "Route", routeName(j.route), "Sent", j.sent, "Tried", j.tried,
+	if reason == "Full" || reason == "NoTarget" {
+		s := j.g.Board.Summary(j.service.Name)
+		all = append(all, "Service", j.service.Name, "Targets", s.Targets, "Out", s.Out, "Closed", s.Closed,
+			"Ejected", s.Ejected, "Waiting", s.Waiting, "LeastBusy", s.LeastBusy, "MinWeights", j.minWeights())
+	}
+	all = append(all, "Target", j.target, "Route", routeName(j.route), "Sent", j.sent, "Tried", j.tried,
 		"MayHaveRun", j.mayHaveRun, "WaitedMs", j.waited.Milliseconds(),
 		"TookMs", time.Since(j.began).Milliseconds(), "ConfirmedMsAgo", j.g.Follower.Age().Milliseconds(),
 		"Plan", planVersion(j.view.Plan))
--- a/internal/role/gateway/request.go
+++ b/internal/role/gateway/request.go
@@ -46,6 +46,8 @@
 	began    time.Time
 	// deadline is when the caller must have its final answer.
 	deadline time.Time
+	// target is the one that the newest attempt went to.
+	target id.Target
 	// tried is the targets that the request was sent to.
 	tried []id.Target
 	// sent counts the requests sent to targets, whether run or not.
@@ -177,8 +179,8 @@
 	panic(http.ErrAbortHandler)
 }
 
-// target builds the request that goes to a target.
-func (j *job) target(k id.Target, minWeights int64) *lines.Request {
+// outgoing builds the request that goes to a target.
+func (j *job) outgoing(k id.Target, minWeights int64) *lines.Request {
 	d := j.g.Settings.Dialect
 	h := j.r.Header.Clone()
 	for _, field := range h["Connection"] {
--- a/internal/role/gateway/run.go
+++ b/internal/role/gateway/run.go
@@ -69,6 +69,7 @@
 			grant.End(dispatch.Cancelled)
 			continue
 		}
+		j.target = grant.Target
 		v, outcome, sent := j.attempt(ctx, grant)
 		ejected := grant.End(outcome)
 		if ejected {
@@ -215,7 +216,7 @@
 	silent := newSilence(cancel, j.silenceLimit(), j.reserve)
 	defer silent.stop()
 	j.logSend(grant)
-	a, err := j.g.Pool.Send(ctx, grant.Address, j.target(grant.Target, max(j.minWeights(), j.begunWeights())))
+	a, err := j.g.Pool.Send(ctx, grant.Address, j.outgoing(grant.Target, max(j.minWeights(), j.begunWeights())))
 	if err != nil {
 		return j.sendFailed(err, silent.hit())
 	}
