--- a/internal/weights/barter/barter.go
+++ b/internal/weights/barter/barter.go
@@ -26,6 +26,9 @@
 	maxBytes = 64 << 20
 	// idleTimeout closes connections to peers between versions.
 	idleTimeout = 5 * time.Second
+	// uploads is the pieces that are sent at once. The engine's answers leave
+	// by the same link, and events must not wait behind several pieces.
+	uploads = 1
 	// perPeer bounds the connections to one peer; most of them wait.
 	perPeer = 64
 )
@@ -94,6 +97,8 @@
 // Handler serves what the relay holds to peers.
 func Handler(r *relay.Relay) http.Handler {
 	mux := flow.New()
+	// sending holds a token for each piece that is being sent.
+	sending := make(chan struct{}, uploads)
 	mux.HandleFunc("/weights/manifest", func(w http.ResponseWriter, q *http.Request) {
 		b, _, err := parse(q)
 		if err != nil {
@@ -128,6 +133,12 @@
 			http.Error(w, err.Error(), http.StatusNotFound)
 			return
 		}
+		select {
+		case sending <- struct{}{}:
+			defer func() { <-sending }()
+		case <-q.Context().Done():
+			return
+		}
 		w.Header().Set("Content-Type", "application/octet-stream")
 		w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 		_, _ = w.Write(data)
--- a/internal/weights/relay/relay.go
+++ b/internal/weights/relay/relay.go
@@ -36,7 +36,7 @@
 	parallel = 64
 	// transfers is the pieces that are on their way to this process at once.
 	// More would queue on the instance's link ahead of live requests.
-	transfers = 4
+	transfers = 2
 	// draws is the same for pieces from the origin, which others wait for.
 	draws = 4
 	// awaitPiece is how long a peer lets another one wait for a piece that it
