dispatch: nothing for targets behind slow links; reset what is given up

Load datagrams now measure the delay of the way. Ruled out: waits in the entry, the version at the time of the choice.

--- a/internal/exchange/dispatch/board.go
+++ b/internal/exchange/dispatch/board.go
@@ -40,6 +40,12 @@
 	// readingWeight is the weight of a prompt of usual size that is being
 	// read, in requests: reading holds up all others at an engine.
 	readingWeight = 2
+	// delayWeight is what a request counts that waits on the way to a target,
+	// in milliseconds. A place that becomes free takes about as long.
+	delayWeight = 40
+	// maxDelay is the delay above which a target gets nothing: requests would
+	// reach it after their objective, or under beliefs that have changed.
+	maxDelay = 300 * time.Millisecond
 	// reportFresh is how long a target's own report counts.
 	reportFresh = 1500 * time.Millisecond
 	// defaultSlots stands for targets that name none.
@@ -65,6 +71,8 @@
 	Weights int64
 	// Closed tells that it takes nothing new for now.
 	Closed bool
+	// Delay is the time of a datagram to the target's instance and back.
+	Delay time.Duration
 }
 
 // Ask is one request's wish for a target.
@@ -274,7 +282,7 @@
 // hasRoom reports whether the target can begin on the request soon.
 func (b *Board) hasRoom(s *service, t *target) bool {
 	now := time.Now()
-	if t.reported() && t.load.Closed || !t.health.admits(now) {
+	if t.reported() && (t.load.Closed || t.load.Delay > maxDelay) || !t.health.admits(now) {
 		return false
 	}
 	if b.busy(t) >= b.limit(s, t) {
@@ -306,7 +314,7 @@
 		if !b.hasRoom(s, t) {
 			continue
 		}
-		x := b.busy(t) + s.reading(t) + rand.Float64()
+		x := b.busy(t) + s.reading(t) + t.delay() + rand.Float64()
 		if b.cfg.Regions[t.Domain] == b.cfg.Home {
 			x -= homeBonus
 		}
@@ -317,6 +325,14 @@
 	return best, found
 }
 
+// delay returns what the way to the target counts, in requests.
+func (t *target) delay() float64 {
+	if !t.reported() {
+		return 0
+	}
+	return float64(t.load.Delay.Milliseconds()) / delayWeight
+}
+
 // reading returns what the prompts that are being read count, in requests.
 func (s *service) reading(t *target) float64 {
 	if s.spec.Engine == nil || s.spec.Engine.UsualPrompt <= 0 {
--- a/internal/exchange/dispatch/board_test.go
+++ b/internal/exchange/dispatch/board_test.go
@@ -272,3 +272,19 @@
 		}
 	})
 }
+
+// TestTargetsBehindSlowLinksGetNothing plays a link that is narrowed: requests
+// would queue on it and reach the target seconds later.
+func TestTargetsBehindSlowLinksGetNothing(t *testing.T) {
+	b := New(settings())
+	b.Update(site(2, 1))
+	b.Report("e0", Load{Weights: 1, Delay: 2 * maxDelay})
+	b.Report("e1", Load{Active: 9, Weights: 1})
+	for range 4 {
+		g, err := b.Acquire(context.Background(), &Ask{Service: "llm"})
+		if err != nil || g.Target != "e1" {
+			t.Fatalf("%+v, %v", g, err)
+		}
+		g.End(Served)
+	}
+}
--- a/internal/exchange/lines/exchange.go
+++ b/internal/exchange/lines/exchange.go
@@ -70,7 +70,7 @@
 		_ = l.conn.Close()
 		return nil, errors.Wrap(ErrNotSent, ctx.Err().Error())
 	}
-	stop := context.AfterFunc(ctx, func() { _ = l.conn.Close() })
+	stop := context.AfterFunc(ctx, l.abort)
 	a, err := p.exchange(address, l, r)
 	if err != nil {
 		stop()
--- a/internal/exchange/lines/lines.go
+++ b/internal/exchange/lines/lines.go
@@ -86,6 +86,15 @@
 	return err == nil && quiet
 }
 
+// abort resets the connection, so that a request that still waits on the way
+// is dropped and the target learns at once that nobody wants it.
+func (l *line) abort() {
+	if c, ok := l.conn.(*net.TCPConn); ok {
+		_ = c.SetLinger(0)
+	}
+	_ = l.conn.Close()
+}
+
 func (p *Pool) dial(ctx context.Context, address string) (*line, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
--- a/internal/site/pulse/pulse.go
+++ b/internal/site/pulse/pulse.go
@@ -27,6 +27,8 @@
 // Subscription asks for the load of the target beside the receiver.
 type Subscription struct {
 	Target id.Target `cbor:"1,keyasint"`
+	// Stamp is the sender's time in milliseconds. It comes back in Load.
+	Stamp int64 `cbor:"2,keyasint"`
 }
 
 // Load is the newest report of a target.
@@ -37,6 +39,10 @@
 	Weights int64     `cbor:"4,keyasint"`
 	// Closed tells that the target takes nothing new for now.
 	Closed bool `cbor:"5,keyasint"`
+	// Stamp is that of the newest subscription, HeldMs the time since it
+	// arrived. Both give the receiver the delay of the way and back.
+	Stamp  int64 `cbor:"6,keyasint"`
+	HeldMs int64 `cbor:"7,keyasint"`
 }
 
 // Sender sends loads to all that subscribed. Take NewSender.
@@ -52,6 +58,7 @@
 type subscriber struct {
 	target id.Target
 	at     time.Time
+	stamp  int64
 }
 
 // NewSender listens for subscriptions on the address.
@@ -73,7 +80,7 @@
 		}
 		s.mu.Lock()
 		_, known := s.subscribers[from]
-		s.subscribers[from] = subscriber{target: in.Target, at: time.Now()}
+		s.subscribers[from] = subscriber{target: in.Target, at: time.Now(), stamp: in.Stamp}
 		s.mu.Unlock()
 		if !known {
 			onNew()
@@ -90,7 +97,7 @@
 			delete(s.subscribers, to)
 			continue
 		}
-		l.Target = sub.target
+		l.Target, l.Stamp, l.HeldMs = sub.target, sub.stamp, time.Since(sub.at).Milliseconds()
 		write(s.conn, to, l)
 	}
 }
@@ -103,7 +110,11 @@
 }
 
 // Receiver subscribes to targets. Take NewReceiver.
-type Receiver struct{ conn *net.UDPConn }
+type Receiver struct {
+	conn *net.UDPConn
+	// began is the zero of the stamps.
+	began time.Time
+}
 
 // NewReceiver listens for loads on the address.
 func NewReceiver(address string) (*Receiver, error) {
@@ -111,15 +122,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Receiver{conn: conn}, nil
+	return &Receiver{conn: conn, began: time.Now()}, nil
 }
 
-// Run calls onLoad for each load until the context ends.
-func (r *Receiver) Run(ctx context.Context, onLoad func(Load)) {
+// Run calls onLoad for each load until the context ends, with the delay of
+// the way to the target's process and back.
+func (r *Receiver) Run(ctx context.Context, onLoad func(Load, time.Duration)) {
 	receive(ctx, r.conn, func(_ netip.AddrPort, data []byte) {
 		var l Load
 		if cbor.Unmarshal(data, &l) == nil && l.Active >= 0 && l.Queued >= 0 {
-			onLoad(l)
+			onLoad(l, time.Since(r.began)-time.Duration(l.Stamp+l.HeldMs)*time.Millisecond)
 		}
 	})
 }
@@ -131,7 +143,7 @@
 		klog.V(1).InfoS("Address can't be read", "Target", k, "Address", address, "Error", err.Error())
 		return
 	}
-	write(r.conn, to, Subscription{Target: k})
+	write(r.conn, to, Subscription{Target: k, Stamp: time.Since(r.began).Milliseconds()})
 }
 
 func listen(address string) (*net.UDPConn, error) {
