--- a/internal/exchange/dispatch/board.go
+++ b/internal/exchange/dispatch/board.go
@@ -48,6 +48,10 @@
 	maxDelay = 300 * time.Millisecond
 	// reportFresh is how long a target's own report counts.
 	reportFresh = 1500 * time.Millisecond
+	// mutedFor is how long a target whose reports stopped gets nothing: its
+	// instance stands still or its link is full. After that the process that
+	// reports is taken for gone.
+	mutedFor = 8 * time.Second
 	// defaultSlots stands for targets that name none.
 	defaultSlots = 4
 )
@@ -250,6 +254,12 @@
 
 func (t *target) reported() bool { return time.Since(t.loadAt) < reportFresh }
 
+// muted reports whether reports stopped a short while ago.
+func (t *target) muted() bool {
+	age := time.Since(t.loadAt)
+	return !t.loadAt.IsZero() && age >= reportFresh && age < mutedFor
+}
+
 func (t *target) weights() int64 {
 	if t.reported() {
 		return t.load.Weights
@@ -282,7 +292,7 @@
 // hasRoom reports whether the target can begin on the request soon.
 func (b *Board) hasRoom(s *service, t *target) bool {
 	now := time.Now()
-	if t.reported() && (t.load.Closed || t.load.Delay > maxDelay) || !t.health.admits(now) {
+	if t.muted() || t.reported() && (t.load.Closed || t.load.Delay > maxDelay) || !t.health.admits(now) {
 		return false
 	}
 	if b.busy(t) >= b.limit(s, t) {
--- a/internal/exchange/dispatch/board_test.go
+++ b/internal/exchange/dispatch/board_test.go
@@ -288,3 +288,22 @@
 		g.End(Served)
 	}
 }
+
+// TestMutedTargetIsLeftOutForAWhile stops a target's reports, as on a link so
+// full that datagrams are lost.
+func TestMutedTargetIsLeftOutForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(settings())
+		b.Update(site(1, 1))
+		b.Report("e0", Load{Weights: 1})
+		ask := &Ask{Service: "llm"}
+		time.Sleep(reportFresh)
+		if _, err := b.Acquire(t.Context(), ask); !errors.Is(err, ErrFull) {
+			t.Errorf("reports stopped: %v", err)
+		}
+		time.Sleep(mutedFor)
+		if _, err := b.Acquire(t.Context(), ask); err != nil {
+			t.Errorf("long after: %v", err)
+		}
+	})
+}
