agreement: let calls wait until the member runs

Cause: TestHoldsAcknowledgedSurvivesLostDisk failed twice beside other work ('this keeper does not lead'): a confirmation asked before Run had set up the member was refused at once.

--- a/internal/agreement/seat/calls.go
+++ b/internal/agreement/seat/calls.go
@@ -48,7 +48,7 @@
 func (s *Seat) Propose(ctx context.Context, command []byte) error {
 	return s.atLeader(ctx, func(ctx context.Context, leader string) error {
 		if leader == "" {
-			_, err := s.replica.Propose(ctx, command)
+			_, err := s.member().Propose(ctx, command)
 			return err
 		}
 		return s.client(leader).Call(ctx, methodPropose, proposeCall{Command: command}, nil)
@@ -62,7 +62,7 @@
 	err := s.atLeader(ctx, func(ctx context.Context, leader string) error {
 		if leader == "" {
 			var err error
-			index, err = s.replica.Confirm(ctx)
+			index, err = s.member().Confirm(ctx)
 			return err
 		}
 		var out confirmReply
@@ -73,7 +73,7 @@
 	if err != nil {
 		return err
 	}
-	return s.replica.Await(ctx, index)
+	return s.member().Await(ctx, index)
 }
 
 // atLeader runs the call here, for an empty address, or against the leader,
@@ -81,10 +81,8 @@
 func (s *Seat) atLeader(ctx context.Context, call func(ctx context.Context, leader string) error) error {
 	err := error(replica.ErrNotLeader)
 	for ctx.Err() == nil {
-		if s.member() == nil {
-			return replica.ErrNotLeader
-		}
-		st := s.replica.Status()
+		// Before Run the status is empty, so the call waits for it.
+		st := s.Status()
 		m, known := st.Membership.Find(st.Leader)
 		if st.Leads || known && st.Leader != st.ID {
 			address := m.Address
