--- a/internal/exchange/dispatch/board.go
+++ b/internal/exchange/dispatch/board.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -133,10 +134,8 @@
 	load    Load
 	loadAt  time.Time
 	ownThen int
-	// coldUntil is when the target says it will be warm.
-	coldUntil time.Time
-	bucket    bucket
-	health    health
+	bucket  bucket
+	health  health
 }
 
 // New returns an empty board.
@@ -164,9 +163,6 @@
 			o = &target{}
 			b.targets[k] = o
 		}
-		if t.ColdMs > 0 && (o.ColdMs == 0 || t.Sequence != o.Sequence) {
-			o.coldUntil = time.Now().Add(time.Duration(t.ColdMs) * time.Millisecond)
-		}
 		o.Target = t
 		o.withdrawn = v.Withdrawn[t.Domain]
 	}
@@ -225,12 +221,10 @@
 	if t.Stage != muster.Ready || t.withdrawn {
 		return false
 	}
-	for _, k := range a.Exclude {
-		if k == t.ID {
-			return false
-		}
+	if slices.Contains(a.Exclude, t.ID) {
+		return false
 	}
-	if len(a.Regions) > 0 && !contains(a.Regions, b.cfg.Regions[t.Domain]) {
+	if len(a.Regions) > 0 && !slices.Contains(a.Regions, b.cfg.Regions[t.Domain]) {
 		return false
 	}
 	if s.spec.Engine == nil {
@@ -243,15 +237,6 @@
 	return weights > 0 && weights >= a.MinWeights
 }
 
-func contains(regions []id.Region, r id.Region) bool {
-	for _, x := range regions {
-		if x == r {
-			return true
-		}
-	}
-	return false
-}
-
 func (t *target) reported() bool { return time.Since(t.loadAt) < reportFresh }
 
 // muted reports whether reports stopped a short while ago.
