--- a/internal/exchange/dispatch/acquire.go
+++ b/internal/exchange/dispatch/acquire.go
@@ -29,6 +29,8 @@
 	Reported time.Duration
 	// Waited is the time in the queue.
 	Waited time.Duration
+	// Weights is the version that the target holds, 0 if unknown.
+	Weights int64
 
 	board  *Board
 	target *target
@@ -170,7 +172,7 @@
 	t.health.begin(now)
 	g := &Grant{
 		Target: t.ID, Address: t.Address, Domain: t.Domain, Busy: b.busy(t), Reported: -1,
-		Waited: now.Sub(since), board: b, target: t, prompt: a.Prompt,
+		Waited: now.Sub(since), Weights: t.weights(), board: b, target: t, prompt: a.Prompt,
 	}
 	if t.reported() {
 		g.Reported = now.Sub(t.loadAt)
@@ -200,6 +202,10 @@
 	now := time.Now()
 	g.target.own--
 	g.begun()
+	if g.target.reported() && g.target.load.Closed && o != Served {
+		// The target was announced to stop for a while.
+		o = Cancelled
+	}
 	ejected := g.target.health.end(now, o)
 	s := b.services[g.target.Service]
 	if s == nil {
--- a/internal/exchange/dispatch/board.go
+++ b/internal/exchange/dispatch/board.go
@@ -44,6 +44,9 @@
 	// delayWeight is what a request counts that waits on the way to a target,
 	// in milliseconds. A place that becomes free takes about as long.
 	delayWeight = 40
+	// staleWeight is what older weights count for a request that was cut off,
+	// in requests.
+	staleWeight = 10
 	// maxDelay is the delay above which a target gets nothing: requests would
 	// reach it after their objective, or under beliefs that have changed.
 	maxDelay = 300 * time.Millisecond
@@ -94,9 +97,9 @@
 	Late bool
 	// MinWeights is the oldest version of weights it may run on.
 	MinWeights int64
-	// OnlyWeights is the version it must run on, 0 for any: a stream goes
-	// on with the version that it began with.
-	OnlyWeights int64
+	// Moved requests were cut off at a target. They go to targets with the
+	// newest weights first, which will not cut them off again.
+	Moved bool
 	// Exclude is the targets that it was sent to before.
 	Exclude []id.Target
 	// Prompt is the number of tokens to read first.
@@ -231,9 +234,6 @@
 		return true
 	}
 	weights := t.weights()
-	if a.OnlyWeights > 0 && weights != a.OnlyWeights {
-		return false
-	}
 	return weights > 0 && weights >= a.MinWeights
 }
 
@@ -300,7 +300,7 @@
 // pick returns the target with the most room, or nil. found tells whether
 // any target may serve the request later.
 func (b *Board) pick(s *service, a *Ask) (best *target, found bool) {
-	score := 0.0
+	score, newest := 0.0, s.newest()
 	for _, t := range s.targets {
 		if !b.mayServe(s, t, a) {
 			continue
@@ -313,6 +313,9 @@
 		if b.cfg.Regions[t.Domain] == b.cfg.Home {
 			x -= homeBonus
 		}
+		if a.Moved && t.weights() < newest {
+			x += staleWeight
+		}
 		if best == nil || x < score {
 			best, score = t, x
 		}
@@ -320,6 +323,15 @@
 	return best, found
 }
 
+// newest returns the newest weights that a target holds.
+func (s *service) newest() int64 {
+	out := int64(0)
+	for _, t := range s.targets {
+		out = max(out, t.weights())
+	}
+	return out
+}
+
 // delay returns what the way to the target counts, in requests.
 func (t *target) delay() float64 {
 	if !t.reported() {
--- a/internal/role/gateway/run.go
+++ b/internal/role/gateway/run.go
@@ -136,8 +136,8 @@
 func (j *job) ask() *dispatch.Ask {
 	return &dispatch.Ask{
 		Service: j.service.Name, Regions: common(j.regions), Priority: j.priority,
-		MaxWait: j.patience(), Late: j.late(), MinWeights: j.minWeights(), Exclude: j.tried, Prompt: j.prompt(),
-		OnlyWeights: j.begunWeights(),
+		MaxWait: j.patience(), Late: j.late(), MinWeights: max(j.minWeights(), j.begunWeights()), Exclude: j.tried,
+		Prompt: j.prompt(), Moved: j.sent > 0,
 	}
 }
 
@@ -193,6 +193,15 @@
 	return j.stream.weights
 }
 
+// requiredWeights returns the version that the target must hold, 0 for any.
+// Targets compare for equality, so it is the one that it was chosen for.
+func (j *job) requiredWeights(grant *dispatch.Grant) int64 {
+	if max(j.minWeights(), j.begunWeights()) == 0 {
+		return 0
+	}
+	return grant.Weights
+}
+
 // late reports whether the objective can't be met any more, as for callers
 // that come back after a refusal: they have less time left than the route
 // gives.
@@ -216,7 +225,7 @@
 	silent := newSilence(cancel, j.silenceLimit(), j.reserve)
 	defer silent.stop()
 	j.logSend(grant)
-	a, err := j.g.Pool.Send(ctx, grant.Address, j.outgoing(grant.Target, max(j.minWeights(), j.begunWeights())))
+	a, err := j.g.Pool.Send(ctx, grant.Address, j.outgoing(grant.Target, j.requiredWeights(grant)))
 	if err != nil {
 		return j.sendFailed(err, silent.hit())
 	}
--- a/internal/role/tender/choose.go
+++ b/internal/role/tender/choose.go
@@ -8,17 +8,6 @@
 	"egretproxy/internal/site/muster"
 )
 
-// chosen returns the member of the group for a piece. Members take turns, so
-// that each has as many pieces as the others, and processes with the same
-// view agree without an exchange.
-func chosen(group []string, n int) string {
-	if len(group) == 0 {
-		return ""
-	}
-	sorted := slices.Sorted(slices.Values(group))
-	return sorted[n%len(sorted)]
-}
-
 // rank returns the position of the address among the targets of a service,
 // and their number. Neighbours are of different failure domains.
 func rank(targets map[id.Target]muster.Target, service id.Service, address string) (at, count int) {
--- /dev/null
+++ b/internal/role/tender/mirror_test.go
@@ -0,0 +1,116 @@
+package tender
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/boottime"
+	"egretproxy/internal/kernel/metrics"
+	"egretproxy/internal/site/follow"
+	"egretproxy/internal/weights/mirror"
+	"egretproxy/internal/weights/relay"
+)
+
+// startMirrors adds a keeper with a mirror to each of the first domains. They
+// run until the function that is returned is called.
+func (w *world) startMirrors(t *testing.T, domains int) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	w.view.Keepers = map[string]id.Region{}
+	regions := map[id.Domain]id.Region{}
+	for d := range domains {
+		domain := id.Domain(fmt.Sprintf("d%d", d))
+		regions[domain] = id.Region(domain)
+		address := fmt.Sprintf("10.%d.1.0:70", d)
+		w.view.Keepers[address] = regions[domain]
+		w.domain[address] = domain
+		m := &mirror.Mirror{
+			Own: address, Region: regions[domain], Regions: regions, Follower: views{w.view},
+			Relay: &relay.Relay{Origin: w, Peers: peers{w, address}, Stage: mirror.Stage()}, Metrics: metrics.New("Test"),
+		}
+		m.Relay.Routes, m.Relay.Duty, m.Relay.OnMissing = m.Routes, m.Duty, m.Want
+		w.relays[address] = m.Relay
+		go func() { _ = m.Run(ctx) }()
+	}
+	synctest.Wait()
+	return func() { cancel(); synctest.Wait() }
+}
+
+func (w *world) name(version int64) {
+	w.view.Weights = append(w.view.Weights, follow.Naming{Model: "m", Version: version, Since: boottime.Now()})
+}
+
+// TestHoldsMirrorsSpareEngines plays a new version at a site whose engines
+// are busy: their links carry their callers' events, so their processes send
+// no piece to each other. Each piece leaves the origin once and enters each
+// further region once.
+func TestHoldsMirrorsSpareEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, stages := newWorld(3, 8)
+		w.name(2)
+		engines := len(w.relays)
+		defer w.startMirrors(t, 3)()
+		took := w.bringAll(t)
+		checkStages(t, stages)
+		sent := 0
+		for address, n := range w.uploads {
+			if w.view.Keepers[address] == "" {
+				sent += n
+			}
+		}
+		if sent != 0 || w.drawn != pieces || w.crossed != 2*pieces {
+			t.Errorf("%d engines sent %d pieces, %d drawn, %d crossed", engines, sent, w.drawn, w.crossed)
+		}
+		if took > 2500*time.Millisecond {
+			t.Errorf("took %s", took)
+		}
+	})
+}
+
+// TestMirrorLost takes the mirror of one region away: its engines draw from
+// the mirrors of others and share what they get.
+func TestMirrorLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, stages := newWorld(3, 4)
+		w.name(2)
+		defer w.startMirrors(t, 2)()
+		took := w.bringAll(t)
+		checkStages(t, stages)
+		if w.drawn > pieces+pieces/4 {
+			t.Errorf("%d pieces drawn", w.drawn)
+		}
+		if took > 5*time.Second {
+			t.Errorf("took %s", took)
+		}
+	})
+}
+
+// TestHoldsObtainableVersionIsUsed names a version that the origin can't give
+// while the one before is spreading: engines go on with the one before.
+func TestHoldsObtainableVersionIsUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, _ := newWorld(1, 1)
+		w.missing[3] = true
+		w.name(2)
+		w.name(3)
+		tender := &Tender{
+			Settings: Settings{Service: "llm", Address: "10.0.0.0:80", Domain: "d0"}, Follower: views{w.view},
+			Relay: w.relays["10.0.0.0:80"], Metrics: metrics.New("Test"), named: map[relay.Bundle]time.Time{},
+		}
+		wanted := tender.wanted(1)
+		if len(wanted) != 2 || wanted[0].Version != 3 {
+			t.Fatalf("wanted %v", wanted)
+		}
+		if b, ok := tender.obtainable(t.Context(), wanted); !ok || b.Version != 2 {
+			t.Errorf("took version %d, %v", b.Version, ok)
+		}
+		w.missing[3] = false
+		if b, ok := tender.obtainable(t.Context(), wanted); !ok || b.Version != 3 {
+			t.Errorf("took version %d, %v once the origin gives version 3", b.Version, ok)
+		}
+	})
+}
--- a/internal/role/tender/routes.go
+++ b/internal/role/tender/routes.go
@@ -22,7 +22,7 @@
 
 func (t *Tender) fleet(v *follow.View, b relay.Bundle) fleet {
 	f := fleet{
-		own: t.Settings.Address, domain: t.Settings.Domain, origin: originDomain(v.Plan),
+		own: t.Settings.Address, domain: t.Settings.Domain, origin: v.Plan.OriginDomain(),
 		domains: map[id.Domain][]string{}, holding: map[id.Domain][]string{},
 	}
 	for _, o := range v.Targets {
@@ -65,7 +65,7 @@
 	}
 	out := []id.Domain{f.origin}
 	for len(names) > 0 {
-		next := chosen(names, n)
+		next := relay.Chosen(names, n)
 		out = append(out, id.Domain(next))
 		names = slices.DeleteFunc(names, func(x string) bool { return x == next })
 	}
@@ -83,12 +83,12 @@
 		}
 	}
 	for i := range f.holding[f.domain] {
-		add(chosen(f.holding[f.domain], n+i))
+		add(relay.Chosen(f.holding[f.domain], n+i))
 	}
-	near := chosen(f.domains[f.domain], n)
+	near := relay.Chosen(f.domains[f.domain], n)
 	add(near)
 	for _, d := range f.chain(n) {
-		add(chosen(f.holding[d], n))
+		add(relay.Chosen(f.holding[d], n))
 	}
 	if f.held {
 		return out, false
@@ -96,22 +96,29 @@
 	// Backwards along the chain, from the domain before the own one.
 	chain := f.chain(n)
 	for i := slices.Index(chain, f.domain) - 1; i >= 0 && near == f.own; i-- {
-		add(chosen(f.domains[chain[i]], n))
+		add(relay.Chosen(f.domains[chain[i]], n))
 	}
 	if near != f.own {
-		add(chosen(f.domains[f.origin], n))
+		add(relay.Chosen(f.domains[f.origin], n))
 	}
 	return out, len(out) > 0
 }
 
 // Routes implements relay.Routes.
-func (t *Tender) Routes(b relay.Bundle, n int) (peers []string, drawn bool) {
+func (t *Tender) Routes(b relay.Bundle, n int) relay.Sources {
 	v := t.Follower.View()
 	if v.Plan == nil {
-		return nil, false
+		return relay.Sources{}
 	}
 	f := t.fleet(v, b)
-	return f.sources(n)
+	var out relay.Sources
+	out.Peers, out.Drawn = f.sources(n)
+	out.Mirrors = relay.Turn(v.Mirrors(t.Settings.Region), n)
+	if len(out.Mirrors) == 0 && relay.Chosen(f.domains[f.domain], n) == f.own {
+		// The one that brings the piece into its domain.
+		out.Mirrors = relay.Turn(v.Mirrors(""), n)
+	}
+	return out
 }
 
 // Duty puts the pieces first that others get from this process.
@@ -121,7 +128,7 @@
 		return 0
 	}
 	f := t.fleet(v, b)
-	if f.held || chosen(f.domains[f.domain], n) != f.own {
+	if f.held || relay.Chosen(f.domains[f.domain], n) != f.own {
 		return len(f.domains)
 	}
 	return max(slices.Index(f.chain(n), f.domain), 0)
--- a/internal/role/tender/spread_test.go
+++ b/internal/role/tender/spread_test.go
@@ -33,12 +33,17 @@
 	drawn, crossed int
 	// downUntil is when the origin answers again.
 	downUntil time.Time
+	// missing is the versions that the origin can't give.
+	missing map[int64]bool
+	// uploads counts the pieces that each engine's process sent.
+	uploads map[string]int
+	view    *follow.View
 	// spoil is the pieces that arrive spoilt once.
 	spoil map[int]bool
 }
 
-func (w *world) Manifest(context.Context, relay.Bundle) (relay.Manifest, error) {
-	if err := w.down(); err != nil {
+func (w *world) Manifest(_ context.Context, b relay.Bundle) (relay.Manifest, error) {
+	if err := w.down(b); err != nil {
 		return relay.Manifest{}, err
 	}
 	var m relay.Manifest
@@ -49,17 +54,17 @@
 	return m, nil
 }
 
-func (w *world) down() error {
+func (w *world) down(b relay.Bundle) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if time.Now().Before(w.downUntil) {
+	if time.Now().Before(w.downUntil) || w.missing[b.Version] {
 		return errors.New("connection refused")
 	}
 	return nil
 }
 
-func (w *world) Piece(_ context.Context, _ relay.Bundle, n int) ([]byte, error) {
-	if err := w.down(); err != nil {
+func (w *world) Piece(_ context.Context, b relay.Bundle, n int) ([]byte, error) {
+	if err := w.down(b); err != nil {
 		return nil, err
 	}
 	time.Sleep(20 * time.Millisecond)
@@ -90,7 +95,13 @@
 		p.crossed++
 		p.mu.Unlock()
 	}
-	return p.relays[address].Serve(ctx, b, n)
+	data, err := p.relays[address].Serve(ctx, b, n)
+	if err == nil {
+		p.mu.Lock()
+		p.uploads[address]++
+		p.mu.Unlock()
+	}
+	return data, err
 }
 
 func (p peers) Await(ctx context.Context, address string, b relay.Bundle, n int) error {
@@ -125,13 +136,14 @@
 func (v views) View() *follow.View { return v.view }
 
 func newWorld(domains, each int) (*world, []*stage) {
-	w := &world{relays: map[string]*relay.Relay{}, domain: map[string]id.Domain{}, spoil: map[int]bool{}}
+	w := &world{relays: map[string]*relay.Relay{}, domain: map[string]id.Domain{}, spoil: map[int]bool{}, missing: map[int64]bool{}, uploads: map[string]int{}}
 	v := &follow.View{
 		Plan: &plan.Plan{Services: map[id.Service]*plan.Service{
 			"llm": {Name: "llm", Engine: &plan.Engine{Model: "m"}}, "origin": {Name: "origin", Origin: "o", Domain: "d0"},
 		}},
 		Targets: map[id.Target]muster.Target{},
 	}
+	w.view = v
 	var stages []*stage
 	for d := range domains {
 		for e := range each {
@@ -139,7 +151,7 @@
 			domain := id.Domain(fmt.Sprintf("d%d", d))
 			s := &stage{pieces: map[int][]byte{}}
 			stages = append(stages, s)
-			t := &Tender{Settings: Settings{Service: "llm", Address: address, Domain: domain}, Follower: views{v}}
+			t := &Tender{Settings: Settings{Service: "llm", Address: address, Domain: domain, Region: id.Region(domain)}, Follower: views{v}}
 			w.domain[address] = domain
 			w.relays[address] = &relay.Relay{Origin: w, Peers: peers{w, address}, Stage: s, Routes: t.Routes, Duty: t.Duty}
 			k := id.Target(address)
@@ -152,7 +164,10 @@
 func (w *world) bringAll(t *testing.T) time.Duration {
 	began := time.Now()
 	var wg sync.WaitGroup
-	for _, r := range w.relays {
+	for address, r := range w.relays {
+		if w.view.Keepers[address] != "" {
+			continue
+		}
 		wg.Go(func() {
 			for r.Bring(t.Context(), relay.Bundle{Model: "m", Version: 2}) != nil {
 				time.Sleep(100 * time.Millisecond)
@@ -232,7 +247,7 @@
 	group := []string{"a", "b", "c", "d", "e", "f", "g"}
 	count := map[string]int{}
 	for n := range pieces {
-		count[chosen(group, n)]++
+		count[relay.Chosen(group, n)]++
 	}
 	for a, n := range count {
 		if n < pieces/len(group) || n > pieces/len(group)+1 {
--- a/internal/role/tender/tend.go
+++ b/internal/role/tender/tend.go
@@ -2,30 +2,25 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
 
-	"egretproxy/internal/fleet/id"
-	"egretproxy/internal/site/plan"
 	"egretproxy/internal/weights/relay"
 )
 
 const (
 	// tendInterval is how often the version is compared.
 	tendInterval = 100 * time.Millisecond
-	// firstLoad leaves time to stage. Engines load one after the other over
-	// loadSpan, so that few are out of service at once; the last one ends
-	// before requests must run on the new version, 8 s after its naming.
-	firstLoad = 2400 * time.Millisecond
-	loadSpan  = 3600 * time.Millisecond
-	// lateSpan is the same for weights that were staged too late.
-	lateSpan = 1500 * time.Millisecond
 	// announceFirst is how long entries are told before the order goes out.
 	announceFirst = 60 * time.Millisecond
 	// loadTimeout is the longest wait for a load before it is ordered again.
 	loadTimeout = 6 * time.Second
 	firstKnown  = 1
+	// maxWanted bounds the versions that are considered. Older ones are no
+	// longer kept by the origin.
+	maxWanted = 2
 )
 
 // tend brings the engine to the version that is named, again and again.
@@ -39,8 +34,11 @@
 		case <-ticker.C:
 		}
 		r, fresh := t.newest()
-		b, ok := t.wanted()
-		if !fresh || !ok || r.Busy || r.Weights >= b.Version {
+		if !fresh || r.Busy {
+			continue
+		}
+		b, ok := t.obtainable(ctx, t.wanted(r.Weights))
+		if !ok {
 			continue
 		}
 		if err := t.bring(ctx, b, r); err != nil && ctx.Err() == nil {
@@ -50,41 +48,76 @@
 	}
 }
 
-// wanted returns the newest version: the one that is named, or the highest
-// that any engine holds.
-func (t *Tender) wanted() (relay.Bundle, bool) {
+// obtainable returns the first of the versions that can be had now.
+func (t *Tender) obtainable(ctx context.Context, wanted []relay.Bundle) (relay.Bundle, bool) {
+	for _, b := range wanted {
+		err := t.Relay.Probe(ctx, b)
+		if err == nil {
+			return b, true
+		}
+		if ctx.Err() == nil && t.lacking != b {
+			t.lacking = b
+			t.Metrics.Count("WeightsUnobtainable")
+			klog.InfoS("Weights can't be had yet", "Model", b.Model, "Version", b.Version, "Error", err.Error())
+		}
+	}
+	return relay.Bundle{}, false
+}
+
+// wanted returns the versions that are newer than the one held, newest first:
+// those that are named, and the highest that any engine holds.
+func (t *Tender) wanted(held int64) []relay.Bundle {
 	v := t.Follower.View()
 	if v.Plan == nil {
-		return relay.Bundle{}, false
+		return nil
 	}
 	s := v.Plan.Services[t.Settings.Service]
 	if s == nil || s.Engine == nil {
-		return relay.Bundle{}, false
+		return nil
+	}
+	versions := []int64{firstKnown}
+	for _, n := range v.Weights {
+		if n.Model == s.Engine.Model {
+			versions = append(versions, n.Version)
+		}
 	}
-	b := relay.Bundle{Model: s.Engine.Model, Version: max(v.Newest(s.Engine.Model), firstKnown)}
+	highest := int64(0)
 	for _, o := range v.Targets {
 		if o.Service == t.Settings.Service {
-			b.Version = max(b.Version, o.Weights)
+			highest = max(highest, o.Weights)
+		}
+	}
+	versions = append(versions, highest)
+	slices.Sort(versions)
+	versions = slices.Compact(versions)
+	slices.Reverse(versions)
+	versions = versions[:min(len(versions), maxWanted)]
+	var out []relay.Bundle
+	for _, n := range versions {
+		if n > held {
+			out = append(out, relay.Bundle{Model: s.Engine.Model, Version: n})
 		}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.named[b].IsZero() {
-		t.named[b] = time.Now()
+	for _, b := range out {
+		if t.named[b].IsZero() {
+			t.named[b] = time.Now()
+		}
 	}
-	return b, true
+	return out
 }
 
 // bring stages the weights, waits for the engine's wave and orders the load.
 func (t *Tender) bring(ctx context.Context, b relay.Bundle, r Report) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go t.cancelIfOvertaken(ctx, b, cancel)
+	go t.cancelIfOvertaken(ctx, b, r.Weights, cancel)
 	if err := t.Relay.Bring(ctx, b); err != nil {
 		return err
 	}
 	if r.Weights > 0 {
-		t.awaitTurn(ctx, b)
+		t.awaitTurn(ctx, b, r.Weights)
 	}
 	if err := t.Relay.Verify(ctx, b); err != nil {
 		return err
@@ -92,11 +125,12 @@
 	t.setSwitching(true)
 	defer t.setSwitching(false)
 	sleep(ctx, announceFirst)
+	how := t.drain(ctx)
 	began := time.Now()
 	if r, _ = t.newest(); r.Weights >= b.Version {
 		return nil
 	}
-	if err := t.Engine.Load(ctx, b, r.Sequence); err != nil {
+	if err := t.Engine.Load(ctx, b, r.Sequence, how); err != nil {
 		return err
 	}
 	for time.Since(began) < loadTimeout && ctx.Err() == nil {
@@ -109,33 +143,25 @@
 	return ctx.Err()
 }
 
-// cancelIfOvertaken ends the work for a version once a newer one is named.
-func (t *Tender) cancelIfOvertaken(ctx context.Context, b relay.Bundle, cancel context.CancelFunc) {
+// cancelIfOvertaken ends the work for a version once a newer one can be had,
+// unless the newer one could no longer be staged before the older is due.
+func (t *Tender) cancelIfOvertaken(ctx context.Context, b relay.Bundle, held int64, cancel context.CancelFunc) {
 	for ctx.Err() == nil {
-		if now, ok := t.wanted(); ok && now.Version > b.Version {
-			klog.InfoS("Weights are overtaken", "Model", b.Model, "Version", b.Version, "By", now.Version)
-			cancel()
-			return
-		}
 		sleep(ctx, tendInterval)
+		newer := t.wanted(b.Version)
+		if len(newer) == 0 || t.Relay.Probe(ctx, newer[0]) != nil {
+			continue
+		}
+		due, age := t.due(t.Follower.View(), b, held)
+		if t.Relay.Whole(b) && due-age < firstLoad+drainFor+loadTime {
+			continue
+		}
+		klog.InfoS("Weights are overtaken", "Model", b.Model, "Version", b.Version, "By", newer[0].Version)
+		cancel()
+		return
 	}
 }
 
-// awaitTurn waits for the engine's turn, so that most engines serve while
-// others load.
-func (t *Tender) awaitTurn(ctx context.Context, b relay.Bundle) {
-	t.mu.Lock()
-	named := t.named[b]
-	t.mu.Unlock()
-	i, n := rank(t.Follower.View().Targets, t.Settings.Service, t.Settings.Address)
-	part := func(span time.Duration) time.Duration { return span * time.Duration(i) / time.Duration(n) }
-	turn := time.Until(named.Add(firstLoad + part(loadSpan)))
-	if time.Since(named) > firstLoad+loadSpan {
-		turn = part(lateSpan)
-	}
-	sleep(ctx, turn)
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
@@ -147,13 +173,3 @@
 	case <-timer.C:
 	}
 }
-
-// originDomain returns where the origin of weights is.
-func originDomain(p *plan.Plan) id.Domain {
-	for _, s := range p.Services {
-		if s.Origin != "" {
-			return s.Domain
-		}
-	}
-	return ""
-}
--- a/internal/role/tender/tender.go
+++ b/internal/role/tender/tender.go
@@ -49,13 +49,23 @@
 	Born int64
 }
 
+// Switch is what becomes of requests that run when an engine loads.
+type Switch uint8
+
+const (
+	// Finish lets them end. The engine takes nothing new meanwhile.
+	Finish Switch = iota
+	// Cut breaks them off. Entries resume them at other engines.
+	Cut
+)
+
 // Engine is the engine beside this process.
 type Engine interface {
 	relay.Stage
 	Report(ctx context.Context) (Report, error)
 	// Load orders the engine to load what is staged. It returns nil once
 	// the order has begun or is complete.
-	Load(ctx context.Context, b relay.Bundle, sequence int64) error
+	Load(ctx context.Context, b relay.Bundle, sequence int64, s Switch) error
 }
 
 // Settings sets up a Tender.
@@ -65,6 +75,10 @@
 	Service id.Service
 	Address string
 	Domain  id.Domain
+	Region  id.Region
+	// WeightsDue is how long after a version was named requests may begin on
+	// an older one.
+	WeightsDue time.Duration
 	// Listen is where peers fetch weights.
 	Listen string
 }
@@ -91,7 +105,9 @@
 	switching bool
 	// named is when each version was first seen.
 	named map[relay.Bundle]time.Time
-	wake  chan struct{}
+	// lacking is the version that could not be had last. tend alone uses it.
+	lacking relay.Bundle
+	wake    chan struct{}
 }
 
 // Run serves until the context ends.
--- a/internal/site/follow/follow.go
+++ b/internal/site/follow/follow.go
@@ -382,10 +382,13 @@
 	defer f.mu.Unlock()
 	v := &View{
 		Plan: f.plan, Withdrawn: f.withdrawn, Weights: f.weights,
-		Targets: merge(f.lists), Entries: 1,
+		Targets: merge(f.lists), Entries: 1, Keepers: map[string]id.Region{},
 	}
-	for _, l := range f.lists {
+	for a, l := range f.lists {
 		v.Entries = max(v.Entries, l.entries)
+		if time.Since(l.heard) < f.hold()+answerTimeout {
+			v.Keepers[a] = l.region
+		}
 	}
 	f.view.Store(v)
 	if f.OnChange != nil {
--- a/internal/site/follow/view.go
+++ b/internal/site/follow/view.go
@@ -20,6 +20,20 @@
 	Targets map[id.Target]muster.Target
 	// Entries is the number of entries known, 1 at least.
 	Entries int
+	// Keepers is the region of each keeper that answers, by address.
+	Keepers map[string]id.Region
+}
+
+// Mirrors returns the addresses of the keepers in a region that answer, as
+// each of them mirrors weights. Without a region it returns all.
+func (v *View) Mirrors(r id.Region) []string {
+	var out []string
+	for a, at := range v.Keepers {
+		if r == "" || at == r {
+			out = append(out, a)
+		}
+	}
+	return out
 }
 
 // Naming is a version of weights that was named.
--- a/internal/site/plan/plan.go
+++ b/internal/site/plan/plan.go
@@ -64,6 +64,33 @@
 	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
 }
 
+// OriginDomain returns where the origin of weights is, or nothing.
+func (p *Plan) OriginDomain() id.Domain {
+	for _, s := range p.Services {
+		if s.Origin != "" {
+			return s.Domain
+		}
+	}
+	return ""
+}
+
+// Movable reports whether everything that targets of the service run may go
+// on at another target, so that it can be cut off for a change of weights.
+func (p *Plan) Movable(service id.Service) bool {
+	for i := range p.Routes {
+		r := &p.Routes[i]
+		if r.Repeatable() && r.MaxAttempts > 1 {
+			continue
+		}
+		for _, s := range r.Shares {
+			if s.Service == service && s.Weight > 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // Engine describes the model engines of a service.
 type Engine struct {
 	Model id.Model
--- a/internal/weights/barter/barter.go
+++ b/internal/weights/barter/barter.go
@@ -26,9 +26,16 @@
 	maxBytes = 64 << 20
 	// idleTimeout closes connections to peers between versions.
 	idleTimeout = 5 * time.Second
-	// uploads is the pieces that are sent at once. The engine's answers leave
-	// by the same link, and events must not wait behind several pieces.
-	uploads = 1
+	// BesideEngine is the pieces that are sent at once from an instance with
+	// an engine. Its answers leave by the same link, and events must not wait
+	// behind several pieces.
+	BesideEngine = 1
+	// linkPerUpload is the link in Mbit/s for each piece that is sent at once
+	// elsewhere: 14 Mbit/s carry a piece of 48 KiB in 30 ms, and that is how
+	// long answers to callers may wait behind pieces.
+	linkPerUpload = 14
+	// maxUploads bounds them where the link does not.
+	maxUploads = 64
 	// perPeer bounds the connections to one peer; most of them wait.
 	perPeer = 64
 )
@@ -94,8 +101,13 @@
 	return io.ReadAll(io.LimitReader(res.Body, maxBytes))
 }
 
-// Handler serves what the relay holds to peers.
-func Handler(r *relay.Relay) http.Handler {
+// Uploads returns the pieces that may be sent at once over a link.
+func Uploads(linkMbps float64) int {
+	return min(max(int(linkMbps/linkPerUpload), 1), maxUploads)
+}
+
+// Handler serves what the relay holds to peers, so many pieces at once.
+func Handler(r *relay.Relay, uploads int) http.Handler {
 	mux := flow.New()
 	// sending holds a token for each piece that is being sent.
 	sending := make(chan struct{}, uploads)
--- /dev/null
+++ b/internal/weights/mirror/mirror.go
@@ -0,0 +1,165 @@
+// Package mirror keeps the newest versions of weights in the memory of a
+// process with a wide link, so that each region draws a version over thin
+// links once and the links of engines only receive it.
+package mirror
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/metrics"
+	"egretproxy/internal/site/follow"
+	"egretproxy/internal/site/plan"
+	"egretproxy/internal/weights/relay"
+)
+
+const (
+	// lookInterval is how often the named versions are compared without news.
+	lookInterval = 250 * time.Millisecond
+	// firstVersion is the one that engines may hold before any is named.
+	firstVersion = 1
+	// olderKept is how many versions behind the newest one are brought on
+	// demand, for engines that join while the newest one spreads.
+	olderKept = 1
+)
+
+// Follower tells what the keepers know.
+type Follower interface{ View() *follow.View }
+
+// Mirror is one running mirror. Its fields are set before Run.
+type Mirror struct {
+	// Own is the address by which others know this process.
+	Own string
+	// Region is where it is, Regions maps failure domains to regions.
+	Region   id.Region
+	Regions  map[id.Domain]id.Region
+	Follower Follower
+	Relay    *relay.Relay
+	Metrics  *metrics.Set
+
+	mu sync.Mutex
+	// started holds the versions whose transfer was begun.
+	started map[relay.Bundle]context.CancelFunc
+	ctx     context.Context
+}
+
+// Run brings each version that is named until the context ends.
+func (m *Mirror) Run(ctx context.Context) error {
+	m.mu.Lock()
+	m.ctx, m.started = ctx, map[relay.Bundle]context.CancelFunc{}
+	m.mu.Unlock()
+	ticker := time.NewTicker(lookInterval)
+	defer ticker.Stop()
+	for {
+		m.Look()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// Look starts the transfer of versions that were named meanwhile.
+func (m *Mirror) Look() {
+	v := m.Follower.View()
+	if v.Plan == nil {
+		return
+	}
+	for _, s := range v.Plan.Services {
+		if s.Engine == nil {
+			continue
+		}
+		b := relay.Bundle{Model: s.Engine.Model, Version: v.Newest(s.Engine.Model)}
+		if b.Version == 0 || len(m.holders(v, b)) > 0 {
+			// What engines of the region hold is brought on demand.
+			continue
+		}
+		m.begin(b)
+	}
+}
+
+// Want brings a version that an engine asked for, if it may still be used.
+func (m *Mirror) Want(b relay.Bundle) {
+	newest := max(m.Follower.View().Newest(b.Model), firstVersion)
+	if b.Version < newest-olderKept || b.Version > newest || m.service(b.Model) == nil {
+		return
+	}
+	m.begin(b)
+}
+
+func (m *Mirror) service(k id.Model) *plan.Service {
+	p := m.Follower.View().Plan
+	if p == nil {
+		return nil
+	}
+	for _, s := range p.Services {
+		if s.Engine != nil && s.Engine.Model == k {
+			return s
+		}
+	}
+	return nil
+}
+
+// begin starts the transfer of a version once.
+func (m *Mirror) begin(b relay.Bundle) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.ctx == nil || m.started[b] != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(m.ctx)
+	m.started[b] = cancel
+	go m.bring(ctx, b)
+}
+
+// dropOlder ends the transfer of older versions once a newer one can be had,
+// since thin links must not carry what is overtaken.
+func (m *Mirror) dropOlder(b relay.Bundle) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for o, cancel := range m.started {
+		if o.Model == b.Model && o.Version < b.Version {
+			cancel()
+		}
+	}
+}
+
+func (m *Mirror) bring(ctx context.Context, b relay.Bundle) {
+	for tries := 0; ctx.Err() == nil; tries++ {
+		err := m.Relay.Probe(ctx, b)
+		if err == nil {
+			m.dropOlder(b)
+			err = m.Relay.Bring(ctx, b)
+		}
+		if err == nil {
+			m.Metrics.Count("WeightsMirrored")
+			return
+		}
+		if tries == 0 {
+			klog.InfoS("Weights are not mirrored yet", "Model", b.Model, "Version", b.Version, "Error", err.Error())
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(lookInterval):
+		}
+	}
+	klog.InfoS("Weights are no longer mirrored", "Model", b.Model, "Version", b.Version)
+}
+
+// Memory is a relay.Stage for processes without an engine: pieces stay in the
+// relay itself.
+type memory struct{}
+
+// Put implements relay.Stage.
+func (memory) Put(context.Context, id.Model, int, []byte) error { return nil }
+
+// Get implements relay.Stage.
+func (memory) Get(context.Context, id.Model, int) ([]byte, error) { return nil, relay.ErrNotHeld }
+
+// Stage returns the stage for a mirror's relay.
+func Stage() relay.Stage { return memory{} }
--- a/internal/weights/relay/fetch.go
+++ b/internal/weights/relay/fetch.go
@@ -19,6 +19,9 @@
 	slowPiece = 600 * time.Millisecond
 	// slowFor is how long that is remembered.
 	slowFor = 5 * time.Second
+	// mirrorTimeout is how long a mirror may take for a piece, its wait for
+	// the piece included.
+	mirrorTimeout = awaitTimeout + 500*time.Millisecond
 )
 
 func (r *Relay) noteSlow(address string) {
@@ -52,37 +55,57 @@
 	return time.Since(r.of(b).since)
 }
 
+// sound returns the mirrors that did not fail lately.
+func (r *Relay) sound(mirrors []string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	for _, a := range mirrors {
+		if time.Since(r.slow[a]) >= slowFor {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
 // anyPiece asks the routes for the manifest.
 const anyPiece = 0
 
-// fetch returns a checked piece from memory, a peer or the origin.
+// fetch returns a checked piece from memory, a mirror, a peer or the origin.
 func (r *Relay) fetch(ctx context.Context, b Bundle, n int) ([]byte, error) {
 	if data := r.kept(b, n); data != nil {
 		return data, nil
 	}
-	peers, drawn := r.Routes(b, n)
-	if !drawn {
+	from := r.Routes(b, n)
+	data, err := r.fromAny(ctx, r.sound(from.Mirrors), b, n, r.fromMirror)
+	if err == nil && data != nil {
+		return data, nil
+	}
+	if errors.Is(err, ErrNotHeld) && r.age(b) < steadfast {
+		// A mirror is there and gets the piece. Going past it would use up
+		// links that others wait for.
+		return nil, err
+	}
+	peers := from.Peers
+	if !from.Drawn {
 		peers = r.fastFirst(peers)
 	}
-	var err error
-	for _, address := range peers {
-		var data []byte
-		data, err = r.fromPeer(ctx, address, b, n)
+	for i, address := range peers {
+		data, err = r.fromAny(ctx, peers[i:i+1], b, n, r.fromPeer)
 		if err == nil {
-			r.keep(b, n, data)
 			return data, nil
 		}
 		klog.V(1).InfoS("Peer did not give a piece", "Peer", address, "Piece", n, "Error", err.Error())
-		if drawn && errors.Is(err, ErrNotHeld) && r.age(b) < steadfast {
+		if from.Drawn && errors.Is(err, ErrNotHeld) && r.age(b) < steadfast {
 			return nil, err
 		}
 	}
-	if drawn && errors.Is(err, ErrNotHeld) {
+	if from.Drawn && errors.Is(err, ErrNotHeld) {
 		// The one that draws it is there. Going past it would make every
 		// process draw from an origin that is slow or out of service.
 		return nil, err
 	}
-	data, err := r.fromOrigin(ctx, b, n)
+	data, err = r.fromOrigin(ctx, b, n)
 	if err != nil {
 		return nil, err
 	}
@@ -97,6 +120,49 @@
 	return data, nil
 }
 
+// fromAny asks one address after the other. It returns nothing without any,
+// and ErrNotHeld if one of them is there but lacks the piece.
+func (r *Relay) fromAny(ctx context.Context, addresses []string, b Bundle, n int, ask asking) (data []byte, err error) {
+	lacking := false
+	for _, address := range addresses {
+		if data, err = ask(ctx, address, b, n); err == nil {
+			r.keep(b, n, data)
+			return data, nil
+		}
+		lacking = lacking || errors.Is(err, ErrNotHeld)
+	}
+	if lacking {
+		err = ErrNotHeld
+	}
+	return nil, err
+}
+
+// asking is a way to get a piece from an address.
+type asking func(ctx context.Context, address string, b Bundle, n int) ([]byte, error)
+
+// fromMirror gets a piece from a mirror, which waits for it itself.
+func (r *Relay) fromMirror(ctx context.Context, address string, b Bundle, n int) ([]byte, error) {
+	slots, _ := r.places()
+	if err := acquire(ctx, slots); err != nil {
+		return nil, err
+	}
+	defer func() { <-slots }()
+	call, cancel := context.WithTimeout(ctx, mirrorTimeout)
+	defer cancel()
+	data, err := r.Peers.Piece(call, address, b, n)
+	if err != nil {
+		if !errors.Is(err, ErrNotHeld) && ctx.Err() == nil {
+			r.noteSlow(address)
+		}
+		return nil, err
+	}
+	if err := r.check(b, n, data); err != nil {
+		r.doubt(b)
+		return nil, err
+	}
+	return data, nil
+}
+
 func (r *Relay) fromOrigin(ctx context.Context, b Bundle, n int) ([]byte, error) {
 	_, drawing := r.places()
 	if err := acquire(ctx, drawing); err != nil {
@@ -159,9 +225,9 @@
 	if m != nil {
 		return *m, nil
 	}
-	peers, drawn := r.Routes(b, anyPiece)
+	from := r.Routes(b, anyPiece)
 	var err error
-	for _, address := range peers {
+	for _, address := range append(r.sound(from.Mirrors), from.Peers...) {
 		var got Manifest
 		call, cancel := context.WithTimeout(ctx, fetchTimeout)
 		got, err = r.Peers.Manifest(call, address, b)
@@ -170,7 +236,7 @@
 			return r.keepManifest(b, got), nil
 		}
 	}
-	if drawn && errors.Is(err, ErrNotHeld) {
+	if from.Drawn && errors.Is(err, ErrNotHeld) {
 		return Manifest{}, err
 	}
 	call, cancel := context.WithTimeout(ctx, fetchTimeout)
@@ -200,10 +266,7 @@
 		return nil, err
 	}
 	for looked := false; ; {
-		r.mu.Lock()
-		h := r.of(b)
-		data, changed, bringing := h.pieces[n], h.changed, h.bringing
-		r.mu.Unlock()
+		data, changed, bringing := r.wanted(b, n)
 		if data != nil {
 			return data, nil
 		}
@@ -224,18 +287,36 @@
 	}
 }
 
+// wanted returns a piece or what to wait for. It reports whether the bundle is
+// on its way.
+func (r *Relay) wanted(b Bundle, n int) (data []byte, changed <-chan struct{}, bringing bool) {
+	for asked := false; ; asked = true {
+		r.mu.Lock()
+		h := r.of(b)
+		data, changed, bringing = h.pieces[n], h.changed, h.bringing
+		r.mu.Unlock()
+		if data != nil || bringing || asked || r.OnMissing == nil {
+			return data, changed, bringing
+		}
+		r.OnMissing(b)
+	}
+}
+
 // ServeManifest returns the manifest for a peer. It waits for one that is
 // just being fetched and never asks peers, so that no two wait for each
 // other.
 func (r *Relay) ServeManifest(ctx context.Context, b Bundle) (Manifest, error) {
 	for {
+		_, changed, bringing := r.wanted(b, anyPiece)
 		r.mu.Lock()
-		h := r.of(b)
-		m, changed, bringing := h.manifest, h.changed, h.bringing
+		m := r.of(b).manifest
 		r.mu.Unlock()
 		if m != nil {
 			return *m, nil
 		}
+		if !bringing && r.OnMissing != nil {
+			return Manifest{}, ErrNotHeld
+		}
 		if !bringing {
 			got, err := r.Origin.Manifest(ctx, b)
 			if err != nil {
--- a/internal/weights/relay/relay.go
+++ b/internal/weights/relay/relay.go
@@ -85,9 +85,19 @@
 	Get(ctx context.Context, m id.Model, n int) ([]byte, error)
 }
 
-// Routes returns the peers to ask for a piece, best first. drawn tells that
-// the last of them draws it from the origin, which is then left to it.
-type Routes func(b Bundle, n int) (peers []string, drawn bool)
+// Sources is whom to ask for a piece, best first.
+type Sources struct {
+	// Mirrors keep whole versions for others. They are asked first.
+	Mirrors []string
+	// Peers are processes beside engines.
+	Peers []string
+	// Drawn tells that one of them draws the piece from the origin, which is
+	// then left to it.
+	Drawn bool
+}
+
+// Routes returns the sources of a piece. Without any it comes from the origin.
+type Routes func(b Bundle, n int) Sources
 
 // Relay is safe for concurrent use. Its fields are set before use.
 type Relay struct {
@@ -98,6 +108,9 @@
 	// Duty ranks a piece by how many depend on this process for it; 0 comes
 	// first.
 	Duty func(b Bundle, n int) int
+	// OnMissing is called when others ask for a bundle that is not on its
+	// way, if set.
+	OnMissing func(b Bundle)
 
 	mu      sync.Mutex
 	bundles map[Bundle]*held
@@ -192,6 +205,24 @@
 	return nil
 }
 
+// Probe reports whether the bundle can be had: its manifest and a piece are
+// there, or arrive within a short wait of a source.
+func (r *Relay) Probe(ctx context.Context, b Bundle) error {
+	if _, err := r.manifest(ctx, b); err != nil {
+		return err
+	}
+	_, err := r.fetch(ctx, b, anyPiece)
+	return err
+}
+
+// Whole reports whether all pieces of the bundle were brought.
+func (r *Relay) Whole(b Bundle) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := r.of(b)
+	return h.manifest != nil && len(h.pieces) == len(h.manifest.Digests)
+}
+
 func (r *Relay) setBringing(b Bundle, on bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -203,9 +234,13 @@
 }
 
 // order returns the pieces, those first that others get from here. The rest
-// is shuffled, so that not all processes ask the same source at once.
+// is shuffled, so that not all processes ask the same source at once. Mirrors
+// get pieces in ascending order and are asked for them so.
 func (r *Relay) order(b Bundle, count int) []int {
 	out := rand.Perm(count)
+	if len(r.Routes(b, anyPiece).Mirrors) > 0 {
+		slices.Sort(out)
+	}
 	slices.SortStableFunc(out, func(x, y int) int { return cmp.Compare(r.Duty(b, x), r.Duty(b, y)) })
 	return out
 }
