gateway: give places back when callers leave, secure the next target before silence cuts

Cause: a caller that left ended the handler by a panic before the place of its target was given back, so each one shrank the entry's view of that target for good. Change: places return in a deferred call; silence first takes a retry and a place elsewhere; a second attempt to connect after 150 ms; requests are built once the connection stands, or withdrawn.

--- a/internal/exchange/lines/exchange.go
+++ b/internal/exchange/lines/exchange.go
@@ -16,6 +16,9 @@
 var (
 	// ErrNotSent tells that no byte of the request was sent.
 	ErrNotSent = errors.New("request was not sent")
+	// ErrWithdrawn tells that it was not sent because the caller no longer
+	// wanted it.
+	ErrWithdrawn = errors.New("request was withdrawn")
 	// ErrBroken tells that the request was sent, at least in part, and that
 	// no whole answer came. The target may have run it.
 	ErrBroken = errors.New("exchange broke off")
@@ -56,9 +59,11 @@
 	release func() bool
 }
 
-// Send sends the request on a kept connection, or on a new one, and returns
-// the answer's head. The context cancels the whole exchange.
-func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Answer, error) {
+// Send sends a request on a kept connection, or on a new one, and returns the
+// answer's head. The request is built once the connection stands, since what
+// it depends on may change meanwhile; an error of build becomes ErrWithdrawn.
+// The context cancels the whole exchange.
+func (p *Pool) Send(ctx context.Context, address string, build func() (*Request, error)) (*Answer, error) {
 	l := p.take(address)
 	if l == nil {
 		var err error
@@ -67,8 +72,13 @@
 		}
 	}
 	if ctx.Err() != nil {
-		_ = l.conn.Close()
-		return nil, errors.Wrap(ErrNotSent, ctx.Err().Error())
+		p.put(address, l, defaultIdle)
+		return nil, errors.Wrap(ErrWithdrawn, ctx.Err().Error())
+	}
+	r, err := build()
+	if err != nil {
+		p.put(address, l, defaultIdle)
+		return nil, errors.Wrap(ErrWithdrawn, err.Error())
 	}
 	stop := context.AfterFunc(ctx, l.abort)
 	a, err := p.exchange(address, l, r)
--- a/internal/exchange/lines/lines.go
+++ b/internal/exchange/lines/lines.go
@@ -16,8 +16,11 @@
 
 const (
 	// dialTimeout bounds the setup of a connection. Handshakes take a few
-	// milliseconds; a lost packet is sent again after a second.
-	dialTimeout = 1200 * time.Millisecond
+	// milliseconds, plus the queues of links on the way.
+	dialTimeout = 500 * time.Millisecond
+	// dialAgain is when a second attempt begins. It is above the delay of
+	// links that still bear requests.
+	dialAgain = 150 * time.Millisecond
 	// defaultIdle is how long a connection is kept if the target names no
 	// time-out.
 	defaultIdle = 4 * time.Second
@@ -99,7 +102,7 @@
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	began := time.Now()
-	c, err := liveness.Dialer().DialContext(ctx, "tcp", address)
+	c, err := dialTwice(ctx, address)
 	if p.OnDial != nil {
 		p.OnDial(address, time.Since(began), err)
 	}
@@ -109,6 +112,52 @@
 	return &line{conn: c, br: bufio.NewReaderSize(c, readBuffer)}, nil
 }
 
+// dialed is the end of one attempt to connect.
+type dialed struct {
+	conn net.Conn
+	err  error
+}
+
+// dialTwice makes a second attempt if the first one takes long, since a lost
+// opening packet is sent again only after a second. The first connection that
+// stands is taken.
+func dialTwice(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ends := make(chan dialed, 2)
+	attempt := func() {
+		c, err := liveness.Dialer().DialContext(ctx, "tcp", address)
+		ends <- dialed{c, err}
+	}
+	go attempt()
+	pending := 1
+	again := time.NewTimer(dialAgain)
+	defer again.Stop()
+	for {
+		select {
+		case <-again.C:
+			pending++
+			go attempt()
+		case d := <-ends:
+			pending--
+			if d.err != nil && pending > 0 {
+				continue
+			}
+			if pending > 0 {
+				go closeLate(ends)
+			}
+			return d.conn, d.err
+		}
+	}
+}
+
+// closeLate closes the connection of an attempt that nobody waits for.
+func closeLate(ends <-chan dialed) {
+	if d := <-ends; d.err == nil {
+		_ = d.conn.Close()
+	}
+}
+
 func (p *Pool) put(address string, l *line, idle time.Duration) {
 	l.until = time.Now().Add(idle)
 	p.mu.Lock()
--- a/internal/exchange/lines/lines_test.go
+++ b/internal/exchange/lines/lines_test.go
@@ -64,11 +64,15 @@
 	}
 }
 
+func built(r *Request) func() (*Request, error) {
+	return func() (*Request, error) { return r, nil }
+}
+
 const whole = "HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Length: 2\r\n\r\nok"
 
 func send(t *testing.T, p *Pool, address string) (string, error) {
 	t.Helper()
-	a, err := p.Send(t.Context(), address, request("1"))
+	a, err := p.Send(t.Context(), address, built(request("1")))
 	if err != nil {
 		return "", err
 	}
@@ -176,11 +180,11 @@
 	address := l.Addr().String()
 	_ = l.Close()
 	var p Pool
-	if _, err := p.Send(t.Context(), address, request("1")); !errors.Is(err, ErrNotSent) {
+	if _, err := p.Send(t.Context(), address, built(request("1"))); !errors.Is(err, ErrNotSent) {
 		t.Errorf("no listener: %v", err)
 	}
 	s := newTarget(t, func(int32, *http.Request) string { return "" })
-	if _, err := p.Send(t.Context(), s.Addr().String(), request("1")); !errors.Is(err, ErrBroken) {
+	if _, err := p.Send(t.Context(), s.Addr().String(), built(request("1"))); !errors.Is(err, ErrBroken) {
 		t.Errorf("closed after the request: %v", err)
 	}
 }
@@ -190,7 +194,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	time.AfterFunc(20*time.Millisecond, cancel)
 	var p Pool
-	if _, err := p.Send(ctx, s.Addr().String(), request("1")); !errors.Is(err, ErrBroken) {
+	if _, err := p.Send(ctx, s.Addr().String(), built(request("1"))); !errors.Is(err, ErrBroken) {
 		t.Errorf("%v", err)
 	}
 }
--- a/internal/role/gateway/request.go
+++ b/internal/role/gateway/request.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-faster/errors"
 
+	"egretproxy/internal/exchange/dispatch"
 	"egretproxy/internal/exchange/lines"
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/site/follow"
@@ -57,6 +58,8 @@
 	mayHaveRun bool
 	// reserved tells that the next retry is in the budget already.
 	reserved atomic.Bool
+	// next is the target secured for the next attempt, nil for none.
+	next atomic.Pointer[dispatch.Grant]
 	waited   time.Duration
 	// returned tells that the caller has tried before.
 	returned bool
--- a/internal/role/gateway/run.go
+++ b/internal/role/gateway/run.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -53,7 +54,7 @@
 	dials := 0
 	for {
 		ask := j.ask()
-		grant, err := j.g.Board.Acquire(ctx, ask)
+		grant, err := j.acquire(ctx, ask)
 		if err != nil {
 			j.giveUp(ctx, err)
 			return
@@ -70,14 +71,9 @@
 			continue
 		}
 		j.target = grant.Target
-		v, outcome, sent := j.attempt(ctx, grant)
-		ejected := grant.End(outcome)
-		if ejected {
-			j.g.Metrics.CountReason("TargetEjected", outcomeNames[outcome])
-			j.g.Trail.Note(failureKind, "Target is left out for a while", "Target", grant.Target, "Reason", outcomeNames[outcome])
-			j.g.Pool.Forget(grant.Address)
-		}
+		v, outcome, sent := j.try(ctx, grant)
 		if v == done {
+			j.releaseNext()
 			return
 		}
 		j.tried = append(j.tried, grant.Target)
@@ -88,6 +84,7 @@
 			return
 		}
 		if !j.mayRetry(ctx, sent) {
+			j.releaseNext()
 			j.giveUp(ctx, errors.New(j.last))
 			return
 		}
@@ -96,7 +93,30 @@
 	}
 }
 
-var errStale = errors.New("configuration is not confirmed")
+// try makes one attempt and gives the target's place back, also when the
+// caller leaves, which ends the handler by a panic.
+func (j *job) try(ctx context.Context, grant *dispatch.Grant) (v verdict, outcome dispatch.Outcome, sent bool) {
+	outcome = dispatch.Cancelled
+	returned := false
+	defer func() {
+		if grant.End(outcome) {
+			j.g.Metrics.CountReason("TargetEjected", outcomeNames[outcome])
+			j.g.Trail.Note(failureKind, "Target is left out for a while", "Target", grant.Target, "Reason", outcomeNames[outcome])
+			j.g.Pool.Forget(grant.Address)
+		}
+		if !returned {
+			j.releaseNext()
+		}
+	}()
+	v, outcome, sent = j.attempt(ctx, grant)
+	returned = true
+	return v, outcome, sent
+}
+
+var (
+	errStale    = errors.New("configuration is not confirmed")
+	errOutdated = errors.New("target's weights are no longer permitted")
+)
 
 // mayDispatch looks again at what may have changed during a wait or a
 // freeze: a key must not be used after its revocation.
@@ -126,11 +146,47 @@
 	return true
 }
 
-// reserve takes a retry out of the budget before an attempt is given up.
-func (j *job) reserve() bool {
-	ok := j.g.Retries.Take(j.service.Name, j.view.Entries)
-	j.reserved.Store(ok)
-	return ok
+// releaseNext gives a secured target back.
+func (j *job) releaseNext() {
+	if g := j.next.Swap(nil); g != nil {
+		g.End(dispatch.Cancelled)
+	}
+}
+
+// acquire returns the target that was secured for the next attempt, or waits
+// for one.
+func (j *job) acquire(ctx context.Context, ask *dispatch.Ask) (*dispatch.Grant, error) {
+	if g := j.next.Swap(nil); g != nil {
+		return g, nil
+	}
+	return j.g.Board.Acquire(ctx, ask)
+}
+
+// takeover returns the wish for a target that goes on where a silent one
+// stopped. It must be able to begin at once.
+func (j *job) takeover(silent *dispatch.Grant) *dispatch.Ask {
+	ask := j.ask()
+	ask.MaxWait, ask.Moved, ask.MinWeights = 0, true, max(ask.MinWeights, silent.Weights)
+	ask.Exclude = append(slices.Clone(j.tried), silent.Target)
+	return ask
+}
+
+// secure takes a retry out of the budget and a place at another target, so
+// that an attempt is given up only for one that can begin at once. A retry
+// that was taken stays reserved.
+func (j *job) secure(ctx context.Context, ask *dispatch.Ask) bool {
+	if !j.reserved.Load() {
+		if !j.g.Retries.Take(j.service.Name, j.view.Entries) {
+			return false
+		}
+		j.reserved.Store(true)
+	}
+	next, err := j.g.Board.Acquire(ctx, ask)
+	if err != nil {
+		return false
+	}
+	j.next.Store(next)
+	return true
 }
 
 func (j *job) ask() *dispatch.Ask {
@@ -193,6 +249,18 @@
 	return j.stream.weights
 }
 
+// build returns the request for a target whose connection stands now, if the
+// beliefs that chose the target still hold.
+func (j *job) build(grant *dispatch.Grant) (*lines.Request, error) {
+	if !j.mayDispatch() {
+		return nil, errStale
+	}
+	if j.minWeights() > grant.Weights && j.service.Engine != nil {
+		return nil, errOutdated
+	}
+	return j.outgoing(grant.Target, j.requiredWeights(grant)), nil
+}
+
 // requiredWeights returns the version that the target must hold, 0 for any.
 // Targets compare for equality, so it is the one that it was chosen for.
 func (j *job) requiredWeights(grant *dispatch.Grant) int64 {
@@ -222,10 +290,11 @@
 func (j *job) attempt(ctx context.Context, grant *dispatch.Grant) (verdict, dispatch.Outcome, bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silent := newSilence(cancel, j.silenceLimit(), j.reserve)
+	takeover := j.takeover(grant)
+	silent := newSilence(cancel, j.silenceLimit(), func() bool { return j.secure(ctx, takeover) })
 	defer silent.stop()
 	j.logSend(grant)
-	a, err := j.g.Pool.Send(ctx, grant.Address, j.outgoing(grant.Target, j.requiredWeights(grant)))
+	a, err := j.g.Pool.Send(ctx, grant.Address, func() (*lines.Request, error) { return j.build(grant) })
 	if err != nil {
 		return j.sendFailed(err, silent.hit())
 	}
@@ -263,6 +332,9 @@
 
 func (j *job) sendFailed(err error, silent bool) (verdict, dispatch.Outcome, bool) {
 	j.last = err.Error()
+	if errors.Is(err, lines.ErrWithdrawn) {
+		return again, dispatch.Cancelled, false
+	}
 	if errors.Is(err, lines.ErrNotSent) {
 		if j.r.Context().Err() != nil {
 			return again, dispatch.Cancelled, false
