admission: tell first tries from returned callers; share reported places; keep versions due

Entries that saw the same report all took the places in it: engine times of 705 ms at the median where a report had just shown three free places, 196 ms elsewhere.

Change: internal/admission/patience follows the usual deadline of each route; a request waits as long as its first event can be in time by the engines' recent times; each entry takes its share of the places in a report and keeps its own; the time of a naming is part of the agreed state, and an entry that starts later requires what was named long enough before.

TestWeightsAreRequiredInTime took a process that had just started for one that had been there: it now says since when, and a second test has the restart.

--- a/internal/exchange/dispatch/acquire.go
+++ b/internal/exchange/dispatch/acquire.go
@@ -34,6 +34,7 @@
 
 	board  *Board
 	target *target
+	at     time.Time
 	// prompt is the tokens that still count as being read.
 	prompt int
 }
@@ -167,12 +168,13 @@
 func (b *Board) grant(s *service, t *target, a *Ask, since time.Time) *Grant {
 	now := time.Now()
 	t.own++
+	t.credit = max(t.credit-1, 0)
 	t.reading += a.Prompt
 	t.bucket.take(now, b.rateFor(s))
 	t.health.begin(now)
 	g := &Grant{
 		Target: t.ID, Address: t.Address, Domain: t.Domain, Busy: b.busy(t), Reported: -1,
-		Waited: now.Sub(since), Weights: t.weights(), board: b, target: t, prompt: a.Prompt,
+		Waited: now.Sub(since), Weights: t.weights(), board: b, target: t, at: now, prompt: a.Prompt,
 	}
 	if t.reported() {
 		g.Reported = now.Sub(t.loadAt)
@@ -185,6 +187,9 @@
 	g.board.mu.Lock()
 	defer g.board.mu.Unlock()
 	g.begun()
+	if s := g.board.services[g.target.Service]; s != nil {
+		s.begin.Add(time.Since(g.at))
+	}
 }
 
 // begun runs under the board's mu.
@@ -201,6 +206,8 @@
 	defer b.mu.Unlock()
 	now := time.Now()
 	g.target.own--
+	// The place is this entry's until the next report shows it to others.
+	g.target.credit++
 	g.begun()
 	if g.target.reported() && g.target.load.Closed && o != Served {
 		// The target was announced to stop for a while.
--- a/internal/exchange/dispatch/board.go
+++ b/internal/exchange/dispatch/board.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 
+	"egretproxy/internal/admission/quantile"
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/site/follow"
 	"egretproxy/internal/site/muster"
@@ -50,6 +51,13 @@
 	// maxDelay is the delay above which a target gets nothing: requests would
 	// reach it after their objective, or under beliefs that have changed.
 	maxDelay = 300 * time.Millisecond
+	// creditShare is what an entry takes of the places that a report shows, in
+	// parts of an even share. Not all entries have requests that wait.
+	creditShare = 0.6
+	// beginQuantile of the times to the first event is what a request must
+	// have left when a target is chosen; beginStep follows within seconds.
+	beginQuantile = 0.75
+	beginStep     = 0.02
 	// reportFresh is how long a target's own report counts.
 	reportFresh = 1500 * time.Millisecond
 	// mutedFor is how long a target whose reports stopped gets nothing: its
@@ -124,6 +132,8 @@
 	// rate is the requests ended in a second by this entry, smoothed.
 	rate  float64
 	ended time.Time
+	// begin is the time from the choice of a target to its first event.
+	begin quantile.Quantile
 }
 
 type target struct {
@@ -137,8 +147,11 @@
 	load    Load
 	loadAt  time.Time
 	ownThen int
-	bucket  bucket
-	health  health
+	// credit is the requests that this entry may still send before the next
+	// report, 0 at least.
+	credit int
+	bucket bucket
+	health health
 }
 
 // New returns an empty board.
@@ -186,7 +199,7 @@
 	}
 	for k, spec := range p.Services {
 		if b.services[k] == nil {
-			b.services[k] = &service{}
+			b.services[k] = &service{begin: quantile.Quantile{At: beginQuantile, Step: beginStep}}
 		}
 		b.services[k].spec = spec
 	}
@@ -202,6 +215,7 @@
 	}
 	t.load, t.loadAt, t.ownThen = l, time.Now(), t.own
 	if s := b.services[t.Service]; s != nil {
+		t.credit = b.share(b.limit(s, t) - b.busy(t))
 		b.pump(s)
 	}
 }
@@ -283,9 +297,24 @@
 	if b.busy(t) >= b.limit(s, t) {
 		return false
 	}
+	if s.spec.Engine != nil && t.reported() && t.credit <= 0 {
+		return false
+	}
 	return t.bucket.ready(now, b.rateFor(s))
 }
 
+// share returns this entry's part of places that all entries see in the same
+// report. Parts of a place are given by chance, so that the sum of all entries
+// is about right.
+func (b *Board) share(room float64) int {
+	part := creditShare * max(room, 0) / float64(b.entries)
+	whole := int(part)
+	if rand.Float64() < part-float64(whole) {
+		whole++
+	}
+	return whole
+}
+
 // rateFor returns this entry's share of the requests in a second that a cold
 // target bears, or 0 for no bound. It holds for warm targets too, since they
 // may turn cold at any moment and entries don't talk for each request.
@@ -348,6 +377,17 @@
 	return readingWeight * float64(t.reading) / s.spec.Engine.UsualPrompt
 }
 
+// Begin returns the time that most requests of the service take from the
+// choice of a target to its first event, 0 if unknown.
+func (b *Board) Begin(k id.Service) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.services[k]; s != nil {
+		return s.begin.Value()
+	}
+	return 0
+}
+
 // Summary is the state of a service's targets, for the log.
 type Summary struct {
 	// Targets is all that are known; Out are draining, withdrawn or without
--- a/internal/role/gateway/answer.go
+++ b/internal/role/gateway/answer.go
@@ -173,7 +173,7 @@
 		kind = max(kind, notableKind)
 	}
 	j.g.Trail.Note(kind, "Request was answered", "Request", j.id, "Status", status, "Target", grant.Target,
-		"Route", routeName(j.route), "Busy", grant.Busy, "ReportMsAgo", grant.Reported.Milliseconds(),
+		"Route", routeName(j.route), "Returned", j.returned, "Busy", grant.Busy, "ReportMsAgo", grant.Reported.Milliseconds(),
 		"WaitedMs", j.waited.Milliseconds(), "TookMs", took.Milliseconds(), "Sent", j.sent+1,
 		"FirstMs", first.Milliseconds(), "GapMs", gap.Milliseconds(), "Events", events, "Plan", planVersion(j.view.Plan))
 }
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
 
+	"egretproxy/internal/admission/patience"
 	"egretproxy/internal/exchange/dialect"
 	"egretproxy/internal/exchange/dispatch"
 	"egretproxy/internal/exchange/lines"
@@ -80,6 +81,7 @@
 	stopping atomic.Bool
 	active   atomic.Int64
 	floor    floor
+	patience patience.Patience
 }
 
 // Run serves callers until the context ends, then finishes what was taken.
--- a/internal/role/gateway/gateway_test.go
+++ b/internal/role/gateway/gateway_test.go
@@ -379,7 +379,7 @@
 }
 
 // TestWeightsAreRequiredInTime counts the time for each version from its own
-// naming, also in a process that has started since.
+// naming, in a process that was there before.
 func TestWeightsAreRequiredInTime(t *testing.T) {
 	now := boottime.Now()
 	v := &follow.View{Weights: []follow.Naming{
@@ -387,7 +387,7 @@
 		{Model: "m", Version: 3, Since: now - 6*time.Second},
 		{Model: "other", Version: 9, Since: now - 60*time.Second},
 	}}
-	var f floor
+	f := floor{versions: map[id.Model]int64{}, began: now - 20*time.Second}
 	f.raise(v, 7*time.Second, 5*time.Second)
 	if got := f.of("m"); got != 0 {
 		t.Errorf("version %d is required soon after a disturbance", got)
@@ -402,6 +402,22 @@
 	}
 }
 
+// TestHoldsRestartedEntryRequiresWeights plays an entry that is killed after a
+// version became due: it can't know that the keepers were calm long enough,
+// and must not begin on older weights until it has seen them calm itself.
+func TestHoldsRestartedEntryRequiresWeights(t *testing.T) {
+	now := boottime.Now()
+	v := &follow.View{Weights: []follow.Naming{
+		{Model: "m", Version: 2, Since: now - 8*time.Second},
+		{Model: "m", Version: 3, Since: now - 6*time.Second},
+	}}
+	var f floor
+	f.raise(v, 7*time.Second, 0)
+	if got := f.of("m"); got != 2 {
+		t.Errorf("version %d is required, want 2", got)
+	}
+}
+
 // TestHoldsWaitingRequestSeesNewWeights lets a version become due while a
 // request waits for a place: it must not begin on the older one.
 func TestHoldsWaitingRequestSeesNewWeights(t *testing.T) {
--- a/internal/role/gateway/request.go
+++ b/internal/role/gateway/request.go
@@ -59,8 +59,8 @@
 	// reserved tells that the next retry is in the budget already.
 	reserved atomic.Bool
 	// next is the target secured for the next attempt, nil for none.
-	next atomic.Pointer[dispatch.Grant]
-	waited   time.Duration
+	next   atomic.Pointer[dispatch.Grant]
+	waited time.Duration
 	// returned tells that the caller has tried before.
 	returned bool
 	// stream is the state of an answer that was begun.
@@ -148,7 +148,7 @@
 	if ms, err := strconv.ParseInt(j.r.Header.Get(j.g.Settings.Dialect.Deadline), 10, 64); err == nil && ms >= 0 && ms < defaultDeadline.Milliseconds() {
 		left = time.Duration(ms) * time.Millisecond
 	}
-	j.returned = left < j.route.Timeout-j.route.Objective/2
+	j.returned = j.g.patience.Returned(j.route.Name, left)
 	j.deadline = j.began.Add(min(left, j.route.Timeout) - answerMargin)
 }
 
--- a/internal/role/gateway/run.go
+++ b/internal/role/gateway/run.go
@@ -20,10 +20,10 @@
 
 const (
 	// waitPart is the part of the objective that a request may wait for a
-	// target. The rest is left for its prompt and the first event.
+	// target whose time to the first event is not known.
 	waitPart = 0.5
 	// lateWait is how long a request whose objective has passed may wait.
-	lateWait = 100 * time.Millisecond
+	lateWait = 50 * time.Millisecond
 	// returnedWait is how long a caller that came back may wait. It has
 	// missed its objective, and a second refusal would lose it.
 	returnedWait = 1200 * time.Millisecond
@@ -282,7 +282,11 @@
 	if j.returned {
 		return min(returnedWait, time.Until(j.deadline)/2)
 	}
-	left := time.Duration(float64(j.route.Objective)*waitPart) - time.Since(j.began)
+	begin := j.g.Board.Begin(j.service.Name)
+	if begin == 0 {
+		begin = time.Duration(float64(j.route.Objective) * (1 - waitPart))
+	}
+	left := j.route.Objective - begin - time.Since(j.began)
 	return min(max(left, lateWait), time.Until(j.deadline))
 }
 
--- a/internal/role/gateway/weights.go
+++ b/internal/role/gateway/weights.go
@@ -16,20 +16,24 @@
 type floor struct {
 	mu       sync.Mutex
 	versions map[id.Model]int64
+	// began is when the process learnt its first view.
+	began time.Duration
 }
 
 // raise takes in for how long versions are named. The time that is given for
 // a version begins anew after each disturbance of the keepers, as the users'
 // rules allow: targets that still hold the older one are then better than
-// none. Once it has passed, the version stays required.
+// none. Once it has passed, the version stays required. A process that starts
+// later can't know whether it has passed without a disturbance: it requires
+// what was named long enough before.
 func (f *floor) raise(v *follow.View, due, calm time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.versions == nil {
-		f.versions = map[id.Model]int64{}
+		f.versions, f.began = map[id.Model]int64{}, boottime.Now()
 	}
 	for _, n := range v.Weights {
-		if min(boottime.Now()-n.Since, calm) >= due {
+		if min(boottime.Now()-n.Since, calm) >= due || f.began-n.Since >= due {
 			f.versions[n.Model] = max(f.versions[n.Model], n.Version)
 		}
 	}
--- a/internal/role/steward/steward.go
+++ b/internal/role/steward/steward.go
@@ -87,6 +87,9 @@
 
 // Propose makes a change and returns once a quorum has stored it.
 func (s *Steward) Propose(ctx context.Context, c charter.Command) error {
+	if c.Weights != nil {
+		c.Weights.NamedMs = time.Now().UnixMilli()
+	}
 	data, err := charter.Encode(c)
 	if err != nil {
 		return err
--- a/internal/site/charter/charter.go
+++ b/internal/site/charter/charter.go
@@ -41,6 +41,9 @@
 type WeightsChange struct {
 	Model   id.Model
 	Version int64
+	// NamedMs is when it was named by the time of day, in Unix milliseconds.
+	// Only keepers that restart use it.
+	NamedMs int64
 }
 
 // State is the agreed state at one position of the log.
@@ -55,6 +58,8 @@
 	PlanIndex uint64
 	Withdrawn map[id.Domain]bool
 	Weights   map[id.Model]int64
+	// NamedMs is when those versions were named, as in WeightsChange.
+	NamedMs map[id.Model]int64
 }
 
 // Charter is safe for concurrent use. The zero value is the empty state.
@@ -80,6 +85,10 @@
 	Age time.Duration
 }
 
+// clockError is by how much times of day may differ or jump, in the users'
+// deployments.
+const clockError = 3 * time.Second
+
 // keptNamings bounds the versions whose age is known. Older ones are due long
 // since.
 const keptNamings = 8
@@ -98,7 +107,12 @@
 
 // learn notes a version of weights. It runs under mu.
 func (c *Charter) learn(w WeightsChange) {
-	c.namings = append(c.namings, naming{w, boottime.Now()})
+	age := time.Duration(0)
+	if w.NamedMs > 0 {
+		// The keeper may learn of it long after, when it reads its log again.
+		age = max(time.Since(time.UnixMilli(w.NamedMs))-clockError, 0)
+	}
+	c.namings = append(c.namings, naming{w, boottime.Now() - age})
 	if len(c.namings) > keptNamings {
 		c.namings = c.namings[1:]
 	}
@@ -114,6 +128,7 @@
 	out := c.state
 	out.Withdrawn = maps.Clone(out.Withdrawn)
 	out.Weights = maps.Clone(out.Weights)
+	out.NamedMs = maps.Clone(out.NamedMs)
 	return out
 }
 
@@ -172,7 +187,11 @@
 		if s.Weights == nil {
 			s.Weights = map[id.Model]int64{}
 		}
+		if s.NamedMs == nil {
+			s.NamedMs = map[id.Model]int64{}
+		}
 		s.Weights[in.Weights.Model] = in.Weights.Version
+		s.NamedMs[in.Weights.Model] = in.Weights.NamedMs
 	default:
 		return false
 	}
@@ -197,7 +216,7 @@
 	c.state = s
 	c.namings = nil
 	for m, v := range s.Weights {
-		c.learn(WeightsChange{Model: m, Version: v})
+		c.learn(WeightsChange{Model: m, Version: v, NamedMs: s.NamedMs[m]})
 	}
 	c.wake()
 	return nil
--- a/internal/site/charter/charter_test.go
+++ b/internal/site/charter/charter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
@@ -89,3 +90,30 @@
 		t.Errorf("position moved: %+v", s)
 	}
 }
+
+// TestHoldsAgeOfWeightsSurvivesRestart restarts a keeper from its snapshot and
+// from its log long after a version was named: followers that restart with it
+// must not count the time anew.
+func TestHoldsAgeOfWeightsSurvivesRestart(t *testing.T) {
+	named := WeightsChange{Model: "m", Version: 2, NamedMs: time.Now().Add(-time.Minute).UnixMilli()}
+	var old Charter
+	apply(t, &old, 1, Command{Weights: &named})
+	data, err := old.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var restored Charter
+	if err := restored.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]*Charter{"log": &old, "snapshot": &restored} {
+		if age := c.Namings()[0].Age; age < time.Minute-clockError {
+			t.Errorf("from its %s the version is %s old", name, age)
+		}
+	}
+	var fresh Charter
+	apply(t, &fresh, 1, Command{Weights: &WeightsChange{Model: "m", Version: 2, NamedMs: time.Now().Add(-2 * time.Second).UnixMilli()}})
+	if age := fresh.Namings()[0].Age; age > time.Second {
+		t.Errorf("clocks that differ by 2 s make a new version %s old", age)
+	}
+}
