--- a/internal/exchange/dispatch/board.go
+++ b/internal/exchange/dispatch/board.go
@@ -51,9 +51,9 @@
 	// maxDelay is the delay above which a target gets nothing: requests would
 	// reach it after their objective, or under beliefs that have changed.
 	maxDelay = 300 * time.Millisecond
-	// creditShare is what an entry takes of the places that a report shows, in
-	// parts of an even share. Not all entries have requests that wait.
-	creditShare = 0.6
+	// atOncePart is the part of an engine's places up to which requests begin
+	// without a wait.
+	atOncePart = 0.5
 	// beginQuantile of the times to the first event is what a request must
 	// have left when a target is chosen; beginStep follows within seconds.
 	beginQuantile = 0.75
@@ -105,6 +105,9 @@
 	Late bool
 	// MinWeights is the oldest version of weights it may run on.
 	MinWeights int64
+	// SoonWeights is the version that is required soon. Targets on older
+	// ones must begin on the request at once.
+	SoonWeights int64
 	// Moved requests were cut off at a target. They go to targets with the
 	// newest weights first, which will not cut them off again.
 	Moved bool
@@ -289,12 +292,16 @@
 }
 
 // hasRoom reports whether the target can begin on the request soon.
-func (b *Board) hasRoom(s *service, t *target) bool {
+func (b *Board) hasRoom(s *service, t *target, a *Ask) bool {
 	now := time.Now()
 	if t.muted() || t.reported() && (t.load.Closed || t.load.Delay > maxDelay) || !t.health.admits(now) {
 		return false
 	}
-	if b.busy(t) >= b.limit(s, t) {
+	limit := b.limit(s, t)
+	if s.spec.Engine != nil && t.weights() < a.SoonWeights {
+		limit *= atOncePart
+	}
+	if b.busy(t) >= limit {
 		return false
 	}
 	if s.spec.Engine != nil && t.reported() && t.credit <= 0 {
@@ -307,7 +314,7 @@
 // report. Parts of a place are given by chance, so that the sum of all entries
 // is about right.
 func (b *Board) share(room float64) int {
-	part := creditShare * max(room, 0) / float64(b.entries)
+	part := max(room, 0) / float64(b.entries)
 	whole := int(part)
 	if rand.Float64() < part-float64(whole) {
 		whole++
@@ -335,7 +342,7 @@
 			continue
 		}
 		found = true
-		if !b.hasRoom(s, t) {
+		if !b.hasRoom(s, t, a) {
 			continue
 		}
 		x := b.busy(t) + s.reading(t) + t.delay() + rand.Float64()
--- a/internal/exchange/dispatch/board_test.go
+++ b/internal/exchange/dispatch/board_test.go
@@ -307,3 +307,43 @@
 		}
 	})
 }
+
+// TestHoldsOldWeightsBeginAtOnce plays the last moments before a version is
+// due: engines on the older one get requests only while they begin at once.
+func TestHoldsOldWeightsBeginAtOnce(t *testing.T) {
+	b := New(settings())
+	b.Update(site(1, 1))
+	b.Report("e0", Load{Active: 10, Weights: 1})
+	if _, err := b.Acquire(t.Context(), &Ask{Service: "llm", SoonWeights: 2}); !errors.Is(err, ErrFull) {
+		t.Errorf("an engine with 10 of 16 places taken: %v", err)
+	}
+	if _, err := b.Acquire(t.Context(), &Ask{Service: "llm", SoonWeights: 1}); err != nil {
+		t.Errorf("with the newest weights: %v", err)
+	}
+	b.Report("e0", Load{Active: 3, Weights: 1})
+	if _, err := b.Acquire(t.Context(), &Ask{Service: "llm", SoonWeights: 2}); err != nil {
+		t.Errorf("an engine with 3 of 16 places taken: %v", err)
+	}
+}
+
+// TestHoldsReportedPlacesAreShared plays the moment at which an engine has
+// loaded: seven entries with requests that wait see its 16 free places in one
+// report, and must not send much more than these together.
+func TestHoldsReportedPlacesAreShared(t *testing.T) {
+	const entries = 7
+	sent := 0
+	for range entries {
+		b := New(settings())
+		b.Update(site(1, entries))
+		b.Report("e0", Load{Weights: 1})
+		for {
+			if _, err := b.Acquire(t.Context(), &Ask{Service: "llm"}); err != nil {
+				break
+			}
+			sent++
+		}
+	}
+	if sent == 0 || sent > 17 {
+		t.Errorf("%d requests for 16 places", sent)
+	}
+}
--- a/internal/role/gateway/run.go
+++ b/internal/role/gateway/run.go
@@ -193,7 +193,7 @@
 	return &dispatch.Ask{
 		Service: j.service.Name, Regions: common(j.regions), Priority: j.priority,
 		MaxWait: j.patience(), Late: j.late(), MinWeights: max(j.minWeights(), j.begunWeights()), Exclude: j.tried,
-		Prompt: j.prompt(), Moved: j.sent > 0,
+		Prompt: j.prompt(), Moved: j.sent > 0, SoonWeights: j.soonWeights(),
 	}
 }
 
@@ -241,6 +241,13 @@
 	return j.g.floor.of(j.service.Engine.Model)
 }
 
+func (j *job) soonWeights() int64 {
+	if j.service.Engine == nil {
+		return 0
+	}
+	return j.g.floor.soonOf(j.service.Engine.Model)
+}
+
 // begunWeights returns the version that a stream began with, 0 for none.
 func (j *job) begunWeights() int64 {
 	if j.stream == nil || !j.stream.begun {
--- a/internal/role/gateway/weights.go
+++ b/internal/role/gateway/weights.go
@@ -11,11 +11,18 @@
 	"egretproxy/internal/site/follow"
 )
 
+// soonMargin is how long before a version is required engines on older ones
+// get so little that requests begin at once. At a full engine they were seen
+// to begin 0.8 s after they arrived.
+const soonMargin = 800 * time.Millisecond
+
 // floor is the oldest version of each model's weights that requests may begin
 // on. It never falls. The zero value allows all.
 type floor struct {
 	mu       sync.Mutex
 	versions map[id.Model]int64
+	// soon is the versions that become required within soonMargin.
+	soon map[id.Model]int64
 	// began is when the process learnt its first view.
 	began time.Duration
 }
@@ -32,10 +39,16 @@
 	if f.versions == nil {
 		f.versions, f.began = map[id.Model]int64{}, boottime.Now()
 	}
+	if f.soon == nil {
+		f.soon = map[id.Model]int64{}
+	}
 	for _, n := range v.Weights {
 		if min(boottime.Now()-n.Since, calm) >= due || f.began-n.Since >= due {
 			f.versions[n.Model] = max(f.versions[n.Model], n.Version)
 		}
+		if boottime.Now()-n.Since >= due-soonMargin {
+			f.soon[n.Model] = max(f.soon[n.Model], n.Version)
+		}
 	}
 }
 
@@ -45,6 +58,14 @@
 	return f.versions[m]
 }
 
+// soonOf returns the version that requests are required to begin on now or
+// soon.
+func (f *floor) soonOf(m id.Model) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(f.soon[m], f.versions[m])
+}
+
 // OnView takes in a new view.
 func (g *Gateway) OnView(v *follow.View) {
 	g.raiseFloor(v)
