--- a/internal/exchange/dispatch/acquire.go
+++ b/internal/exchange/dispatch/acquire.go
@@ -54,6 +54,7 @@
 		b.mu.Unlock()
 		return nil, ErrNoTarget
 	}
+	s.soon = max(s.soon, a.SoonWeights)
 	ahead := s.ahead(a)
 	t, found := b.pick(s, a)
 	if t != nil && ahead == 0 {
--- a/internal/exchange/dispatch/board.go
+++ b/internal/exchange/dispatch/board.go
@@ -51,6 +51,8 @@
 	// maxDelay is the delay above which a target gets nothing: requests would
 	// reach it after their objective, or under beliefs that have changed.
 	maxDelay = 300 * time.Millisecond
+	// reportInterval is that of targets whose load changes.
+	reportInterval = 50 * time.Millisecond
 	// atOncePart is the part of an engine's places up to which requests begin
 	// without a wait.
 	atOncePart = 0.5
@@ -135,6 +137,8 @@
 	// rate is the requests ended in a second by this entry, smoothed.
 	rate  float64
 	ended time.Time
+	// soon is the version of weights that is required soon.
+	soon int64
 	// begin is the time from the choice of a target to its first event.
 	begin quantile.Quantile
 }
@@ -218,7 +222,7 @@
 	}
 	t.load, t.loadAt, t.ownThen = l, time.Now(), t.own
 	if s := b.services[t.Service]; s != nil {
-		t.credit = b.share(b.limit(s, t) - b.busy(t))
+		t.credit = b.share(b.limit(s, t)-b.busy(t), l.Delay)
 		b.pump(s)
 	}
 }
@@ -283,6 +287,9 @@
 		if slots == 0 {
 			slots = s.spec.Engine.Slots
 		}
+		if t.weights() < s.soon {
+			return atOncePart * float64(slots)
+		}
 		return float64(slots + queueSlack)
 	}
 	if slots == 0 {
@@ -292,16 +299,12 @@
 }
 
 // hasRoom reports whether the target can begin on the request soon.
-func (b *Board) hasRoom(s *service, t *target, a *Ask) bool {
+func (b *Board) hasRoom(s *service, t *target) bool {
 	now := time.Now()
 	if t.muted() || t.reported() && (t.load.Closed || t.load.Delay > maxDelay) || !t.health.admits(now) {
 		return false
 	}
-	limit := b.limit(s, t)
-	if s.spec.Engine != nil && t.weights() < a.SoonWeights {
-		limit *= atOncePart
-	}
-	if b.busy(t) >= limit {
+	if b.busy(t) >= b.limit(s, t) {
 		return false
 	}
 	if s.spec.Engine != nil && t.reported() && t.credit <= 0 {
@@ -311,10 +314,12 @@
 }
 
 // share returns this entry's part of places that all entries see in the same
-// report. Parts of a place are given by chance, so that the sum of all entries
-// is about right.
-func (b *Board) share(room float64) int {
-	part := max(room, 0) / float64(b.entries)
+// report. Requests take the delay of the way until a report shows them, so
+// that the same places stand in several reports. Parts of a place are given by
+// chance, so that the sum of all entries is about right.
+func (b *Board) share(room float64, delay time.Duration) int {
+	reports := 1 + max(delay.Seconds(), 0)/reportInterval.Seconds()
+	part := max(room, 0) / float64(b.entries) / reports
 	whole := int(part)
 	if rand.Float64() < part-float64(whole) {
 		whole++
@@ -342,7 +347,7 @@
 			continue
 		}
 		found = true
-		if !b.hasRoom(s, t, a) {
+		if !b.hasRoom(s, t) {
 			continue
 		}
 		x := b.busy(t) + s.reading(t) + t.delay() + rand.Float64()
