weights: read doubted manifests anew, load an older version in time, report the link's delay

Cause 2: version 2, whole in memory, was dropped for version 3, which could not be completed; nothing was loaded when version 2 was due. The process beside the engine now reports how long its pieces take. Cause 4: waits in order of arrival make each request late under overload; the newest goes first now. Also: new engines find their weights in memory when they answer; work for a version is not cancelled once the engine drains.

--- a/internal/exchange/dispatch/acquire.go
+++ b/internal/exchange/dispatch/acquire.go
@@ -77,14 +77,22 @@
 }
 
 // ahead counts the waiters that go before the request.
-func (s *service) ahead(a *Ask) int {
-	n := 0
-	for _, w := range s.waiters {
-		if compare(w.ask, a) <= 0 {
-			n++
+func (s *service) ahead(a *Ask) int { return s.position(a) }
+
+// position returns where a request that arrives now stands in the queue. Of
+// requests that can still be in time the newest goes first: under overload a
+// queue in order of arrival would let each of them wait until it is late,
+// while this one serves most in time and refuses the rest. Late ones keep
+// their order.
+func (s *service) position(a *Ask) int {
+	i, _ := slices.BinarySearchFunc(s.waiters, a, func(w *waiter, a *Ask) int {
+		c := compare(w.ask, a)
+		if c == 0 && a.Late {
+			return -1
 		}
-	}
-	return n
+		return c
+	})
+	return i
 }
 
 // compare orders requests by rank, and late ones after others.
@@ -109,8 +117,7 @@
 }
 
 func (s *service) enqueue(w *waiter) {
-	s.waiters = append(s.waiters, w)
-	slices.SortStableFunc(s.waiters, func(x, y *waiter) int { return compare(x.ask, y.ask) })
+	s.waiters = slices.Insert(s.waiters, s.position(w.ask), w)
 }
 
 func (b *Board) await(ctx context.Context, s *service, w *waiter) (*Grant, error) {
--- a/internal/exchange/dispatch/board_test.go
+++ b/internal/exchange/dispatch/board_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -354,3 +355,41 @@
 		}
 	}
 }
+
+// TestHoldsOverloadServesInTime plays a steady overload: 24 requests a second
+// come at random to an engine that ends 14, each with 150 ms to wait. Served in
+// order of arrival most wait about as long as they may; here most begin soon.
+func TestHoldsOverloadServesInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(settings())
+		v := site(1, 1)
+		v.Plan.Services["llm"].ColdPerSecond = 0
+		b.Update(v)
+		var mu sync.Mutex
+		served, atOnce := 0, 0
+		rng := rand.New(rand.NewPCG(1, 2))
+		var wg sync.WaitGroup
+		for range 400 {
+			wg.Go(func() {
+				g, err := b.Acquire(t.Context(), &Ask{Service: "llm", MaxWait: 150 * time.Millisecond})
+				if err != nil {
+					return
+				}
+				mu.Lock()
+				served++
+				if g.Waited < 75*time.Millisecond {
+					atOnce++
+				}
+				mu.Unlock()
+				time.Sleep(1200 * time.Millisecond)
+				g.End(Served)
+			})
+			time.Sleep(time.Duration(rng.ExpFloat64() * float64(time.Second) / 24))
+		}
+		wg.Wait()
+		t.Logf("%d served, %d soon", served, atOnce)
+		if served < 220 || atOnce*100 < served*85 {
+			t.Errorf("%d served, %d of them after a short wait", served, atOnce)
+		}
+	})
+}
--- a/internal/role/tender/mirror_test.go
+++ b/internal/role/tender/mirror_test.go
@@ -114,3 +114,82 @@
 		}
 	})
 }
+
+// lateEngine answers from a moment on.
+type lateEngine struct {
+	*stage
+	loaded chan relay.Bundle
+}
+
+func (e *lateEngine) Report(context.Context) (Report, error) { return Report{}, nil }
+
+func (e *lateEngine) Load(_ context.Context, b relay.Bundle, _ int64, _ Switch) error {
+	e.loaded <- b
+	return nil
+}
+
+// TestHoldsNewEngineFindsWeightsReady adds an engine to a busy site: while it
+// starts, its weights come into memory, so that it loads at once.
+func TestHoldsNewEngineFindsWeightsReady(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, stages := newWorld(1, 2)
+		w.name(2)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer w.startMirrors(t, 1)()
+		engine := &lateEngine{stages[0], make(chan relay.Bundle, 1)}
+		tender := &Tender{
+			Settings: Settings{Service: "llm", Address: "10.0.0.0:80", Domain: "d0", Region: "d0"}, Follower: views{w.view},
+			Relay: w.relays["10.0.0.0:80"], Metrics: metrics.New("Test"), named: map[relay.Bundle]time.Time{}, Engine: engine,
+		}
+		go tender.tend(ctx)
+		time.Sleep(3 * time.Second)
+		up := time.Now()
+		go func() {
+			for ctx.Err() == nil {
+				tender.take(Report{}, nil)
+				time.Sleep(reportInterval)
+			}
+		}()
+		select {
+		case <-engine.loaded:
+			if took := time.Since(up); took > 400*time.Millisecond {
+				t.Errorf("the engine loads %s after it answered", took)
+			}
+		case <-time.After(5 * time.Second):
+			t.Error("the engine does not load")
+		}
+		cancel()
+		time.Sleep(loadTimeout + time.Second)
+	})
+}
+
+// TestHoldsOlderVersionGoesFirst names a version while the one before is at
+// hand but not loaded, and lets the origin break off after its first piece.
+// The one before is loaded in time to be there when it is due.
+func TestHoldsOlderVersionGoesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, stages := newWorld(1, 1)
+		w.stuck[3] = true
+		now := boottime.Now()
+		w.view.Weights = []follow.Naming{{Model: "m", Version: 2, Since: now}, {Model: "m", Version: 3, Since: now + time.Second}}
+		engine := &lateEngine{stages[0], make(chan relay.Bundle, 4)}
+		tender := &Tender{
+			Settings: Settings{Service: "llm", Address: "10.0.0.0:80", Domain: "d0", WeightsDue: 7300 * time.Millisecond},
+			Follower: views{w.view}, Relay: w.relays["10.0.0.0:80"], Metrics: metrics.New("Test"),
+			named: map[relay.Bundle]time.Time{}, Engine: engine,
+		}
+		if err := tender.Relay.Bring(t.Context(), relay.Bundle{Model: "m", Version: 2}); err != nil {
+			t.Fatal(err)
+		}
+		newer, older := relay.Bundle{Model: "m", Version: 3}, relay.Bundle{Model: "m", Version: 2}
+		if b, ok := tender.choose(t.Context(), 1); !ok || b != newer {
+			t.Errorf("took version %d, %v while there is time", b.Version, ok)
+		}
+		for i := range w.view.Weights {
+			w.view.Weights[i].Since -= 6 * time.Second
+		}
+		if b, ok := tender.choose(t.Context(), 1); !ok || b != older {
+			t.Errorf("took version %d, %v shortly before version 2 is due", b.Version, ok)
+		}
+	})
+}
--- a/internal/role/tender/spread_test.go
+++ b/internal/role/tender/spread_test.go
@@ -33,6 +33,10 @@
 	drawn, crossed int
 	// downUntil is when the origin answers again.
 	downUntil time.Time
+	// falseManifests is how many of the next manifests arrive spoilt.
+	falseManifests int
+	// stuck is the versions of which the origin gives the first piece only.
+	stuck map[int64]bool
 	// missing is the versions that the origin can't give.
 	missing map[int64]bool
 	// uploads counts the pieces that each engine's process sent.
@@ -46,9 +50,16 @@
 	if err := w.down(b); err != nil {
 		return relay.Manifest{}, err
 	}
+	w.mu.Lock()
+	spoilt := w.falseManifests > 0
+	w.falseManifests--
+	w.mu.Unlock()
 	var m relay.Manifest
 	for n := range pieces {
 		sum := sha256.Sum256(piece(n))
+		if spoilt && n > 0 {
+			sum[0] ^= 1
+		}
 		m.Digests = append(m.Digests, hex.EncodeToString(sum[:]))
 	}
 	return m, nil
@@ -67,6 +78,9 @@
 	if err := w.down(b); err != nil {
 		return nil, err
 	}
+	if w.stuck[b.Version] && n > 0 {
+		return nil, errors.New("origin breaks off")
+	}
 	time.Sleep(20 * time.Millisecond)
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -136,7 +150,7 @@
 func (v views) View() *follow.View { return v.view }
 
 func newWorld(domains, each int) (*world, []*stage) {
-	w := &world{relays: map[string]*relay.Relay{}, domain: map[string]id.Domain{}, spoil: map[int]bool{}, missing: map[int64]bool{}, uploads: map[string]int{}}
+	w := &world{relays: map[string]*relay.Relay{}, domain: map[string]id.Domain{}, spoil: map[int]bool{}, missing: map[int64]bool{}, stuck: map[int64]bool{}, uploads: map[string]int{}}
 	v := &follow.View{
 		Plan: &plan.Plan{Services: map[id.Service]*plan.Service{
 			"llm": {Name: "llm", Engine: &plan.Engine{Model: "m"}}, "origin": {Name: "origin", Origin: "o", Domain: "d0"},
@@ -278,3 +292,24 @@
 		}
 	}
 }
+
+// TestHoldsSpoiltManifestIsReadAnew plays an origin that spoils a manifest on
+// its way: its pieces match nothing until it is read again.
+func TestHoldsSpoiltManifestIsReadAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, stages := newWorld(1, 3)
+		w.falseManifests = 1
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		var wg sync.WaitGroup
+		for _, r := range w.relays {
+			wg.Go(func() {
+				for ctx.Err() == nil && r.Bring(ctx, relay.Bundle{Model: "m", Version: 2}) != nil {
+					time.Sleep(100 * time.Millisecond)
+				}
+			})
+		}
+		wg.Wait()
+		checkStages(t, stages)
+	})
+}
--- a/internal/role/tender/tend.go
+++ b/internal/role/tender/tend.go
@@ -18,6 +18,9 @@
 	// loadTimeout is the longest wait for a load before it is ordered again.
 	loadTimeout = 6 * time.Second
 	firstKnown  = 1
+	// fallBackTime is what loading a version takes that is in memory: staging
+	// it again, the drain, the load, and a reserve of a second.
+	fallBackTime = drainFor + loadTime + 1300*time.Millisecond
 	// maxWanted bounds the versions that are considered. Older ones are no
 	// longer kept by the origin.
 	maxWanted = 2
@@ -34,10 +37,14 @@
 		case <-ticker.C:
 		}
 		r, fresh := t.newest()
+		if !t.seen() {
+			t.prefetch(ctx)
+			continue
+		}
 		if !fresh || r.Busy {
 			continue
 		}
-		b, ok := t.obtainable(ctx, t.wanted(r.Weights))
+		b, ok := t.choose(ctx, r.Weights)
 		if !ok {
 			continue
 		}
@@ -48,6 +55,56 @@
 	}
 }
 
+// seen reports whether the engine ever answered.
+func (t *Tender) seen() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.reportAt.IsZero()
+}
+
+// prefetch takes weights into memory until the engine answers, since a new
+// engine needs a second to start and two for its weights.
+func (t *Tender) prefetch(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		for ctx.Err() == nil && !t.seen() {
+			sleep(ctx, tendInterval/2)
+		}
+		cancel()
+	}()
+	b, ok := t.obtainable(ctx, t.wanted(0))
+	if !ok || t.Relay.Whole(b) {
+		return
+	}
+	if err := t.Relay.Fetch(ctx, b); err != nil && ctx.Err() == nil {
+		klog.InfoS("Weights are not fetched ahead", "Model", b.Model, "Version", b.Version, "Error", err.Error())
+	}
+}
+
+// choose returns the version to bring: the newest that can be had, or the one
+// before if that is due soon and the newest may not be whole by then.
+func (t *Tender) choose(ctx context.Context, held int64) (relay.Bundle, bool) {
+	wanted := t.wanted(held)
+	if len(wanted) > 1 && t.mustFallBack(wanted[0], wanted[1], held) {
+		klog.InfoS("Older weights are taken first", "Model", wanted[1].Model, "Version", wanted[1].Version, "Newer", wanted[0].Version)
+		return wanted[1], true
+	}
+	return t.obtainable(ctx, wanted)
+}
+
+// mustFallBack reports whether the older version, which is at hand, has to be
+// loaded now to be in place when it is due, since the newer one is not whole.
+func (t *Tender) mustFallBack(newer, older relay.Bundle, held int64) bool {
+	if older.Version <= held || t.Relay.Whole(newer) || !t.Relay.Whole(older) {
+		return false
+	}
+	v := t.Follower.View()
+	due, age := t.due(v, older, held)
+	newerDue, newerAge := t.due(v, newer, newer.Version-1)
+	return due-age < fallBackTime && newerDue-newerAge > loadTime
+}
+
 // obtainable returns the first of the versions that can be had now.
 func (t *Tender) obtainable(ctx context.Context, wanted []relay.Bundle) (relay.Bundle, bool) {
 	for _, b := range wanted {
@@ -112,13 +169,19 @@
 func (t *Tender) bring(ctx context.Context, b relay.Bundle, r Report) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go t.cancelIfOvertaken(ctx, b, r.Weights, cancel)
+	watch, unwatch := context.WithCancel(ctx)
+	defer unwatch()
+	go t.cancelIfOvertaken(watch, b, r.Weights, cancel)
 	if err := t.Relay.Bring(ctx, b); err != nil {
 		return err
 	}
 	if r.Weights > 0 {
 		t.awaitTurn(ctx, b, r.Weights)
 	}
+	unwatch()
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
 	if err := t.Relay.Verify(ctx, b); err != nil {
 		return err
 	}
@@ -144,10 +207,15 @@
 }
 
 // cancelIfOvertaken ends the work for a version once a newer one can be had,
-// unless the newer one could no longer be staged before the older is due.
+// unless the newer one could no longer be staged before the older is due, and
+// once an older one must go first.
 func (t *Tender) cancelIfOvertaken(ctx context.Context, b relay.Bundle, held int64, cancel context.CancelFunc) {
 	for ctx.Err() == nil {
 		sleep(ctx, tendInterval)
+		if all := t.wanted(held); len(all) > 1 && all[0] == b && t.mustFallBack(b, all[1], held) {
+			cancel()
+			return
+		}
 		newer := t.wanted(b.Version)
 		if len(newer) == 0 || t.Relay.Probe(ctx, newer[0]) != nil {
 			continue
--- a/internal/role/tender/tender.go
+++ b/internal/role/tender/tender.go
@@ -32,6 +32,9 @@
 	// quietAfter is how long an engine may leave questions unanswered until
 	// entries are told that it takes nothing.
 	quietAfter = 400 * time.Millisecond
+	// linkStep rounds the delay of the link, in milliseconds, so that small
+	// changes of it cause no report.
+	linkStep = 40
 	// stopTimeout bounds transfers to peers when the process stops.
 	stopTimeout = time.Second
 )
@@ -93,6 +96,8 @@
 	Engine   Engine
 	Relay    *relay.Relay
 	Sender   *pulse.Sender
+	// Link returns how long data waits on the instance's link, if set.
+	Link func() time.Duration
 	// Handler serves weights to peers.
 	Handler http.Handler
 	Metrics *metrics.Set
@@ -172,9 +177,13 @@
 		return pulse.Load{Closed: true}
 	}
 	t.report, t.reportAt = r, time.Now()
-	return pulse.Load{
+	load := pulse.Load{
 		Active: r.Active, Queued: r.Queued, Weights: r.Weights, Closed: t.switching || r.Busy,
 	}
+	if t.Link != nil {
+		load.LinkMs = t.Link().Milliseconds() / linkStep * linkStep
+	}
+	return load
 }
 
 func (t *Tender) pause(ctx context.Context) {
--- a/internal/site/pulse/pulse.go
+++ b/internal/site/pulse/pulse.go
@@ -43,6 +43,9 @@
 	// arrived. Both give the receiver the delay of the way and back.
 	Stamp  int64 `cbor:"6,keyasint"`
 	HeldMs int64 `cbor:"7,keyasint"`
+	// LinkMs is how long data waits on the link of the target's instance, as
+	// its process sees it.
+	LinkMs int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Sender sends loads to all that subscribed. Take NewSender.
@@ -131,7 +134,8 @@
 	receive(ctx, r.conn, func(_ netip.AddrPort, data []byte) {
 		var l Load
 		if cbor.Unmarshal(data, &l) == nil && l.Active >= 0 && l.Queued >= 0 {
-			onLoad(l, time.Since(r.began)-time.Duration(l.Stamp+l.HeldMs)*time.Millisecond)
+			delay := time.Since(r.began) - time.Duration(l.Stamp+l.HeldMs)*time.Millisecond
+			onLoad(l, max(delay, time.Duration(l.LinkMs)*time.Millisecond))
 		}
 	})
 }
--- a/internal/weights/barter/barter.go
+++ b/internal/weights/barter/barter.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/alexedwards/flow"
@@ -36,6 +37,8 @@
 	linkPerUpload = 14
 	// maxUploads bounds them where the link does not.
 	maxUploads = 64
+	// linkMemory is how long the time of a piece tells of the link.
+	linkMemory = 500 * time.Millisecond
 	// perPeer bounds the connections to one peer; most of them wait.
 	perPeer = 64
 )
@@ -45,6 +48,28 @@
 	http *http.Client
 	// port is where the processes beside engines listen.
 	port string
+
+	mu sync.Mutex
+	// took is how long the newest piece was on the link, up to tookAt.
+	took   time.Duration
+	tookAt time.Time
+}
+
+// LinkDelay returns how long other data waits behind pieces on the own link: as
+// long as the newest piece took, and nothing if none came lately.
+func (c *Client) LinkDelay() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Since(c.tookAt) > linkMemory {
+		return 0
+	}
+	return c.took
+}
+
+func (c *Client) noteTook(began time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.took, c.tookAt = time.Since(began), time.Now()
 }
 
 // NewClient returns a client of the peers, which all listen on the port.
@@ -98,7 +123,13 @@
 	if res.StatusCode != http.StatusOK {
 		return nil, errors.Wrap(relay.ErrNotHeld, res.Status)
 	}
-	return io.ReadAll(io.LimitReader(res.Body, maxBytes))
+	// The peer's own wait for the piece ends with the header.
+	began := time.Now()
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxBytes))
+	if n >= 0 {
+		c.noteTook(began)
+	}
+	return data, err
 }
 
 // Uploads returns the pieces that may be sent at once over a link.
--- a/internal/weights/relay/fetch.go
+++ b/internal/weights/relay/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -76,6 +77,10 @@
 	if data := r.kept(b, n); data != nil {
 		return data, nil
 	}
+	if _, err := r.manifest(ctx, b); err != nil {
+		// It was doubted meanwhile, and can't be read anew yet.
+		return nil, err
+	}
 	from := r.Routes(b, n)
 	data, err := r.fromAny(ctx, r.sound(from.Mirrors), b, n, r.fromMirror)
 	if err == nil && data != nil {
@@ -217,7 +222,8 @@
 	h.manifest, h.mismatch = nil, 0
 }
 
-// manifest returns the manifest from memory, a peer or the origin.
+// manifest returns the manifest from memory, or reads it. Of several callers
+// one reads it.
 func (r *Relay) manifest(ctx context.Context, b Bundle) (Manifest, error) {
 	r.mu.Lock()
 	m := r.of(b).manifest
@@ -225,6 +231,15 @@
 	if m != nil {
 		return *m, nil
 	}
+	got, err, _ := r.reading.Do(fmt.Sprint(b), func() (any, error) { return r.readManifest(ctx, b) })
+	if err != nil {
+		return Manifest{}, err
+	}
+	return got.(Manifest), nil
+}
+
+// readManifest gets the manifest from a mirror, a peer or the origin.
+func (r *Relay) readManifest(ctx context.Context, b Bundle) (Manifest, error) {
 	from := r.Routes(b, anyPiece)
 	var err error
 	for _, address := range append(r.sound(from.Mirrors), from.Peers...) {
--- a/internal/weights/relay/relay.go
+++ b/internal/weights/relay/relay.go
@@ -16,6 +16,7 @@
 
 	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
 	"k8s.io/klog/v2"
 
 	"egretproxy/internal/fleet/id"
@@ -112,6 +113,8 @@
 	// way, if set.
 	OnMissing func(b Bundle)
 
+	reading singleflight.Group
+
 	mu      sync.Mutex
 	bundles map[Bundle]*held
 	recent  []Bundle
@@ -189,12 +192,7 @@
 		return err
 	}
 	began := time.Now()
-	g, ctx := errgroup.WithContext(ctx)
-	g.SetLimit(parallel)
-	for _, n := range r.order(b, len(m.Digests)) {
-		g.Go(func() error { return r.bringPiece(ctx, b, n) })
-	}
-	if err := g.Wait(); err != nil {
+	if err := r.each(ctx, b, m, r.bringPiece); err != nil {
 		return err
 	}
 	r.mu.Lock()
@@ -205,6 +203,28 @@
 	return nil
 }
 
+// Fetch takes every piece of the bundle into memory, for an engine that is not
+// there yet.
+func (r *Relay) Fetch(ctx context.Context, b Bundle) error {
+	r.setBringing(b, true)
+	defer r.setBringing(b, false)
+	m, err := r.manifest(ctx, b)
+	if err != nil {
+		return err
+	}
+	return r.each(ctx, b, m, r.fetchPiece)
+}
+
+// each handles all pieces, several at once.
+func (r *Relay) each(ctx context.Context, b Bundle, m Manifest, handle func(ctx context.Context, b Bundle, n int) error) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(parallel)
+	for _, n := range r.order(b, len(m.Digests)) {
+		g.Go(func() error { return handle(ctx, b, n) })
+	}
+	return g.Wait()
+}
+
 // Probe reports whether the bundle can be had: its manifest and a piece are
 // there, or arrive within a short wait of a source.
 func (r *Relay) Probe(ctx context.Context, b Bundle) error {
@@ -249,10 +269,20 @@
 	if r.staged(ctx, b, n) {
 		return nil
 	}
+	return r.persist(ctx, b, n, func(data []byte) error { return r.Stage.Put(ctx, b.Model, n, data) })
+}
+
+func (r *Relay) fetchPiece(ctx context.Context, b Bundle, n int) error {
+	return r.persist(ctx, b, n, func([]byte) error { return nil })
+}
+
+// persist fetches a piece and hands it on, again and again until both
+// succeed.
+func (r *Relay) persist(ctx context.Context, b Bundle, n int, put func(data []byte) error) error {
 	for {
 		data, err := r.fetch(ctx, b, n)
 		if err == nil {
-			err = r.Stage.Put(ctx, b.Model, n, data)
+			err = put(data)
 		}
 		if err == nil {
 			return nil
