gateway: let requests wait while an entry learns its beliefs

Change: for 5 s after its start an entry lets requests wait up to 1.5 s for what it will know in a moment, and up to 0.7 s for a confirmation that has just run out. One that has been cut off for longer refuses at once.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -82,6 +82,7 @@
 	active   atomic.Int64
 	floor    floor
 	patience patience.Patience
+	settling settling
 }
 
 // Run serves callers until the context ends, then finishes what was taken.
@@ -95,6 +96,7 @@
 		IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
 		ErrorLog: quietLog(),
 	}
+	g.settling.young()
 	failed := make(chan error, 1)
 	go func() { failed <- s.Serve(l) }()
 	go g.sweep(ctx)
--- a/internal/role/gateway/gateway_test.go
+++ b/internal/role/gateway/gateway_test.go
@@ -33,10 +33,21 @@
 type beliefs struct {
 	view *follow.View
 	age  time.Duration
+
+	// later are the answers from a moment on, if set.
+	later *beliefs
+	from  time.Time
+}
+
+func (b *beliefs) now() *beliefs {
+	if b.later != nil && time.Now().After(b.from) {
+		return b.later
+	}
+	return b
 }
 
-func (b *beliefs) View() *follow.View  { return b.view }
-func (b *beliefs) Age() time.Duration  { return b.age }
+func (b *beliefs) View() *follow.View  { return b.now().view }
+func (b *beliefs) Age() time.Duration  { return b.now().age }
 func (b *beliefs) Calm() time.Duration { return time.Hour }
 
 // fakeTarget plays one target: the script writes its answer to each request
@@ -164,6 +175,7 @@
 		Follower: b, Board: dispatch.New(dispatch.Settings{}), Pool: &lines.Pool{}, Metrics: metrics.New("Test"),
 		Retries: &dispatch.Retries{Ratio: 1, Allowance: 100, Window: 10 * time.Second},
 	}
+	g.settling.began = time.Now().Add(-settleFor)
 	g.OnView(v)
 	for i := range addresses {
 		g.Board.Report(id.Target(fmt.Sprintf("t%d", i)), dispatch.Load{Active: 2 * i})
--- a/internal/role/gateway/request.go
+++ b/internal/role/gateway/request.go
@@ -88,6 +88,7 @@
 // the request may go on; otherwise it was answered.
 func (j *job) admit() bool {
 	g := j.g
+	j.awaitBeliefs()
 	j.view = g.Follower.View()
 	p := j.view.Plan
 	if p == nil {
--- a/internal/role/gateway/run.go
+++ b/internal/role/gateway/run.go
@@ -55,6 +55,9 @@
 	for {
 		ask := j.ask()
 		grant, err := j.acquire(ctx, ask)
+		if err == dispatch.ErrNoTarget && j.sent == 0 && j.pause(ctx) {
+			continue
+		}
 		if err != nil {
 			j.giveUp(ctx, err)
 			return
@@ -286,7 +289,7 @@
 
 // patience returns how long the request may wait for a target now.
 func (j *job) patience() time.Duration {
-	if j.returned {
+	if j.returned || j.g.settling.young() {
 		return min(returnedWait, time.Until(j.deadline)/2)
 	}
 	begin := j.g.Board.Begin(j.service.Name)
