--- a/internal/role/tender/spread_test.go
+++ b/internal/role/tender/spread_test.go
@@ -313,3 +313,47 @@
 		checkStages(t, stages)
 	})
 }
+
+// TestHoldsSlowLinkIsShared plays an instance whose link is narrowed while a
+// version spreads: pieces come one at a time, with as long a pause after each,
+// so that requests and their ends get through.
+func TestHoldsSlowLinkIsShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, _ := newWorld(1, 2)
+		const took = 320 * time.Millisecond
+		var mu sync.Mutex
+		busy, most := 0, 0
+		var transferring time.Duration
+		r := w.relays["10.0.0.0:80"]
+		r.Link = func() time.Duration { return took }
+		r.Peers = slowPeers{peers{w, "10.0.0.0:80"}, func() {
+			mu.Lock()
+			busy++
+			most = max(most, busy)
+			transferring += took
+			mu.Unlock()
+			time.Sleep(took)
+			mu.Lock()
+			busy--
+			mu.Unlock()
+		}}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		go func() { _ = w.relays["10.0.0.1:80"].Bring(ctx, relay.Bundle{Model: "m", Version: 2}) }()
+		_ = r.Bring(ctx, relay.Bundle{Model: "m", Version: 2})
+		if most != 1 || transferring > 5*time.Second+took {
+			t.Errorf("%d transfers at once, %s of 10 s taken", most, transferring)
+		}
+	})
+}
+
+// slowPeers takes a while for each piece.
+type slowPeers struct {
+	peers
+	transfer func()
+}
+
+func (p slowPeers) Piece(ctx context.Context, address string, b relay.Bundle, n int) ([]byte, error) {
+	p.transfer()
+	return p.peers.Piece(ctx, address, b, n)
+}
--- a/internal/weights/barter/barter.go
+++ b/internal/weights/barter/barter.go
@@ -37,8 +37,6 @@
 	linkPerUpload = 14
 	// maxUploads bounds them where the link does not.
 	maxUploads = 64
-	// linkMemory is how long the time of a piece tells of the link.
-	linkMemory = 500 * time.Millisecond
 	// perPeer bounds the connections to one peer; most of them wait.
 	perPeer = 64
 )
@@ -56,11 +54,11 @@
 }
 
 // LinkDelay returns how long other data waits behind pieces on the own link: as
-// long as the newest piece took, and nothing if none came lately.
-func (c *Client) LinkDelay() time.Duration {
+// long as the newest piece took, and nothing if none came within a time.
+func (c *Client) LinkDelay(within time.Duration) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if time.Since(c.tookAt) > linkMemory {
+	if time.Since(c.tookAt) > within {
 		return 0
 	}
 	return c.took
--- a/internal/weights/relay/fetch.go
+++ b/internal/weights/relay/fetch.go
@@ -147,11 +147,11 @@
 
 // fromMirror gets a piece from a mirror, which waits for it itself.
 func (r *Relay) fromMirror(ctx context.Context, address string, b Bundle, n int) ([]byte, error) {
-	slots, _ := r.places()
-	if err := acquire(ctx, slots); err != nil {
+	end, err := r.begin(ctx)
+	if err != nil {
 		return nil, err
 	}
-	defer func() { <-slots }()
+	defer end()
 	call, cancel := context.WithTimeout(ctx, mirrorTimeout)
 	defer cancel()
 	data, err := r.Peers.Piece(call, address, b, n)
@@ -170,10 +170,10 @@
 
 func (r *Relay) fromOrigin(ctx context.Context, b Bundle, n int) ([]byte, error) {
 	_, drawing := r.places()
-	if err := acquire(ctx, drawing); err != nil {
+	if err := drawing.Acquire(ctx, 1); err != nil {
 		return nil, err
 	}
-	defer func() { <-drawing }()
+	defer drawing.Release(1)
 	call, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	return r.Origin.Piece(call, b, n)
@@ -185,11 +185,11 @@
 	if err := r.Peers.Await(wait, address, b, n); err != nil {
 		return nil, err
 	}
-	slots, _ := r.places()
-	if err := acquire(ctx, slots); err != nil {
+	end, err := r.begin(ctx)
+	if err != nil {
 		return nil, err
 	}
-	defer func() { <-slots }()
+	defer end()
 	call, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	began := time.Now()
--- a/internal/weights/relay/relay.go
+++ b/internal/weights/relay/relay.go
@@ -16,6 +16,7 @@
 
 	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 	"golang.org/x/sync/singleflight"
 	"k8s.io/klog/v2"
 
@@ -38,6 +39,10 @@
 	// transfers is the pieces that are on their way to this process at once.
 	// More would queue on the instance's link ahead of live requests.
 	transfers = 2
+	// slowLink is how long a piece takes on a link that live requests must
+	// have for themselves half of the time. On an engine's usual link it takes
+	// 0.04 s, and twice that for two at once.
+	slowLink = 250 * time.Millisecond
 	// draws is the same for pieces from the origin, which others wait for.
 	draws = 4
 	// awaitPiece is how long a peer lets another one wait for a piece that it
@@ -109,6 +114,8 @@
 	// Duty ranks a piece by how many depend on this process for it; 0 comes
 	// first.
 	Duty func(b Bundle, n int) int
+	// Link returns how long the newest pieces took on the own link, if set.
+	Link func() time.Duration
 	// OnMissing is called when others ask for a bundle that is not on its
 	// way, if set.
 	OnMissing func(b Bundle)
@@ -120,28 +127,55 @@
 	recent  []Bundle
 	// slow is when a peer last took long for a piece.
 	slow map[string]time.Time
-	// slots and drawing hold a token for each transfer in progress.
-	slots, drawing chan struct{}
+	// slots and drawing bound the transfers in progress from others and from
+	// the origin.
+	slots, drawing *semaphore.Weighted
 }
 
-// places returns the tokens for transfers from peers and from the origin.
-func (r *Relay) places() (slots, drawing chan struct{}) {
+// places returns the bounds of transfers from others and from the origin.
+func (r *Relay) places() (slots, drawing *semaphore.Weighted) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.slots == nil {
-		r.slots, r.drawing = make(chan struct{}, transfers), make(chan struct{}, draws)
+		r.slots, r.drawing = semaphore.NewWeighted(transfers), semaphore.NewWeighted(draws)
 	}
 	return r.slots, r.drawing
 }
 
-// acquire waits for the right to begin a transfer. The caller takes the token
-// back.
-func acquire(ctx context.Context, places chan struct{}) error {
+// begin waits for the right to begin a transfer from others. The function that
+// it returns ends the transfer. On a slow link there is one at a time, with a
+// pause as long after it, since the callers' requests and their ends come by
+// the same link.
+func (r *Relay) begin(ctx context.Context) (end func(), err error) {
+	slots, _ := r.places()
+	weight := int64(1)
+	if r.link() > slowLink {
+		weight = transfers
+	}
+	if err := slots.Acquire(ctx, weight); err != nil {
+		return nil, err
+	}
+	return func() {
+		if took := r.link(); took > slowLink {
+			pause(ctx, min(took, fetchTimeout))
+		}
+		slots.Release(weight)
+	}, nil
+}
+
+func (r *Relay) link() time.Duration {
+	if r.Link == nil {
+		return 0
+	}
+	return r.Link()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
 	select {
-	case places <- struct{}{}:
-		return nil
 	case <-ctx.Done():
-		return ctx.Err()
+	case <-timer.C:
 	}
 }
 
