--- a/internal/exchange/dispatch/board.go
+++ b/internal/exchange/dispatch/board.go
@@ -38,7 +38,7 @@
 	// homeBonus is what a target of the own region is worth, in requests.
 	// Besides the thin links it keeps entries of different regions from
 	// choosing the same target by the same reports.
-	homeBonus = 3
+	homeBonus = 6
 	// readingWeight is the weight of a prompt of usual size that is being
 	// read, in requests: reading holds up all others at an engine.
 	readingWeight = 2
