--- a/internal/role/agent/orders.go
+++ b/internal/role/agent/orders.go
@@ -11,6 +11,7 @@
 
 	"egretproxy/internal/control/lifecycle"
 	"egretproxy/internal/control/view"
+	"egretproxy/internal/kernel/clock"
 	"egretproxy/internal/target/backend"
 	"egretproxy/internal/weights/manifest"
 	"egretproxy/internal/weights/store"
@@ -33,7 +34,7 @@
 // watch notices restarts of the target.
 func (a *Agent) watch(ctx context.Context) error {
 	misses := 0
-	for pause(ctx, watchInterval) {
+	for clock.Sleep(ctx, watchInterval) {
 		s, err := a.backend.Status(ctx)
 		if ctx.Err() != nil {
 			return nil
@@ -100,7 +101,7 @@
 		want := a.wanted()
 		a.unpinOthers(pinned, want.Manifest)
 		if want.Manifest == "" || a.holds(want) {
-			pause(ctx, followPause)
+			clock.Sleep(ctx, followPause)
 			continue
 		}
 		fetchCtx, cancel := context.WithCancel(ctx)
@@ -109,7 +110,7 @@
 		cancel()
 		if err != nil {
 			a.noteNotFetched(want, err)
-			pause(ctx, followPause)
+			clock.Sleep(ctx, followPause)
 			continue
 		}
 		pinned[want.Manifest] = m
@@ -171,7 +172,7 @@
 }
 
 func (a *Agent) cancelWhenReplaced(ctx context.Context, cancel context.CancelFunc, want view.Assignment) {
-	for pause(ctx, followPause) {
+	for clock.Sleep(ctx, followPause) {
 		if !a.wanted().Same(want) {
 			cancel()
 			return
@@ -287,7 +288,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	for pause(ctx, loadPoll) {
+	for clock.Sleep(ctx, loadPoll) {
 		s, err := a.backend.Status(ctx)
 		if err != nil || s.Loading {
 			continue
--- a/internal/role/agent/renew.go
+++ b/internal/role/agent/renew.go
@@ -13,6 +13,7 @@
 	"egretproxy/internal/control/lifecycle"
 	"egretproxy/internal/control/view"
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/clock"
 	"egretproxy/internal/weights/fetch"
 	"egretproxy/internal/weights/manifest"
 	"egretproxy/internal/weights/planner"
@@ -33,7 +34,7 @@
 // renew announces the target and then confirms, twice a second, what the
 // agent believes.
 func (a *Agent) renew(ctx context.Context) error {
-	if !pause(ctx, rand.N(startSpread)) {
+	if !clock.Sleep(ctx, rand.N(startSpread)) {
 		return nil
 	}
 	failures := 0
@@ -54,7 +55,7 @@
 		} else {
 			failures = 0
 		}
-		pause(ctx, wait/2+rand.N(wait))
+		clock.Sleep(ctx, wait/2+rand.N(wait))
 	}
 	return nil
 }
@@ -70,7 +71,7 @@
 func (a *Agent) announce(ctx context.Context) {
 	s, err := a.backend.Status(ctx)
 	if err != nil {
-		pause(ctx, lease.RenewInterval)
+		clock.Sleep(ctx, lease.RenewInterval)
 		return
 	}
 	t := a.cfg.Agent.Target
@@ -89,7 +90,7 @@
 	answer, err := a.keepers.Submit(call, e)
 	if err != nil || answer.Code != ledger.CodeDone {
 		a.metrics.Count("AnnouncementFailed")
-		pause(ctx, lease.RenewInterval)
+		clock.Sleep(ctx, lease.RenewInterval)
 		return
 	}
 	a.mu.Lock()
@@ -171,7 +172,7 @@
 		}
 	}
 	// Requests that are on their way get a truthful refusal.
-	pause(ctx, leaveDelay)
+	clock.Sleep(ctx, leaveDelay)
 	select {
 	case <-a.gate.Idle():
 	case <-time.After(a.cfg.Agent.DrainTimeout.Std()):
@@ -195,14 +196,3 @@
 	}
 	return peers, nil
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- /dev/null
+++ b/internal/role/gateway/attempt.go
@@ -0,0 +1,179 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"egretproxy/internal/exchange/dispatch"
+	"egretproxy/internal/exchange/lines"
+	"egretproxy/internal/site/plan"
+)
+
+const (
+	// silenceFloor is the shortest silence after which a repeatable request
+	// goes to another target.
+	silenceFloor = time.Second
+	// silenceFactor is that silence in objectives.
+	silenceFactor = 2.5
+	// maxBuffered bounds an answer that is read whole before it is passed on.
+	maxBuffered = 1 << 20
+)
+
+// attempt sends the request to one target and passes its answer on.
+func (j *job) attempt(ctx context.Context, grant *dispatch.Grant) (verdict, dispatch.Outcome, bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	takeover := j.takeover(grant)
+	silent := newSilence(cancel, j.silenceLimit(), func() bool { return j.secure(ctx, takeover) })
+	defer silent.stop()
+	j.logSend(grant)
+	a, err := j.g.Pool.Send(ctx, grant.Address, func() (*lines.Request, error) { return j.build(grant) })
+	if err != nil {
+		return j.sendFailed(err, silent.hit())
+	}
+	defer a.Close()
+	if j.notRun(a) {
+		drainBody(a)
+		j.last = "target declined with " + strconv.Itoa(a.Status)
+		if a.Status == http.StatusMisdirectedRequest {
+			return again, dispatch.Stale, true
+		}
+		return again, dispatch.Rejected, true
+	}
+	if a.Status >= 500 && j.route.Repeatable() && j.canTryElsewhere() {
+		drainBody(a)
+		j.mayHaveRun = true
+		j.last = "target failed with " + strconv.Itoa(a.Status)
+		return again, dispatch.Failed, true
+	}
+	if j.route.Kind == plan.Streaming && a.Status < 300 {
+		return j.passStream(ctx, a, silent, grant)
+	}
+	return j.passWhole(a, grant)
+}
+
+func (j *job) silenceLimit() time.Duration {
+	if !j.route.Repeatable() || j.sent+1 >= j.route.MaxAttempts {
+		return 0
+	}
+	return max(silenceFloor, time.Duration(silenceFactor*float64(j.route.Objective)))
+}
+
+func (j *job) canTryElsewhere() bool {
+	return j.sent+1 < j.route.MaxAttempts && time.Until(j.deadline) > j.route.Objective/2
+}
+
+func (j *job) sendFailed(err error, silent bool) (verdict, dispatch.Outcome, bool) {
+	j.last = err.Error()
+	if errors.Is(err, lines.ErrWithdrawn) {
+		return again, dispatch.Cancelled, false
+	}
+	if errors.Is(err, lines.ErrNotSent) {
+		if j.r.Context().Err() != nil {
+			return again, dispatch.Cancelled, false
+		}
+		return again, dispatch.Unreachable, false
+	}
+	j.mayHaveRun = true
+	outcome := dispatch.Broken
+	if j.r.Context().Err() != nil || !silent && time.Now().After(j.deadline) {
+		outcome = dispatch.Cancelled
+	}
+	if silent {
+		j.last = "target was silent"
+	}
+	if !j.route.Repeatable() {
+		j.giveUpSent()
+		return done, outcome, true
+	}
+	return again, outcome, true
+}
+
+// notRun reports whether the target states that it did not run the request.
+func (j *job) notRun(a *lines.Answer) bool {
+	return a.Status == http.StatusMisdirectedRequest || a.Header.Get(j.g.Settings.Dialect.NotRun) != ""
+}
+
+func drainBody(a *lines.Answer) { _, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxBuffered)) }
+
+// passWhole reads the answer to its end before the caller sees any of it, so
+// that one that breaks off is never taken for whole.
+func (j *job) passWhole(a *lines.Answer, grant *dispatch.Grant) (verdict, dispatch.Outcome, bool) {
+	var b bytes.Buffer
+	_, err := io.Copy(&b, io.LimitReader(a.Body, maxBuffered))
+	if err != nil {
+		j.last = "answer broke off: " + err.Error()
+		j.mayHaveRun = true
+		outcome := dispatch.Broken
+		if j.r.Context().Err() != nil || time.Now().After(j.deadline) {
+			outcome = dispatch.Cancelled
+		}
+		if j.route.Repeatable() && j.route.Kind != plan.Streaming {
+			return again, outcome, true
+		}
+		j.giveUpSent()
+		return done, outcome, true
+	}
+	j.copyHeader(a)
+	if !bodyless(a.Status, j.r.Method) {
+		j.w.Header().Set("Content-Length", strconv.Itoa(b.Len()))
+	}
+	j.w.WriteHeader(a.Status)
+	_, _ = j.w.Write(b.Bytes())
+	j.answered(a.Status, grant)
+	if a.Status >= 500 {
+		return done, dispatch.Failed, true
+	}
+	return done, dispatch.Served, true
+}
+
+func bodyless(status int, method string) bool {
+	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
+}
+
+// copyHeader passes the target's header on, less what concerns a connection.
+func (j *job) copyHeader(a *lines.Answer) {
+	h := j.w.Header()
+	for name, values := range a.Header {
+		h[name] = values
+	}
+	for _, name := range hopHeaders {
+		delete(h, name)
+	}
+	if _, ok := a.Header["Content-Type"]; !ok {
+		h["Content-Type"] = nil
+	}
+	if _, ok := a.Header["Date"]; !ok {
+		h["Date"] = nil
+	}
+	if j.g.stopping.Load() {
+		h.Set("Connection", "close")
+	}
+}
+
+// build returns the request for a target whose connection stands now, if the
+// beliefs that chose the target still hold.
+func (j *job) build(grant *dispatch.Grant) (*lines.Request, error) {
+	if !j.mayDispatch() {
+		return nil, errStale
+	}
+	if j.minWeights() > grant.Weights && j.service.Engine != nil {
+		return nil, errOutdated
+	}
+	return j.outgoing(grant.Target, j.requiredWeights(grant)), nil
+}
+
+// requiredWeights returns the version that the target must hold, 0 for any.
+// Targets compare for equality, so it is the one that it was chosen for.
+func (j *job) requiredWeights(grant *dispatch.Grant) int64 {
+	if max(j.minWeights(), j.begunWeights()) == 0 {
+		return 0
+	}
+	return grant.Weights
+}
--- a/internal/role/gateway/settle.go
+++ b/internal/role/gateway/settle.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"egretproxy/internal/kernel/clock"
 	"egretproxy/internal/site/plan"
 )
 
@@ -71,7 +72,7 @@
 		default:
 			return
 		}
-		if !sleep(j.r.Context(), settlePoll) {
+		if !clock.Sleep(j.r.Context(), settlePoll) {
 			return
 		}
 	}
@@ -87,17 +88,5 @@
 // pause waits a moment for targets that are not known yet. It reports whether
 // the request may try again.
 func (j *job) pause(ctx context.Context) bool {
-	return j.g.settling.young() && time.Since(j.began) < settleWait && sleep(ctx, settlePoll)
-}
-
-// sleep reports whether the time passed before the context ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return j.g.settling.young() && time.Since(j.began) < settleWait && clock.Sleep(ctx, settlePoll)
 }
--- a/internal/role/tender/tend.go
+++ b/internal/role/tender/tend.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"egretproxy/internal/kernel/clock"
 	"egretproxy/internal/weights/relay"
 )
 
@@ -69,7 +70,7 @@
 	defer cancel()
 	go func() {
 		for ctx.Err() == nil && !t.seen() {
-			sleep(ctx, tendInterval/2)
+			clock.Sleep(ctx, tendInterval/2)
 		}
 		cancel()
 	}()
@@ -187,7 +188,7 @@
 	}
 	t.setSwitching(true)
 	defer t.setSwitching(false)
-	sleep(ctx, announceFirst)
+	clock.Sleep(ctx, announceFirst)
 	how := t.drain(ctx)
 	began := time.Now()
 	if r, _ = t.newest(); r.Weights >= b.Version {
@@ -197,7 +198,7 @@
 		return err
 	}
 	for time.Since(began) < loadTimeout && ctx.Err() == nil {
-		sleep(ctx, tendInterval/2)
+		clock.Sleep(ctx, tendInterval/2)
 		if r, fresh := t.newest(); fresh && !r.Busy && r.Weights >= b.Version {
 			klog.InfoS("Weights are in place", "Model", b.Model, "Version", b.Version, "Took", time.Since(began).String())
 			return nil
@@ -211,7 +212,7 @@
 // once an older one must go first.
 func (t *Tender) cancelIfOvertaken(ctx context.Context, b relay.Bundle, held int64, cancel context.CancelFunc) {
 	for ctx.Err() == nil {
-		sleep(ctx, tendInterval)
+		clock.Sleep(ctx, tendInterval)
 		if all := t.wanted(held); len(all) > 1 && all[0] == b && t.mustFallBack(b, all[1], held) {
 			cancel()
 			return
@@ -229,15 +230,3 @@
 		return
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/role/tender/turn.go
+++ b/internal/role/tender/turn.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"egretproxy/internal/kernel/boottime"
+	"egretproxy/internal/kernel/clock"
 	"egretproxy/internal/site/follow"
 	"egretproxy/internal/weights/relay"
 )
@@ -62,7 +63,7 @@
 	v := t.Follower.View()
 	i, n := rank(v.Targets, t.Settings.Service, t.Settings.Address)
 	due, age := t.due(v, b, held)
-	sleep(ctx, turnOf(i, n, age, due)-age)
+	clock.Sleep(ctx, turnOf(i, n, age, due)-age)
 }
 
 // drain lets requests end, after entries were told to send nothing new. It
@@ -77,7 +78,7 @@
 		if r, fresh := t.newest(); fresh && r.Active+r.Queued == 0 {
 			break
 		}
-		sleep(ctx, reportInterval)
+		clock.Sleep(ctx, reportInterval)
 	}
 	return Cut
 }
--- a/internal/site/follow/follow.go
+++ b/internal/site/follow/follow.go
@@ -14,6 +14,7 @@
 
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/kernel/boottime"
+	"egretproxy/internal/kernel/clock"
 	"egretproxy/internal/site/feed"
 	"egretproxy/internal/site/muster"
 	"egretproxy/internal/site/packed"
@@ -193,27 +194,18 @@
 			return
 		}
 		if errors.Is(err, errWithheld) {
-			pause(ctx, withheldPause)
+			clock.Sleep(ctx, withheldPause)
 			err = nil
 		}
 		if at, changed := link.note(err, began); changed {
 			f.disturbed.Store(int64(at))
 		}
 		if err != nil {
-			pause(ctx, retryPause+rand.N(retryPause))
+			clock.Sleep(ctx, retryPause+rand.N(retryPause))
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // preferred reports whether the keeper is the one to ask for plans: one of
 // the own region among those that answer.
 func (f *Follower) preferred(address string) bool {
--- a/internal/weights/relay/relay.go
+++ b/internal/weights/relay/relay.go
@@ -21,6 +21,7 @@
 	"k8s.io/klog/v2"
 
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/clock"
 )
 
 // Errors of the relay.
@@ -157,7 +158,7 @@
 	}
 	return func() {
 		if took := r.link(); took > slowLink {
-			pause(ctx, min(took, fetchTimeout))
+			clock.Sleep(ctx, min(took, fetchTimeout))
 		}
 		slots.Release(weight)
 	}, nil
@@ -170,15 +171,6 @@
 	return r.Link()
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // held is what is known of one bundle.
 type held struct {
 	manifest *Manifest
--- a/internal/wire/keepers/client.go
+++ b/internal/wire/keepers/client.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"egretproxy/internal/control/ledger"
+	"egretproxy/internal/kernel/clock"
 	"egretproxy/internal/wire/api"
 	"egretproxy/internal/wire/frame"
 	"egretproxy/internal/wire/rpc"
@@ -78,7 +79,7 @@
 		if fatal(err) {
 			return a, err
 		}
-		if !sleep(ctx, pause) {
+		if !clock.Sleep(ctx, pause) {
 			return a, gaveUp(sent, err)
 		}
 	}
@@ -107,7 +108,7 @@
 		if err == nil {
 			return nil
 		}
-		if !sleep(ctx, pause) {
+		if !clock.Sleep(ctx, pause) {
 			return errors.Wrap(ErrUnavailable, err.Error())
 		}
 	}
@@ -153,14 +154,3 @@
 	}
 	return errors.Wrap(ErrUnavailable, err.Error())
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
