mirror: keep what is in force; leave outdated targets out only for a moment

Cause: any version that a process asked a mirror for took a place in its memory, so that an old view could displace a version in force; a transfer that was overtaken could not begin again. An engine that answered 421 for other weights was left out like one that is not there, though it is healthy. Change: a mirror makes room only for versions that may be used; a 421 to a request with a required version leaves the target out for 0.25 s, until its next report; a lost mirror is logged once.

--- a/internal/exchange/dispatch/board_test.go
+++ b/internal/exchange/dispatch/board_test.go
@@ -393,3 +393,29 @@
 		}
 	})
 }
+
+// TestOutdatedTargetIsBackSoon lets an engine answer that it holds other
+// weights than its report said, as right after a load. It is healthy.
+func TestOutdatedTargetIsBackSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(settings())
+		b.Update(site(1, 1))
+		ask := &Ask{Service: "llm"}
+		g, err := b.Acquire(t.Context(), ask)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if g.End(Outdated) {
+			t.Error("a healthy target was ejected")
+		}
+		if _, err := b.Acquire(t.Context(), ask); !errors.Is(err, ErrFull) {
+			t.Errorf("before its next report: %v", err)
+		}
+		time.Sleep(outdatedFor)
+		for range 2 {
+			if _, err := b.Acquire(t.Context(), ask); err != nil {
+				t.Errorf("after its next report: %v", err)
+			}
+		}
+	})
+}
--- a/internal/exchange/dispatch/health.go
+++ b/internal/exchange/dispatch/health.go
@@ -7,6 +7,9 @@
 	// further time in a row doubles it up to ejectMost.
 	ejectFirst = 700 * time.Millisecond
 	ejectMost  = 6 * time.Second
+	// outdatedFor leaves time for a report that says which weights a target
+	// holds, and a pause if it is another target instead.
+	outdatedFor = 250 * time.Millisecond
 	// failSmoothing is the weight of one outcome in the share of failures.
 	failSmoothing = 0.15
 	// failLimit is the share of failed requests above which a target that
@@ -33,6 +36,8 @@
 	Rejected
 	// Stale targets are not the one that was expected.
 	Stale
+	// Outdated targets may hold other weights than their last report said.
+	Outdated
 )
 
 // health remembers how a target did lately. The zero value is healthy.
@@ -68,6 +73,9 @@
 	switch o {
 	case Cancelled, Rejected:
 		return false
+	case Outdated:
+		h.until = now.Add(outdatedFor)
+		return false
 	case Served:
 		h.failing *= 1 - failSmoothing
 		h.times = 0
--- a/internal/role/gateway/answer.go
+++ b/internal/role/gateway/answer.go
@@ -33,6 +33,7 @@
 	dispatch.Served: "Served", dispatch.Cancelled: "Cancelled", dispatch.Failed: "Failed",
 	dispatch.Unreachable: "Unreachable", dispatch.Broken: "Broken",
 	dispatch.Rejected: "Rejected", dispatch.Stale: "Stale",
+	dispatch.Outdated: "Outdated",
 }
 
 // refuse answers that the request has not run and never will.
--- a/internal/role/gateway/attempt.go
+++ b/internal/role/gateway/attempt.go
@@ -41,7 +41,11 @@
 	if j.notRun(a) {
 		drainBody(a)
 		j.last = "target declined with " + strconv.Itoa(a.Status)
-		if a.Status == http.StatusMisdirectedRequest {
+		switch {
+		case a.Status != http.StatusMisdirectedRequest:
+		case j.requiredWeights(grant) > 0:
+			return again, dispatch.Outdated, true
+		default:
 			return again, dispatch.Stale, true
 		}
 		return again, dispatch.Rejected, true
--- a/internal/role/tender/mirror_test.go
+++ b/internal/role/tender/mirror_test.go
@@ -193,3 +193,23 @@
 		}
 	})
 }
+
+// TestHoldsMirrorKeepsWhatIsInForce asks a mirror for versions that are long out
+// of use, as a process with an old view would: they displace nothing.
+func TestHoldsMirrorKeepsWhatIsInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, _ := newWorld(1, 1)
+		w.name(4)
+		defer w.startMirrors(t, 1)()
+		time.Sleep(5 * time.Second)
+		m := w.relays["10.0.1.0:70"]
+		for v := range int64(4) {
+			if _, err := m.Serve(t.Context(), relay.Bundle{Model: "m", Version: v - 1}, 0); err == nil {
+				t.Errorf("version %d was served", v-1)
+			}
+		}
+		if !m.Whole(relay.Bundle{Model: "m", Version: 4}) {
+			t.Error("the version in force was displaced")
+		}
+	})
+}
--- a/internal/weights/mirror/mirror.go
+++ b/internal/weights/mirror/mirror.go
@@ -44,7 +44,9 @@
 	mu sync.Mutex
 	// started holds the versions whose transfer was begun.
 	started map[relay.Bundle]context.CancelFunc
-	ctx     context.Context
+	// ctx is that of Run, nil before it. Transfers that others ask for live
+	// longer than their calls.
+	ctx context.Context
 }
 
 // Run brings each version that is named until the context ends.
@@ -83,13 +85,15 @@
 	}
 }
 
-// Want brings a version that an engine asked for, if it may still be used.
-func (m *Mirror) Want(b relay.Bundle) {
+// Want brings a version that an engine asked for. It reports whether the
+// version may still be used.
+func (m *Mirror) Want(b relay.Bundle) bool {
 	newest := max(m.Follower.View().Newest(b.Model), firstVersion)
 	if b.Version < newest-olderKept || b.Version > newest || m.service(b.Model) == nil {
-		return
+		return false
 	}
 	m.begin(b)
+	return true
 }
 
 func (m *Mirror) service(k id.Model) *plan.Service {
@@ -149,10 +153,13 @@
 		}
 	}
 	klog.InfoS("Weights are no longer mirrored", "Model", b.Model, "Version", b.Version)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.started, b)
 }
 
-// Memory is a relay.Stage for processes without an engine: pieces stay in the
-// relay itself.
+// memory is the stage of processes without an engine: pieces stay in the relay
+// itself.
 type memory struct{}
 
 // Put implements relay.Stage.
--- a/internal/weights/relay/fetch.go
+++ b/internal/weights/relay/fetch.go
@@ -25,13 +25,17 @@
 	mirrorTimeout = awaitTimeout + 500*time.Millisecond
 )
 
-func (r *Relay) noteSlow(address string) {
+// noteSlow remembers that an address was slow or not there, and reports whether
+// it was not known to be.
+func (r *Relay) noteSlow(address string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.slow == nil {
 		r.slow = map[string]time.Time{}
 	}
+	news := time.Since(r.slow[address]) >= slowFor
 	r.slow[address] = time.Now()
+	return news
 }
 
 // fastFirst returns the peers with those that were slow lately at the end.
@@ -156,8 +160,8 @@
 	defer cancel()
 	data, err := r.Peers.Piece(call, address, b, n)
 	if err != nil {
-		if !errors.Is(err, ErrNotHeld) && ctx.Err() == nil {
-			r.noteSlow(address)
+		if !errors.Is(err, ErrNotHeld) && ctx.Err() == nil && r.noteSlow(address) {
+			klog.InfoS("Mirror is left out for a while", "Mirror", address, "Version", b.Version, "Error", err.Error())
 		}
 		return nil, err
 	}
@@ -302,9 +306,16 @@
 	}
 }
 
-// wanted returns a piece or what to wait for. It reports whether the bundle is
-// on its way.
+// wanted returns a piece or what to wait for, which is nil if the bundle is not
+// to be kept here. It reports whether the bundle is on its way.
 func (r *Relay) wanted(b Bundle, n int) (data []byte, changed <-chan struct{}, bringing bool) {
+	r.mu.Lock()
+	known := r.bundles[b] != nil
+	r.mu.Unlock()
+	if !known && r.OnMissing != nil && !r.OnMissing(b) {
+		// A bundle that is only asked for must not displace one that is kept.
+		return nil, nil, false
+	}
 	for asked := false; ; asked = true {
 		r.mu.Lock()
 		h := r.of(b)
@@ -323,6 +334,9 @@
 func (r *Relay) ServeManifest(ctx context.Context, b Bundle) (Manifest, error) {
 	for {
 		_, changed, bringing := r.wanted(b, anyPiece)
+		if changed == nil {
+			return Manifest{}, ErrNotHeld
+		}
 		r.mu.Lock()
 		m := r.of(b).manifest
 		r.mu.Unlock()
--- a/internal/weights/relay/relay.go
+++ b/internal/weights/relay/relay.go
@@ -118,8 +118,8 @@
 	// Link returns how long the newest pieces took on the own link, if set.
 	Link func() time.Duration
 	// OnMissing is called when others ask for a bundle that is not on its
-	// way, if set.
-	OnMissing func(b Bundle)
+	// way, if set. It reports whether the bundle may be kept here.
+	OnMissing func(b Bundle) bool
 
 	reading singleflight.Group
 
