barter: remember a slow link through the pauses between pieces

Ruled out: a wait at the engine (76 ms), other links (the same zone's other engines got theirs in time). Change: the time of a piece counts for four times as long as it took, at least for 0.5 s.

--- a/internal/weights/barter/barter.go
+++ b/internal/weights/barter/barter.go
@@ -37,6 +37,9 @@
 	linkPerUpload = 14
 	// maxUploads bounds them where the link does not.
 	maxUploads = 64
+	// linkPauses is the time in pieces for which the newest one tells of the
+	// link: a pause as long as the piece, the next one, and a reserve.
+	linkPauses = 4
 	// perPeer bounds the connections to one peer; most of them wait.
 	perPeer = 64
 )
@@ -54,11 +57,13 @@
 }
 
 // LinkDelay returns how long other data waits behind pieces on the own link: as
-// long as the newest piece took, and nothing if none came within a time.
+// long as the newest piece took, and nothing if none came within a time. On a
+// slow link the next piece comes only after a pause, so that the time is longer
+// there.
 func (c *Client) LinkDelay(within time.Duration) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if time.Since(c.tookAt) > within {
+	if time.Since(c.tookAt) > max(within, linkPauses*c.took) {
 		return 0
 	}
 	return c.took
