--- a/internal/role/tender/mirror_test.go
+++ b/internal/role/tender/mirror_test.go
@@ -22,6 +22,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	w.view.Keepers = map[string]id.Region{}
 	regions := map[id.Domain]id.Region{}
+	var mirrors []*mirror.Mirror
 	for d := range domains {
 		domain := id.Domain(fmt.Sprintf("d%d", d))
 		regions[domain] = id.Region(domain)
@@ -34,6 +35,10 @@
 		}
 		m.Relay.Routes, m.Relay.Duty, m.Relay.OnMissing = m.Routes, m.Duty, m.Want
 		w.relays[address] = m.Relay
+		mirrors = append(mirrors, m)
+	}
+	// The world is complete before the first of them looks at it.
+	for _, m := range mirrors {
 		go func() { _ = m.Run(ctx) }()
 	}
 	synctest.Wait()
