decisionlog: write the line that was logged right before the end

The background writer takes a line from the buffer, waits 50 ms for more, and writes them together. A flush at the end of the process wrote the rest of the buffer, not that line.

Lines stay in the buffer until they are written. TestHoldsLastLineIsWritten failed before ('"" was written, not the last line').

--- a/internal/kernel/decisionlog/asyncwriter.go
+++ b/internal/kernel/decisionlog/asyncwriter.go
@@ -15,18 +15,25 @@
 )
 
 // asyncWriter writes lines in the background, and drops lines when its buffer
-// is full because the output is blocked.
+// is full because the output is blocked. Lock order: writeMu, then mu.
 type asyncWriter struct {
 	w       io.Writer
-	lines   chan []byte
 	dropped atomic.Int64
+	// pending is signalled when the buffer is no longer empty.
+	pending chan struct{}
 
-	// mu serialises writes to w.
-	mu sync.Mutex
+	// writeMu serialises writes to w.
+	writeMu sync.Mutex
+
+	// mu guards the buffer and is never held during a write to w.
+	mu     sync.Mutex
+	buffer []byte
+	// lines is the number of lines in buffer, at most maxBufferedLines.
+	lines int
 }
 
 func newAsyncWriter(w io.Writer) *asyncWriter {
-	a := &asyncWriter{w: w, lines: make(chan []byte, maxBufferedLines)}
+	a := &asyncWriter{w: w, pending: make(chan struct{}, 1)}
 	go a.run()
 	return a
 }
@@ -34,42 +41,45 @@
 // Write implements io.Writer for one line. It never blocks and never returns an
 // error.
 func (a *asyncWriter) Write(p []byte) (int, error) {
-	line := append([]byte(nil), p...)
+	if !a.append(p) {
+		a.dropped.Add(1)
+		return len(p), nil
+	}
 	select {
-	case a.lines <- line:
+	case a.pending <- struct{}{}:
 	default:
-		a.dropped.Add(1)
 	}
 	return len(p), nil
 }
 
-func (a *asyncWriter) run() {
-	for line := range a.lines {
-		time.Sleep(batchInterval)
-		a.mu.Lock()
-		a.writeBuffered(line)
-		a.mu.Unlock()
+func (a *asyncWriter) append(line []byte) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.lines == maxBufferedLines {
+		return false
 	}
+	a.buffer = append(a.buffer, line...)
+	a.lines++
+	return true
 }
 
-// writeBuffered writes the line and all buffered lines. The caller holds mu.
-func (a *asyncWriter) writeBuffered(line []byte) {
-	for {
-		select {
-		case next := <-a.lines:
-			line = append(line, next...)
-			continue
-		default:
-		}
-		// A failure of the log output can't be logged.
-		_, _ = a.w.Write(line)
-		return
+func (a *asyncWriter) run() {
+	for range a.pending {
+		time.Sleep(batchInterval)
+		a.flush()
 	}
 }
 
-// flush writes the buffered lines before the process ends.
+// flush writes all buffered lines.
 func (a *asyncWriter) flush() {
+	a.writeMu.Lock()
+	defer a.writeMu.Unlock()
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.writeBuffered(nil)
+	batch := a.buffer
+	a.buffer, a.lines = nil, 0
+	a.mu.Unlock()
+	if len(batch) > 0 {
+		// A failure of the log output can't be logged.
+		_, _ = a.w.Write(batch)
+	}
 }
--- a/internal/kernel/decisionlog/decisionlog_test.go
+++ b/internal/kernel/decisionlog/decisionlog_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -57,6 +58,23 @@
 	return b.String()
 }
 
+// TestHoldsLastLineIsWritten guards against the loss of the line that a process
+// logs right before it ends, which a batch had already taken from the buffer.
+func TestHoldsLastLineIsWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var b lockedBuffer
+		writer := newAsyncWriter(&b)
+		_, _ = writer.Write([]byte("last\n"))
+		synctest.Wait()
+		writer.flush()
+		if got := b.contents(); got != "last\n" {
+			t.Errorf("%q was written, not the last line", got)
+		}
+		time.Sleep(2 * batchInterval)
+		close(writer.pending)
+	})
+}
+
 // TestRateLimitsOfKindsAreIndependent writes far more lines than the limits
 // allow. Successes must not use up the limit of failures, and the suppressed
 // lines must be reported.
