httpserver: log the state of callers' connections at a stop

Nothing in the logs told the hypotheses of the unanswered request apart. A server now tracks its connections and logs, when it starts to drain and when it closes its listener: how late its timer was, whether connections wait to be accepted, and how many connections are new, idle, within a request, active, and have bytes that were not read. The decision to close is unchanged.

--- /dev/null
+++ b/internal/kernel/httpserver/conn.go
@@ -0,0 +1,142 @@
+package httpserver
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
+)
+
+// conn is a caller's connection. Its reads and the decision to close it are
+// serialised, so that no byte that has arrived is dropped unseen.
+type conn struct {
+	net.Conn
+	raw syscall.RawConn
+
+	// mu is held while bytes are taken from the socket.
+	mu sync.Mutex
+	// state is the last one that net/http reported.
+	state http.ConnState
+	// unanswered is set by a read and cleared by a write. net/http reports a
+	// connection as idle until the whole header of a request was parsed.
+	unanswered bool
+	// lastUsed is the time of the last read or write, or of the accept.
+	lastUsed time.Time
+	// closed is set before an idle connection is closed.
+	closed bool
+}
+
+// Read implements io.Reader. A deadline that has passed does not hide bytes
+// that have arrived, as it would after the process was suspended.
+func (c *conn) Read(p []byte) (n int, err error) {
+	if len(p) == 0 {
+		return c.Conn.Read(p)
+	}
+	if c.raw == nil {
+		n, err = c.Conn.Read(p)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.recordRead(n)
+		return n, err
+	}
+	var readErr error
+	take := func(fd uintptr) bool {
+		n, readErr = c.take(int(fd), p)
+		return readErr != syscall.EAGAIN
+	}
+	err = c.raw.Read(take)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		if ctlErr := c.raw.Control(func(fd uintptr) { take(fd) }); ctlErr == nil && n > 0 {
+			return n, nil
+		}
+		return 0, err
+	}
+	switch {
+	case err != nil:
+		return 0, err
+	case readErr != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", readErr)}
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// take reads from the socket without blocking.
+func (c *conn) take(fd int, p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, syscall.ECONNRESET
+	}
+	for {
+		n, err := syscall.Read(fd, p)
+		if err == syscall.EINTR {
+			continue
+		}
+		c.recordRead(n)
+		return max(n, 0), err
+	}
+}
+
+// recordRead requires mu.
+func (c *conn) recordRead(n int) {
+	if n > 0 {
+		c.unanswered, c.lastUsed = true, time.Now()
+	}
+}
+
+// Write implements io.Writer.
+func (c *conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.unanswered, c.lastUsed = false, time.Now()
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
+func (c *conn) setState(state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state = state
+}
+
+// hasUnread reports whether bytes or the end of the connection have arrived
+// that were not read. It requires mu.
+func (c *conn) hasUnread() bool { return c.raw != nil && readable(c.raw) }
+
+// readable reports whether a socket has something to read, or a listener a
+// connection to accept. It is false if the socket can't be asked.
+func readable(raw syscall.RawConn) bool {
+	found := false
+	err := raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(fds, 0)
+		found = err == nil && n > 0
+	})
+	return err == nil && found
+}
+
+// addTo adds the connection to the counts.
+func (c *conn) addTo(n *counts) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.state == http.StateActive:
+		n.Active++
+	case c.unanswered:
+		n.Reading++
+	case c.state == http.StateNew:
+		n.New++
+	default:
+		n.Idle++
+	}
+	if c.hasUnread() {
+		n.Unread++
+	}
+}
--- a/internal/role/siteentry/siteentry.go
+++ b/internal/role/siteentry/siteentry.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 	"egretproxy/internal/exchange/headernames"
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/kernel/decisionlog"
+	"egretproxy/internal/kernel/httpserver"
 	"egretproxy/internal/kernel/metrics"
 	"egretproxy/internal/site/siteclient"
 	"egretproxy/internal/wire/liveness"
@@ -96,41 +98,32 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	s := &http.Server{
-		Handler: http.HandlerFunc(e.serve), ReadHeaderTimeout: headerTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: discardLog(),
+	return e.serveOn(ctx, l)
+}
+
+func (e *Entry) serveOn(ctx context.Context, l net.Listener) error {
+	s := &httpserver.Server{
+		HTTP: &http.Server{
+			Handler: http.HandlerFunc(e.serve), ReadHeaderTimeout: headerTimeout,
+			IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			ErrorLog: discardLog(),
+		},
+		Name: "Callers", Notice: drainNotice, Grace: e.Settings.StopGrace - stopMargin,
 	}
 	e.startup.starting()
-	failed := make(chan error, 1)
-	go func() { failed <- s.Serve(l) }()
 	go e.sweep(ctx)
-	select {
-	case err := <-failed:
+	stop := context.AfterFunc(ctx, func() {
+		e.stopping.Store(true)
+		klog.InfoS("Entry is draining", "InProgress", e.active.Load())
+	})
+	defer stop()
+	if err := s.Serve(ctx, l); err != nil {
 		return errors.Wrap(err, "serve callers")
-	case <-ctx.Done():
 	}
-	e.drain(s)
+	klog.InfoS("Entry has stopped", "InProgress", e.active.Load())
 	return nil
 }
 
-// drain keeps serving until the load balancer has noticed the stop, then until
-// no request is in progress or the grace period is nearly over.
-func (e *Entry) drain(s *http.Server) {
-	began := time.Now()
-	e.stopping.Store(true)
-	klog.InfoS("Entry is draining", "InProgress", e.active.Load())
-	time.Sleep(min(drainNotice, e.Settings.StopGrace/2))
-	remaining := e.Settings.StopGrace - stopMargin - time.Since(began)
-	ctx, cancel := context.WithTimeout(context.Background(), remaining)
-	defer cancel()
-	if err := s.Shutdown(ctx); err != nil {
-		klog.InfoS("Shutdown aborted requests in progress", "InProgress", e.active.Load(), "Error", err.Error())
-		_ = s.Close()
-	}
-	klog.InfoS("Entry has stopped", "Took", time.Since(began).String())
-}
-
 // Ready returns nil if callers may use this process, or the reason why not.
 func (e *Entry) Ready() error {
 	switch {
