httpserver: answer every request that has arrived when a server stops

Callers saw: a request sent 2.4 s after SIGTERM on a connection to a stopping entry; 305 ms later the connection was closed without a response (LOST).

Cause: http.Server.Shutdown takes a connection for idle until net/http has parsed a whole request header, and closes it. Bytes in the socket buffer, a header read in part, and connections in the accept queue are dropped. Normally the window is a few microseconds per stop; it grows by the time that the process gets no processor time, and after such a pause the timer of the drain runs before the sockets are read. The same holds for a read deadline that passes during the pause.

Change: the server decides by what has arrived. It takes bytes from a socket under a lock, polls the socket before it closes it, and keeps connections with unread bytes or an unanswered request. The listener is closed when its accept queue is empty. Responses announce Keep-Alive, and a stop waits until the callers' time is over; responses during a stop carry Connection: close, whenever their header is written. All servers of all roles stop in this way.

--- /dev/null
+++ b/internal/kernel/httpserver/announce.go
@@ -0,0 +1,72 @@
+package httpserver
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// announcing returns a handler whose responses tell callers how long they may
+// keep the connection.
+func (s *Server) announcing(h http.Handler) http.Handler {
+	if h == nil {
+		h = http.DefaultServeMux
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		aw := &announcingWriter{ResponseWriter: w, server: s}
+		h.ServeHTTP(aw, r)
+		if !aw.headerWritten {
+			aw.announce()
+		}
+	})
+}
+
+// announcingWriter sets the header fields about the connection as late as
+// possible, since the server may be asked to stop while a handler runs.
+type announcingWriter struct {
+	http.ResponseWriter
+	server        *Server
+	headerWritten bool
+}
+
+func (w *announcingWriter) announce() {
+	w.headerWritten = true
+	h := w.Header()
+	if w.server.Stopping() {
+		h.Set("Connection", "close")
+		return
+	}
+	if seconds := int(w.server.KeepAlive / time.Second); seconds > 0 {
+		h.Set("Keep-Alive", "timeout="+strconv.Itoa(seconds))
+	}
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *announcingWriter) WriteHeader(status int) {
+	if !w.headerWritten && status >= http.StatusOK {
+		w.announce()
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *announcingWriter) Write(p []byte) (int, error) {
+	if !w.headerWritten {
+		w.announce()
+	}
+	return w.ResponseWriter.Write(p)
+}
+
+// FlushError implements the interface that http.ResponseController looks for.
+func (w *announcingWriter) FlushError() error {
+	if !w.headerWritten {
+		w.announce()
+	}
+	return http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+// Flush implements http.Flusher.
+func (w *announcingWriter) Flush() { _ = w.FlushError() }
+
+// Unwrap returns the writer for http.ResponseController.
+func (w *announcingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- a/internal/kernel/httpserver/conn.go
+++ b/internal/kernel/httpserver/conn.go
@@ -106,6 +106,43 @@
 	c.state = state
 }
 
+// retire closes the connection if its caller can't be waiting for a response
+// on it, and reports whether it is closed.
+func (c *conn) retire(keepAlive time.Duration) bool {
+	if !c.markClosed(keepAlive) {
+		return false
+	}
+	// The goroutine that serves the connection sees the error and releases it.
+	// Close waits for a read in progress, which takes mu.
+	_ = c.Conn.Close()
+	return true
+}
+
+func (c *conn) markClosed(keepAlive time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return true
+	}
+	if c.state == http.StateActive || c.unanswered || time.Since(c.lastUsed) < c.expiry(keepAlive) || c.hasUnread() {
+		return false
+	}
+	c.closed = true
+	return true
+}
+
+// expiry returns how long after its last use a caller may still use the
+// connection. It requires mu.
+func (c *conn) expiry(keepAlive time.Duration) time.Duration {
+	if keepAlive > 0 {
+		keepAlive += keepAliveMargin
+	}
+	if c.state == http.StateNew {
+		return max(keepAlive, newConnTimeout)
+	}
+	return keepAlive
+}
+
 // hasUnread reports whether bytes or the end of the connection have arrived
 // that were not read. It requires mu.
 func (c *conn) hasUnread() bool { return c.raw != nil && readable(c.raw) }
--- a/internal/kernel/httpserver/httpserver.go
+++ b/internal/kernel/httpserver/httpserver.go
@@ -16,14 +16,30 @@
 	"k8s.io/klog/v2"
 )
 
+const (
+	// drainInterval is the interval between checks of the connections during a
+	// stop.
+	drainInterval = 20 * time.Millisecond
+	// keepAliveMargin covers the time from the write of a response until the
+	// caller has it, and from a caller's request until it arrives.
+	keepAliveMargin = 500 * time.Millisecond
+	// newConnTimeout is how long a caller that has connected may take to send
+	// the first bytes during a stop.
+	newConnTimeout = time.Second
+)
+
 // Server serves HTTP on one listener. Its exported fields must be set before
 // Serve is called.
 type Server struct {
-	// HTTP holds the handler, limits and TLS configuration. Its ConnState and
-	// Handler are replaced.
+	// HTTP holds the handler, limits and TLS configuration. Serve replaces its
+	// ConnState and Handler.
 	HTTP *http.Server
 	// Name identifies the server in logs.
 	Name string
+	// KeepAlive is how long callers may leave a connection idle before they use
+	// it again. It is announced to them in whole seconds. If it is 0, a stop may
+	// close idle connections while the next request is on its way.
+	KeepAlive time.Duration
 	// Notice is how long after the stop request callers may still open
 	// connections, because their load balancer has not noticed yet.
 	Notice time.Duration
@@ -38,11 +54,13 @@
 	conns map[*conn]struct{}
 }
 
-// Serve serves connections of l until the context ends. Then it completes the
-// requests in progress within the grace period.
+// Serve serves connections of l until the context ends. Then it answers the
+// requests that have arrived, and closes each connection once its caller can't
+// send another request on it, within the grace period.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	tracked := &listener{Listener: l, server: s}
 	s.HTTP.ConnState = s.onState
+	s.HTTP.Handler = s.announcing(s.HTTP.Handler)
 	accepting := net.Listener(tracked)
 	if s.HTTP.TLSConfig != nil {
 		accepting = tls.NewListener(tracked, s.HTTP.TLSConfig)
@@ -61,21 +79,49 @@
 // Stopping reports whether the server was asked to stop.
 func (s *Server) Stopping() bool { return s.stopping.Load() }
 
+// drain doesn't use the Shutdown of net/http, which closes each connection on
+// which it has read no whole request header, whatever has arrived.
 func (s *Server) drain(l *listener) {
 	began := time.Now()
 	s.stopping.Store(true)
 	notice := min(s.Notice, s.Grace/2)
 	klog.InfoS("Server is draining", "Server", s.Name, "Connections", s.count())
-	time.Sleep(notice)
-	klog.InfoS("Server closes its listener", "Server", s.Name, "LateMs", (time.Since(began) - notice).Milliseconds(),
-		"Backlog", l.hasBacklog(), "Connections", s.count())
-	ctx, cancel := context.WithTimeout(context.Background(), s.Grace-time.Since(began))
-	defer cancel()
-	if err := s.HTTP.Shutdown(ctx); err != nil {
-		klog.InfoS("Shutdown aborted requests in progress", "Server", s.Name, "Connections", s.count(), "Error", err.Error())
-		_ = s.HTTP.Close()
+	for time.Since(began) < s.Grace {
+		noticed := time.Since(began) >= notice
+		if noticed {
+			l.closeUnlessBacklog()
+		}
+		if s.closeIdle(noticed) == 0 && l.closed {
+			break
+		}
+		time.Sleep(drainInterval)
+	}
+	left := s.count()
+	_ = s.HTTP.Close()
+	klog.InfoS("Server has stopped", "Server", s.Name, "TookMs", time.Since(began).Milliseconds(), "Connections", left)
+}
+
+// closeIdle closes the connections that their callers do not use any more, and
+// returns the number of the others. Callers may expect to use connections
+// until the load balancer has noticed the stop.
+func (s *Server) closeIdle(noticed bool) int {
+	left := 0
+	for _, c := range s.connections() {
+		if !noticed || !c.retire(s.KeepAlive) {
+			left++
+		}
+	}
+	return left
+}
+
+func (s *Server) connections() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		out = append(out, c)
 	}
-	klog.InfoS("Server has stopped", "Server", s.Name, "TookMs", time.Since(began).Milliseconds())
+	return out
 }
 
 // counts are numbers of open connections by what is known of them.
@@ -88,10 +134,8 @@
 }
 
 func (s *Server) count() counts {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	var n counts
-	for c := range s.conns {
+	for _, c := range s.connections() {
 		c.addTo(&n)
 	}
 	return n
@@ -101,6 +145,8 @@
 type listener struct {
 	net.Listener
 	server *Server
+	// closed is used by the goroutine that drains only.
+	closed bool
 }
 
 // Accept implements net.Listener.
@@ -120,6 +166,18 @@
 	return raw != nil && readable(raw)
 }
 
+// closeUnlessBacklog closes the listener unless a connection waits, which the
+// system would reset together with the request on it. Nothing comes between the
+// check and the close, since another connection may arrive in that time.
+func (l *listener) closeUnlessBacklog() {
+	if l.closed || l.hasBacklog() {
+		return
+	}
+	_ = l.Close()
+	l.closed = true
+	klog.InfoS("Server has closed its listener", "Server", l.server.Name, "Connections", l.server.count())
+}
+
 // rawConn returns the access to the socket behind a connection or listener, or
 // nil if it has none.
 func rawConn(v any) syscall.RawConn {
--- a/internal/kernel/httpserver/httpserver_test.go
+++ b/internal/kernel/httpserver/httpserver_test.go
@@ -82,13 +82,15 @@
 }
 
 func (r stallRawConn) Read(f func(fd uintptr) bool) error {
-	return r.RawConn.Read(func(fd uintptr) bool {
+	err := r.RawConn.Read(func(fd uintptr) bool {
 		if !readable(r.RawConn) {
 			return false
 		}
 		r.stall.wait()
 		return f(fd)
 	})
+	r.stall.wait()
+	return err
 }
 
 // testServer is a running Server and a way to stop it.
@@ -235,8 +237,39 @@
 	c.send(t, testRequest)
 	c.receive(t)
 	ts.stall.begin()
-	c.send(t, testRequest)
 	time.Sleep(300 * time.Millisecond)
+	c.send(t, testRequest)
 	ts.stall.end()
 	c.receive(t)
 }
+
+// TestHoldsIdleCallerIsAnswered guards against a stop that closes an idle
+// connection while the caller's next request is on its way. Callers are told how
+// long they may reuse a connection, and the stop waits for that time.
+func TestHoldsIdleCallerIsAnswered(t *testing.T) {
+	ts := startServer(t, &Server{KeepAlive: 20 * time.Second, Notice: 50 * time.Millisecond, Grace: 40 * time.Second})
+	c := ts.connect(t)
+	c.send(t, testRequest)
+	if got := c.receive(t).Header.Get("Keep-Alive"); got != "timeout=20" {
+		t.Errorf("Keep-Alive is %q", got)
+	}
+	ts.stop()
+	ts.awaitDrain()
+	c.send(t, testRequest)
+	if r := c.receive(t); !r.Close {
+		t.Error("the response doesn't tell the caller to close the connection")
+	}
+	<-ts.stopped
+}
+
+// TestStopClosesUnusedConnections checks that a stop ends before its grace period
+// if nobody sends requests.
+func TestStopClosesUnusedConnections(t *testing.T) {
+	ts := startServer(t, &Server{Grace: time.Hour})
+	c := ts.connect(t)
+	c.send(t, testRequest)
+	c.receive(t)
+	ts.connect(t)
+	ts.stop()
+	<-ts.stopped
+}
--- a/internal/kernel/process/process.go
+++ b/internal/kernel/process/process.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/alexedwards/flow"
 	"github.com/go-faster/errors"
 
+	"egretproxy/internal/kernel/httpserver"
 	"egretproxy/internal/kernel/metrics"
 )
 
@@ -48,23 +48,8 @@
 }
 
 // Serve runs an HTTP server on l, with TLS if the server has a TLS
-// configuration, until the context ends. Then it shuts the server down
-// gracefully, and closes the remaining connections after the timeout.
+// configuration, until the context ends. Then it answers the requests that have
+// arrived, and closes the remaining connections after the timeout.
 func Serve(ctx context.Context, s *http.Server, l net.Listener, timeout time.Duration) error {
-	if s.TLSConfig != nil {
-		l = tls.NewListener(l, s.TLSConfig)
-	}
-	serveErr := make(chan error, 1)
-	go func() { serveErr <- s.Serve(l) }()
-	select {
-	case err := <-serveErr:
-		return errors.Wrap(err, "serve")
-	case <-ctx.Done():
-	}
-	shutdownCtx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	if err := s.Shutdown(shutdownCtx); err != nil {
-		_ = s.Close()
-	}
-	return nil
+	return (&httpserver.Server{HTTP: s, Name: l.Addr().String(), Grace: timeout}).Serve(ctx, l)
 }
--- a/internal/role/siteentry/attempt.go
+++ b/internal/role/siteentry/attempt.go
@@ -162,9 +162,6 @@
 	if _, ok := response.Header["Date"]; !ok {
 		h["Date"] = nil
 	}
-	if j.entry.stopping.Load() {
-		h.Set("Connection", "close")
-	}
 }
 
 // buildRequest returns the request for a target to which a connection has been
--- a/internal/role/siteentry/request.go
+++ b/internal/role/siteentry/request.go
@@ -77,14 +77,13 @@
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
 	e.active.Add(1)
 	defer e.active.Add(-1)
-	if e.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	j := &job{entry: e, w: w, r: r, id: r.Header.Get(e.Settings.Headers.Attempt), startedAt: time.Now()}
 	if !j.admit() {
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
+	bounded, release := e.stop.bound(r.Context())
+	defer release()
+	ctx, cancel := context.WithDeadline(bounded, j.deadline)
 	defer cancel()
 	j.run(ctx)
 }
@@ -95,6 +94,10 @@
 	e := j.entry
 	j.awaitPlan()
 	j.view = e.Views.View()
+	if e.stop.since() > lastAdmission {
+		j.refuse("Stopping", "the process stops")
+		return false
+	}
 	p := j.view.Plan
 	if p == nil {
 		j.refuse("NoPlan", "no configuration is known yet")
--- a/internal/role/siteentry/response.go
+++ b/internal/role/siteentry/response.go
@@ -28,6 +28,9 @@
 	// recover.
 	minOutageRetryAfter    = 1400 * time.Millisecond
 	outageRetryAfterJitter = 600 * time.Millisecond
+	// stopRetryAfter applies to refusals by a process that stops, since the
+	// others can serve the request at once.
+	stopRetryAfter = 20 * time.Millisecond
 )
 
 var outcomeNames = map[dispatch.Outcome]string{
@@ -41,8 +44,11 @@
 // request has not run and never will.
 func (j *job) refuse(reason, text string) {
 	after := minRetryAfter + rand.N(retryAfterJitter)
-	if reason == "NoPlan" || reason == "Stale" || reason == "NoTarget" {
+	switch reason {
+	case "NoPlan", "Stale", "NoTarget":
 		after = minOutageRetryAfter + rand.N(outageRetryAfterJitter)
+	case "Stopping":
+		after = stopRetryAfter
 	}
 	j.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	j.entry.Metrics.CountReason("Refused", reason)
--- a/internal/role/siteentry/siteentry.go
+++ b/internal/role/siteentry/siteentry.go
@@ -29,7 +29,10 @@
 	// plan's limits are lower.
 	headerTimeout  = 5 * time.Second
 	maxHeaderBytes = 64 << 10
-	// idleTimeout is longer than the idle timeout announced to callers.
+	// maxKeepAlive limits how long callers may leave a connection idle. A stop
+	// takes at least as long.
+	maxKeepAlive = 5 * time.Second
+	// idleTimeout is longer than the time announced to callers.
 	idleTimeout = 60 * time.Second
 	// drainNotice is how long new connections are still accepted after a stop
 	// was requested, since the load balancer notices only after two health
@@ -37,6 +40,12 @@
 	drainNotice = 2600 * time.Millisecond
 	// stopMargin is kept free before the platform kills the process.
 	stopMargin = 700 * time.Millisecond
+	// answerMargin is the time for final responses before the connections are
+	// closed.
+	answerMargin = 200 * time.Millisecond
+	// lastAdmission is how long after a stop request the entry still accepts
+	// requests. A later one might not end within the grace period.
+	lastAdmission = 3 * time.Second
 	// sweepInterval is the interval between checks of idle connections.
 	sweepInterval = time.Second
 )
@@ -84,7 +93,7 @@
 	DecisionLog *decisionlog.Log
 	Metrics     *metrics.Set
 
-	stopping      atomic.Bool
+	stop          stopState
 	active        atomic.Int64
 	floor         weightsFloor
 	retryDetector retrydetector.Detector
@@ -108,15 +117,16 @@
 			IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 			ErrorLog: discardLog(),
 		},
-		Name: "Callers", Notice: drainNotice, Grace: e.Settings.StopGrace - stopMargin,
+		Name: "Callers", KeepAlive: min(maxKeepAlive, e.Settings.StopGrace/2),
+		Notice: drainNotice, Grace: e.Settings.StopGrace - stopMargin,
 	}
 	e.startup.starting()
 	go e.sweep(ctx)
-	stop := context.AfterFunc(ctx, func() {
-		e.stopping.Store(true)
+	unregister := context.AfterFunc(ctx, func() {
 		klog.InfoS("Entry is draining", "InProgress", e.active.Load())
+		e.stop.begin(e.Settings.StopGrace - stopMargin - answerMargin)
 	})
-	defer stop()
+	defer unregister()
 	if err := s.Serve(ctx, l); err != nil {
 		return errors.Wrap(err, "serve callers")
 	}
@@ -127,7 +137,7 @@
 // Ready returns nil if callers may use this process, or the reason why not.
 func (e *Entry) Ready() error {
 	switch {
-	case e.stopping.Load():
+	case e.stop.began():
 		return errors.New("the process stops")
 	case e.Views.View().Plan == nil:
 		return errors.New("no plan is known")
