siteentry: check that the target is still in service before a request is sent

A request is granted a target and then connects, which may take 0.5 s on a slow link, or takes a reserved grant of an earlier moment. After the connection was established only the confirmation and the weights were checked again, not whether the target had left, been replaced, or been withdrawn meanwhile.

The grant is now checked as well; the request goes to another target, without being counted as sent.

--- a/internal/exchange/dispatch/acquire.go
+++ b/internal/exchange/dispatch/acquire.go
@@ -197,6 +197,14 @@
 	return g
 }
 
+// Valid reports whether the target may still get the request: it has not left,
+// is not about to leave, was not replaced, and its failure domain is in service.
+func (g *Grant) Valid() bool {
+	g.dispatcher.mu.Lock()
+	defer g.dispatcher.mu.Unlock()
+	return g.dispatcher.targets[g.Target] == g.target && g.target.inService()
+}
+
 // RecordFirstEvent records that the target sent its first event and has
 // therefore processed the prompt.
 func (g *Grant) RecordFirstEvent() {
--- a/internal/exchange/dispatch/capacity.go
+++ b/internal/exchange/dispatch/capacity.go
@@ -56,7 +56,7 @@
 // mayServe reports whether the target is eligible for the request, regardless
 // of its load.
 func (d *Dispatcher) mayServe(s *service, t *target, r *Request) bool {
-	if t.Stage != discovery.Ready || t.withdrawn {
+	if !t.inService() {
 		return false
 	}
 	if slices.Contains(r.Exclude, t.ID) {
@@ -72,6 +72,9 @@
 	return weights > 0 && weights >= r.MinWeights
 }
 
+// inService reports whether the target may get new requests at all.
+func (t *target) inService() bool { return t.Stage == discovery.Ready && !t.withdrawn }
+
 func (t *target) hasFreshReport() bool { return time.Since(t.reportTime) < reportLifetime }
 
 // reportsStopped reports whether the target's reports stopped recently.
--- a/internal/role/siteentry/attempt.go
+++ b/internal/role/siteentry/attempt.go
@@ -165,12 +165,15 @@
 }
 
 // buildRequest returns the request for a target to which a connection has been
-// established. It returns errStale or errOutdated if the state on which the
-// target was chosen no longer holds.
+// established. It returns errStale, errLeft or errOutdated if the state on which
+// the target was chosen no longer holds.
 func (j *job) buildRequest(grant *dispatch.Grant) (*connpool.Request, error) {
 	if !j.mayDispatch() {
 		return nil, errStale
 	}
+	if !grant.Valid() {
+		return nil, errLeft
+	}
 	if j.minWeights() > grant.Weights && j.service.Engine != nil {
 		return nil, errOutdated
 	}
--- a/internal/role/siteentry/run.go
+++ b/internal/role/siteentry/run.go
@@ -106,6 +106,7 @@
 var (
 	errStale    = errors.New("configuration is not confirmed")
 	errStopping = errors.New("the process stops")
+	errLeft     = errors.New("target has left or is out of service")
 	errOutdated = errors.New("target's weights are no longer permitted")
 )
 
