sitekeeper: wake watchers that have no confirmation when the quorum confirms

A watcher without a recent confirmation now says so, and the keeper responds at the next confirmation.

TestHoldsUnconfirmedWatcherIsWoken failed before (held for 1 s, want 100 ms).

--- a/internal/role/sitekeeper/sitekeeper.go
+++ b/internal/role/sitekeeper/sitekeeper.go
@@ -31,6 +31,9 @@
 	// confirmInterval is the time between confirmations. It keeps the age of
 	// the state at entries well below the duration of their leases.
 	confirmInterval = 400 * time.Millisecond
+	// recentConfirmation is the age up to which a confirmation is sent to a
+	// watcher without one at once.
+	recentConfirmation = 2 * confirmInterval
 	// watcherExpiry is how long a watcher counts as active after its last call.
 	watcherExpiry = 10 * time.Second
 	epochBytes    = 8
@@ -54,6 +57,9 @@
 	// confirmedAt is when the newest successful confirmation began, by the
 	// boottime clock. Zero means never.
 	confirmedAt time.Duration
+	// confirmed is closed and replaced at each confirmation. It is nil until it
+	// is used.
+	confirmed chan struct{}
 	// watchers is the time of each watcher's last call.
 	watchers map[watcher]time.Time
 }
@@ -135,12 +141,33 @@
 			k.metrics.Count("ConfirmationFailed")
 			continue
 		}
-		k.mu.Lock()
-		k.confirmedAt = max(k.confirmedAt, began)
-		k.mu.Unlock()
+		k.recordConfirmation(began)
 	}
 }
 
+// recordConfirmation records a confirmation that began at a time of the boottime
+// clock, and wakes the watchers that need it.
+func (k *Keeper) recordConfirmation(began time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.confirmedAt = max(k.confirmedAt, began)
+	if k.confirmed != nil {
+		close(k.confirmed)
+		k.confirmed = nil
+	}
+}
+
+// nextConfirmation returns a channel that is closed at the next confirmation,
+// and whether the last one is recent.
+func (k *Keeper) nextConfirmation() (next <-chan struct{}, recent bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.confirmed == nil {
+		k.confirmed = make(chan struct{})
+	}
+	return k.confirmed, k.confirmedAt > 0 && boottime.Now()-k.confirmedAt < recentConfirmation
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/internal/role/sitekeeper/watch.go
+++ b/internal/role/sitekeeper/watch.go
@@ -40,11 +40,20 @@
 		if k.hasChanges(in) {
 			return
 		}
+		var confirmed <-chan struct{}
+		if in.Unconfirmed {
+			next, recent := k.nextConfirmation()
+			if recent {
+				return
+			}
+			confirmed = next
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-timer.C:
 			return
+		case <-confirmed:
 		case <-stateChanged:
 		case <-targetsChanged:
 			time.Sleep(batchDelay)
--- a/internal/site/siteclient/client.go
+++ b/internal/site/siteclient/client.go
@@ -36,6 +36,10 @@
 	// retryDelay is the wait after a failed call. A random duration of up to
 	// the same length is added.
 	retryDelay = 100 * time.Millisecond
+	// unconfirmedAge is the age of the last confirmation from which keepers are
+	// asked to respond as soon as they have a newer one. Confirmations arrive
+	// about twice a second otherwise.
+	unconfirmedAge = 1500 * time.Millisecond
 	// refreshInterval is how often silent and restarted keepers and the set of
 	// keepers are checked.
 	refreshInterval = 500 * time.Millisecond
@@ -243,7 +247,7 @@
 	}
 	in := watch.Request{
 		Name: c.Name, Role: c.Role, Index: c.index, PlanIndex: c.planIndex, HoldMs: c.watchWait().Milliseconds(),
-		Document: document,
+		Document: document, Unconfirmed: !c.SlowPolling && c.Age() > unconfirmedAge,
 	}
 	if l := c.lists[client.Address]; l != nil {
 		in.Epoch, in.Targets = l.epoch, l.position
--- a/internal/site/watch/watch.go
+++ b/internal/site/watch/watch.go
@@ -28,6 +28,9 @@
 	Document bool
 	// Targets is the position of the targets held.
 	Targets uint64
+	// Unconfirmed means that the watcher has no recent confirmation and can't
+	// wait for one until its hold is over.
+	Unconfirmed bool `json:",omitempty"`
 	// HoldMs is the longest wait for changes in milliseconds.
 	HoldMs int64
 }
