entry: run all parts until the last request of a stop has ended

Callers would see: a request that may run once, whose body still arrives when the entry is asked to stop, gets its response, but a repeated one gets 409 (ClaimHeld: in progress or unknown), since the outcome was never recorded.

Cause: a stop counted the admitted requests only. One that is being read, or has arrived unread, is not counted, so the state updates, the queue and the recording of claims ended while the server still took and ran it; the process ended without waiting for its claim. The server also closed the connection before such a request's own limits (ReadTimeout, RequestTimeout) were over.

Change: the other parts run until the server has stopped and the claims are recorded. The server's limit includes the time to read a body.

--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -157,8 +157,10 @@
 	g, work := errgroup.WithContext(work)
 	serving, stopServing := context.WithCancel(work)
 	defer stopServing()
+	served := make(chan struct{})
 	g.Go(func() error {
-		return process.Serve(serving, e.server(), l, e.cfg.Entry.RequestTimeout.Std())
+		defer close(served)
+		return process.Serve(serving, e.server(), l, e.cfg.Entry.ReadTimeout.Std()+e.cfg.Entry.RequestTimeout.Std())
 	})
 	g.Go(func() error { return e.renew(work) })
 	g.Go(func() error { e.targetPool.Run(work); return nil })
@@ -167,7 +169,7 @@
 	klog.InfoS("Entry is running", "Listen", e.cfg.Entry.Listen)
 	select {
 	case <-ctx.Done():
-		e.shutdown(stopServing)
+		e.shutdown(stopServing, served)
 	case <-work.Done():
 	}
 	stop()
@@ -175,13 +177,15 @@
 }
 
 // shutdown fails the readiness check, waits until the load balancer has
-// noticed, and lets the requests in progress end.
-func (e *Entry) shutdown(stopServing context.CancelFunc) {
+// noticed, and lets the server stop. The other parts run until the last request
+// has ended and its claim is recorded.
+func (e *Entry) shutdown(stopServing context.CancelFunc, served <-chan struct{}) {
 	e.mu.Lock()
 	e.stopping = true
 	e.mu.Unlock()
 	time.Sleep(e.cfg.Entry.DrainDelay.Std())
 	stopServing()
+	<-served
 	for e.inProgress() > 0 {
 		time.Sleep(retryDelay)
 	}
