entry: let callers know when a stop closes their connections

Callers would see: a request sent on an idle connection of a stopping entry crosses the close and gets no response. For a call that may run once the outcome is then unknown to them.

Cause: responses announced no time for which a connection may be idle, those during DrainDelay did not say Connection: close, and right after DrainDelay all idle connections were closed.

Change: the entry uses the server of the site's entries directly. It announces 5 s, sends Connection: close from the stop request on, takes new connections for DrainDelay, and closes idle ones when the announced time is over. Its grace period is the sum of the limits of a request of a caller that noticed last, so that it cuts no request that is within its own limits.

--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -21,6 +21,7 @@
 	"egretproxy/internal/control/lease"
 	"egretproxy/internal/control/view"
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/httpserver"
 	"egretproxy/internal/kernel/metrics"
 	"egretproxy/internal/kernel/process"
 	"egretproxy/internal/request/organisation"
@@ -42,7 +43,12 @@
 	headerTimeout  = 10 * time.Second
 	maxHeaderBytes = 64 << 10
 	idleTimeout    = 30 * time.Second
-	retryDelay     = 50 * time.Millisecond
+	// defaultKeepAlive is how long callers may leave a connection idle. A
+	// shutdown takes at least as long if a caller keeps one.
+	defaultKeepAlive = 5 * time.Second
+	// stopMargin covers the delays of timers within a shutdown.
+	stopMargin = time.Second
+	retryDelay = 50 * time.Millisecond
 	// maxDoublings limits the exponential backoff after failed renewals.
 	maxDoublings = 4
 	roleName     = "Entry"
@@ -64,6 +70,8 @@
 	// callerTLS is nil if callers use plain HTTP.
 	callerTLS *tls.Config
 	watchdog  *watchdog
+	// keepAlive is announced to callers.
+	keepAlive time.Duration
 	// background counts claims that are settled or released after the response.
 	background sync.WaitGroup
 
@@ -120,7 +128,7 @@
 		}),
 		budget: retrybudget.Budget{Ratio: cfg.Entry.RetryRatio},
 		client: forward.Client(identity.Client(), idleTimeout, false), singleUse: forward.Client(identity.Client(), idleTimeout, true),
-		active: map[id.Organisation]int{},
+		keepAlive: defaultKeepAlive, active: map[id.Organisation]int{},
 	}
 	e.watchdog = newWatchdog(e.client, e.scheme())
 	set.Gauge("entry_waiting_requests", "Requests waiting for a target.", func() float64 {
@@ -160,7 +168,7 @@
 	served := make(chan struct{})
 	g.Go(func() error {
 		defer close(served)
-		return process.Serve(serving, e.server(), l, e.cfg.Entry.ReadTimeout.Std()+e.cfg.Entry.RequestTimeout.Std())
+		return e.callerServer().Serve(serving, l)
 	})
 	g.Go(func() error { return e.renew(work) })
 	g.Go(func() error { e.targetPool.Run(work); return nil })
@@ -176,14 +184,13 @@
 	return g.Wait()
 }
 
-// shutdown fails the readiness check, waits until the load balancer has
-// noticed, and lets the server stop. The other parts run until the last request
-// has ended and its claim is recorded.
+// shutdown fails the readiness check and lets the server stop, which takes
+// requests until the load balancer and callers have noticed. The other parts run
+// until the last of these requests has ended and its claim is recorded.
 func (e *Entry) shutdown(stopServing context.CancelFunc, served <-chan struct{}) {
 	e.mu.Lock()
 	e.stopping = true
 	e.mu.Unlock()
-	time.Sleep(e.cfg.Entry.DrainDelay.Std())
 	stopServing()
 	<-served
 	for e.inProgress() > 0 {
@@ -192,6 +199,17 @@
 	e.background.Wait()
 }
 
+// callerServer returns the server for callers. Its grace period exceeds the time
+// that a request of a caller that noticed the shutdown last may take.
+func (e *Entry) callerServer() *httpserver.Server {
+	c := e.cfg.Entry
+	lastRequest := c.DrainDelay.Std() + e.keepAlive + headerTimeout
+	return &httpserver.Server{
+		HTTP: e.server(), Name: "Callers", KeepAlive: e.keepAlive, Notice: c.DrainDelay.Std(),
+		Grace: lastRequest + c.ReadTimeout.Std() + c.RequestTimeout.Std() + stopMargin,
+	}
+}
+
 func (e *Entry) inProgress() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/role/entry/shutdown_test.go
+++ b/internal/role/entry/shutdown_test.go
@@ -110,6 +110,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	e.keepAlive = hangTimeout
 	l := listen(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	re := &runningEntry{Entry: e, keeper: keeper, address: l.Addr().String(), stop: cancel, stopped: make(chan struct{})}
@@ -186,6 +187,22 @@
 	return r
 }
 
+// TestHoldsStopAnswersIdleCaller guards against an entry that stops and closes an
+// idle connection while the caller's next request is on its way.
+func TestHoldsStopAnswersIdleCaller(t *testing.T) {
+	re := startEntry(t)
+	c := re.connect(t)
+	c.send(t, testHeader+"hi")
+	if r := c.receive(t); r.Header.Get("Keep-Alive") == "" {
+		t.Error("the response doesn't tell how long the connection may be idle")
+	}
+	re.beginStop(t)
+	c.send(t, testHeader+"hi")
+	if r := c.receive(t); !r.Close {
+		t.Error("the response doesn't tell the caller to close the connection")
+	}
+}
+
 // TestHoldsStopRecordsLateOutcome guards against an entry that ends while a request
 // whose body was still arriving at the stop is in progress: its claim was not
 // settled, so that a repeated request could not learn the outcome.
