agent: announce a leaving target no more

Operators and entries would see: a target whose agent was asked to stop is listed again, in a new session, and stays in the replicated state after the agent has ended, until the keepers miss its renewals.

Cause: an agent that leaves removes its target and then drains, while its renewals continue. The next one, at most 750 ms later, is told that the session is unknown, and the agent announced the target again. Short drains ended before that.

Change: renewals of a leaving agent end with its session.

--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -69,6 +69,8 @@
 	// contentAddress is the loopback address from which the engine beside the
 	// agent downloads content.
 	contentAddress string
+	// leaveDelay is how long the agent refuses requests before it stops.
+	leaveDelay time.Duration
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -136,6 +138,7 @@
 		ramp:          &ramp.Ramp{Slots: t.Slots, ColdSlots: t.ColdSlots},
 		store:         &store.Store{Limit: int64(cfg.Agent.Weights.Memory)},
 		ordersChanged: make(chan struct{}, 1),
+		leaveDelay:    defaultLeaveDelay,
 		phase:         view.PhaseEmpty,
 	}
 	a.gate = gate.New(&a.lease, a.ramp)
--- a/internal/role/agent/renew.go
+++ b/internal/role/agent/renew.go
@@ -28,15 +28,15 @@
 	renewRetryDelay = 50 * time.Millisecond
 	// maxDoublings bounds the exponential growth of renewRetryDelay.
 	maxDoublings = 4
-	// leaveDelay is the time for requests that entries sent before they learned
-	// of the shutdown to arrive and be refused.
-	leaveDelay = 200 * time.Millisecond
-	roleName   = "Agent"
+	// defaultLeaveDelay is the time for requests that entries sent before they
+	// learned of the shutdown to arrive and be refused.
+	defaultLeaveDelay = 200 * time.Millisecond
+	roleName          = "Agent"
 )
 
 // renew announces the target and then renews the lease about every
 // lease.RenewInterval. It returns ErrReplaced if a newer session of the target
-// exists, and nil when ctx ends.
+// exists, and nil when ctx ends or the session of a leaving agent has ended.
 func (a *Agent) renew(ctx context.Context) error {
 	if !clock.Sleep(ctx, rand.N(announceJitter)) {
 		return nil
@@ -44,6 +44,9 @@
 	failures := 0
 	for ctx.Err() == nil {
 		if a.sessionFence() == 0 {
+			if a.isLeaving() {
+				return nil
+			}
 			a.announce(ctx)
 			continue
 		}
@@ -64,6 +67,13 @@
 	return nil
 }
 
+// isLeaving reports whether a graceful shutdown has begun.
+func (a *Agent) isLeaving() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.leaving
+}
+
 // sessionFence returns the fence of the session, or zero if there is none.
 func (a *Agent) sessionFence() id.Fence {
 	a.mu.Lock()
@@ -182,8 +192,7 @@
 			klog.ErrorS(err, "Failed to remove the target from the replicated state")
 		}
 	}
-	// Requests that are already in flight to the agent are refused as not run.
-	clock.Sleep(ctx, leaveDelay)
+	clock.Sleep(ctx, a.leaveDelay)
 	select {
 	case <-a.gate.Idle():
 	case <-time.After(a.cfg.Agent.DrainTimeout.Std()):
