agent: answer until entries know that the agent leaves

Callers would see: a request that an entry sends on a kept connection to an agent which stops gets no response. It had not run, but its outcome counts as unknown, and it takes a retry from the budget.

Cause: an agent ended 200 ms after it had removed its target from the replicated state and was idle. Entries learn of that with their next renewal, up to 750 ms later and more after a failed one; their kept connections were closed before.

Change: the agent refuses requests, as not run, for lease.Duration (2.5 s) before it stops. An entry that can't renew for longer is not ready.

--- a/internal/role/agent/leave_test.go
+++ b/internal/role/agent/leave_test.go
@@ -1,8 +1,10 @@
 package agent
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -10,8 +12,10 @@
 	"testing"
 	"time"
 
+	"egretproxy/internal/control/lease"
 	"egretproxy/internal/control/ledger"
 	"egretproxy/internal/kernel/metrics"
+	"egretproxy/internal/request/refusal"
 	"egretproxy/internal/settings/config"
 	_ "egretproxy/internal/target/service" // registers the scheme of the address
 	"egretproxy/internal/wire/api"
@@ -30,9 +34,31 @@
 	return l
 }
 
-// runningAgent is an agent of a service.
+// dispatch sends a request of an entry on a kept connection and returns the
+// outcome that the agent states.
+func dispatch(t *testing.T, c net.Conn, br *bufio.Reader) refusal.Outcome {
+	t.Helper()
+	_ = c.SetDeadline(time.Now().Add(hangTimeout))
+	if _, err := io.WriteString(c, "POST /dispatch/x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"); err != nil {
+		t.Fatal(err)
+	}
+	r, err := http.ReadResponse(br, nil)
+	if err != nil {
+		t.Fatalf("request got no response: %v", err)
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	ref, ok := refusal.FromHeader(r.Header, r.StatusCode)
+	if !ok {
+		t.Fatalf("status %d without an outcome", r.StatusCode)
+	}
+	return ref.Outcome
+}
+
+// runningAgent is an agent of a service. The address may be one where nothing
+// listens.
 type runningAgent struct {
 	*Agent
+	address string
 	// leave asks the agent to leave.
 	leave context.CancelFunc
 }
@@ -56,7 +82,7 @@
 	go func() { defer close(stopped); _ = a.run(ctx, public, listen(t)) }()
 	// The agent ends at once if it can't accept connections.
 	t.Cleanup(func() { cancel(); _ = public.Close(); <-stopped; a.keepers.Close() })
-	return &runningAgent{a, cancel}
+	return &runningAgent{a, public.Addr().String(), cancel}
 }
 
 func waitUntil(t *testing.T, condition string, done func() bool) {
@@ -68,6 +94,32 @@
 	}
 }
 
+// TestHoldsLeavingAgentRefusesLateRequests guards against an agent that leaves and
+// closes its connections before entries have learned of it: their next requests got
+// no response, so that their outcome was unknown although they had not run.
+func TestHoldsLeavingAgentRefusesLateRequests(t *testing.T) {
+	if defaultLeaveDelay < lease.Duration {
+		t.Error("the agent may leave before entries have renewed their view")
+	}
+	a := startAgent(t, "127.0.0.1:1")
+	c, err := net.Dial("tcp", a.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	if o := dispatch(t, c, br); o != refusal.NotRun {
+		t.Errorf("outcome before the stop is %s", o)
+	}
+	a.leave()
+	waitUntil(t, "the agent leaves", a.isLeaving)
+	// An agent that doesn't wait for the entries has closed the connection by then.
+	time.Sleep(500 * time.Millisecond)
+	if o := dispatch(t, c, br); o != refusal.NotRun {
+		t.Errorf("outcome after the stop is %s", o)
+	}
+}
+
 // fakeKeeper holds one announced target and counts announcements and renewals.
 type fakeKeeper struct {
 	mu                      sync.Mutex
--- a/internal/role/agent/renew.go
+++ b/internal/role/agent/renew.go
@@ -28,9 +28,10 @@
 	renewRetryDelay = 50 * time.Millisecond
 	// maxDoublings bounds the exponential growth of renewRetryDelay.
 	maxDoublings = 4
-	// defaultLeaveDelay is the time for requests that entries sent before they
-	// learned of the shutdown to arrive and be refused.
-	defaultLeaveDelay = 200 * time.Millisecond
+	// defaultLeaveDelay is the time for entries to learn of the shutdown. Their
+	// renewals are far more frequent. The requests that they send meanwhile are
+	// refused as not run.
+	defaultLeaveDelay = lease.Duration
 	roleName          = "Agent"
 )
 
