node: end the calls of a keeper that stops

Operators would see: a call that is in progress at a leader when it stops, or that has arrived unread, is cut off without a response after 1 s. They then wait for their own timeout instead of trying another keeper at once.

Cause: the replica stops with the process, but a call to the leader was retried until its own deadline (2.5 s for changes, 1.5 s for reads). The server of the control API closes the connections after 1 s.

Change: a call ends once the replica has stopped, after one attempt. A follower still forwards a call to the leader once. No time is added to a stop.

--- a/internal/agreement/node/calls.go
+++ b/internal/agreement/node/calls.go
@@ -77,7 +77,8 @@
 }
 
 // callLeader runs the call for the leader's address, or for an empty address if
-// this member leads. It retries until the call succeeds or the context ends.
+// this member leads. It retries until the call succeeds, the context ends or this
+// member has stopped, as the caller can then try another keeper.
 func (n *Node) callLeader(ctx context.Context, call func(ctx context.Context, leader string) error) error {
 	err := error(replica.ErrNotLeader)
 	for ctx.Err() == nil {
@@ -98,6 +99,8 @@
 		}
 		select {
 		case <-ctx.Done():
+		case <-n.stopped():
+			return errors.Wrap(err, "keeper has stopped")
 		case <-time.After(retryDelay):
 		}
 	}
--- a/internal/agreement/node/node.go
+++ b/internal/agreement/node/node.go
@@ -232,6 +232,15 @@
 	return n.replica
 }
 
+// stopped returns a channel that is closed when the replica has stopped, or nil
+// before Run.
+func (n *Node) stopped() <-chan struct{} {
+	if r := n.currentReplica(); r != nil {
+		return r.Stopped()
+	}
+	return nil
+}
+
 // client returns the RPC client for the keeper at the address and creates it on
 // first use.
 func (n *Node) client(address string) *rpc.Client {
--- a/internal/agreement/node/node_test.go
+++ b/internal/agreement/node/node_test.go
@@ -180,3 +180,26 @@
 		}
 	}
 }
+
+// TestHoldsStoppedKeeperEndsCalls guards against calls that wait for a leader at a
+// keeper that stops: their callers' connections were closed before the calls ended,
+// so that the callers got no response instead of an error.
+func TestHoldsStoppedKeeperEndsCalls(t *testing.T) {
+	address := freeAddress(t)
+	members := []string{address, freeAddress(t)}
+	k := startKeeper(t, address, t.TempDir(), members, members)
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	inProgress := make(chan error, 1)
+	go func() { inProgress <- k.Propose(ctx, nil) }()
+	for k.Status().ID == "" {
+		time.Sleep(time.Millisecond)
+	}
+	k.stop()
+	if err := <-inProgress; err == nil || ctx.Err() != nil {
+		t.Errorf("call in progress: error %v, its context %v", err, ctx.Err())
+	}
+	if err := k.Propose(ctx, nil); err == nil || ctx.Err() != nil {
+		t.Errorf("call after the stop: error %v, its context %v", err, ctx.Err())
+	}
+}
--- a/internal/agreement/replica/requests.go
+++ b/internal/agreement/replica/requests.go
@@ -13,6 +13,9 @@
 	return r.status
 }
 
+// Stopped returns a channel that is closed when Run has returned.
+func (r *Replica) Stopped() <-chan struct{} { return r.stopped }
+
 // Deliver queues a message from another member. It drops the message if the
 // queue is full, which Raft tolerates.
 func (r *Replica) Deliver(m record.Message) {
