--- a/internal/role/sitekeeper/sitekeeper.go
+++ b/internal/role/sitekeeper/sitekeeper.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -49,6 +50,8 @@
 	metrics  *metrics.Set
 	epoch    string
 	region   id.Region
+	// stopping is set when Run is asked to stop or has failed.
+	stopping atomic.Bool
 
 	mu sync.Mutex
 	// confirmedAt is when the newest successful confirmation began, by the
@@ -81,11 +84,16 @@
 // Run serves watchers and other keepers until the context ends.
 func (k *Keeper) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
+	context.AfterFunc(ctx, func() { k.stopping.Store(true) })
+	defer k.stopping.Store(true)
 	g.Go(func() error { return k.raftNode.Run(ctx) })
 	g.Go(func() error { k.confirmLoop(ctx); return nil })
 	return g.Wait()
 }
 
+// Stopping reports whether the keeper no longer serves watchers.
+func (k *Keeper) Stopping() bool { return k.stopping.Load() }
+
 // Propose submits a change and returns once a quorum has stored it.
 func (k *Keeper) Propose(ctx context.Context, c sitestate.Command) error {
 	if c.Weights != nil {
