--- a/internal/kernel/httpserver/conn.go
+++ b/internal/kernel/httpserver/conn.go
@@ -10,7 +10,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"golang.org/x/sys/unix"
+
+	"egretproxy/internal/kernel/socket"
 )
 
 // conn is a caller's connection. Its reads and the decision to close it are
@@ -145,19 +146,7 @@
 
 // hasUnread reports whether bytes or the end of the connection have arrived
 // that were not read. It requires mu.
-func (c *conn) hasUnread() bool { return c.raw != nil && readable(c.raw) }
-
-// readable reports whether a socket has something to read, or a listener a
-// connection to accept. It is false if the socket can't be asked.
-func readable(raw syscall.RawConn) bool {
-	found := false
-	err := raw.Control(func(fd uintptr) {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		n, err := unix.Poll(fds, 0)
-		found = err == nil && n > 0
-	})
-	return err == nil && found
-}
+func (c *conn) hasUnread() bool { return c.raw != nil && socket.Readable(c.raw) }
 
 // addTo adds the connection to the counts.
 func (c *conn) addTo(n *counts) {
--- a/internal/kernel/httpserver/httpserver.go
+++ b/internal/kernel/httpserver/httpserver.go
@@ -9,11 +9,12 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
+
+	"egretproxy/internal/kernel/socket"
 )
 
 const (
@@ -155,15 +156,15 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: inner, raw: rawConn(inner), lastUsed: time.Now()}
+	c := &conn{Conn: inner, raw: socket.Raw(inner), lastUsed: time.Now()}
 	l.server.track(c)
 	return c, nil
 }
 
 // hasBacklog reports whether a caller's connection waits to be accepted.
 func (l *listener) hasBacklog() bool {
-	raw := rawConn(l.Listener)
-	return raw != nil && readable(raw)
+	raw := socket.Raw(l.Listener)
+	return raw != nil && socket.Readable(raw)
 }
 
 // closeUnlessBacklog closes the listener unless a connection waits, which the
@@ -178,20 +179,6 @@
 	klog.InfoS("Server has closed its listener", "Server", l.server.Name, "Connections", l.server.count())
 }
 
-// rawConn returns the access to the socket behind a connection or listener, or
-// nil if it has none.
-func rawConn(v any) syscall.RawConn {
-	s, ok := v.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return nil
-	}
-	return raw
-}
-
 func (s *Server) track(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/kernel/httpserver/httpserver_test.go
+++ b/internal/kernel/httpserver/httpserver_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"egretproxy/internal/kernel/socket"
 )
 
 // stall holds back the reads of all connections, as if the process got no
@@ -64,8 +66,8 @@
 }
 
 func (c stallConn) Read(p []byte) (int, error) {
-	if raw := rawConn(c.TCPConn); raw != nil {
-		_ = raw.Read(func(uintptr) bool { return readable(raw) })
+	if raw := socket.Raw(c.TCPConn); raw != nil {
+		_ = raw.Read(func(uintptr) bool { return socket.Readable(raw) })
 	}
 	c.stall.wait()
 	return c.TCPConn.Read(p)
@@ -83,7 +85,7 @@
 
 func (r stallRawConn) Read(f func(fd uintptr) bool) error {
 	err := r.RawConn.Read(func(fd uintptr) bool {
-		if !readable(r.RawConn) {
+		if !socket.Readable(r.RawConn) {
 			return false
 		}
 		r.stall.wait()
--- /dev/null
+++ b/internal/kernel/socket/socket.go
@@ -0,0 +1,35 @@
+// Package socket reports what has arrived at a socket, whether the process has
+// read it or not.
+package socket
+
+import (
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// Raw returns the access to the socket behind a connection or listener, or nil if
+// it has none.
+func Raw(v any) syscall.RawConn {
+	s, ok := v.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
+// Readable reports whether a socket has something to read, or a listener a
+// connection to accept. It is false if the socket can't be asked.
+func Readable(raw syscall.RawConn) bool {
+	found := false
+	err := raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(fds, 0)
+		found = err == nil && n > 0
+	})
+	return err == nil && found
+}
