rpc: answer calls in progress when a server stops

Callers would see: a keeper that stops closes connections with calls in progress or unread ones. The outcome of a change is then unknown to its caller, a retry at another keeper takes the place of an answer that is ready, and the waiting watch of an entry ends without the announcements that the keeper acknowledged last.

Cause: at the end of its context the server closed all connections at once, and jsonrpc2 closes a connection with its context.

Change: the context of calls ends, as before, so that handlers return. A connection is closed once its calls are answered and nothing unread has arrived, at most 500 ms later.

Not covered: a call that is read in part, or parsed in the instant in which the one before it ends. Its connection is closed; clients retry these calls at the next keeper.

--- a/internal/wire/rpc/server.go
+++ b/internal/wire/rpc/server.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"egretproxy/internal/kernel/socket"
 	"egretproxy/internal/wire/frame"
 )
 
@@ -32,6 +33,8 @@
 	// maxCallsPerConn limits the calls in progress on one connection.
 	maxCallsPerConn  = 256
 	handshakeTimeout = 5 * time.Second
+	// defaultGrace is much longer than calls take whose context has ended.
+	defaultGrace = 500 * time.Millisecond
 )
 
 // Handler answers one call. The params may be nil. The context ends with the
@@ -50,35 +53,56 @@
 	// OnConnError is called when a TLS handshake fails or a connection ends
 	// because of a malformed frame. It may be nil, and is called concurrently.
 	OnConnError func(error)
+	// Grace limits the time for calls in progress to be answered after the
+	// context has ended. Zero means 500 ms.
+	Grace time.Duration
 
 	mu sync.Mutex
 	// conns contains the open connections. It is nil before Serve is called
-	// and after its context has ended.
-	conns map[net.Conn]struct{}
-	wg    sync.WaitGroup
+	// and once connections are closed whatever their state.
+	conns map[*serverConn]struct{}
+	// stopping means that connections are closed as soon as no call is in
+	// progress on them.
+	stopping bool
+	wg       sync.WaitGroup
+}
+
+// serverConn is a caller's connection.
+type serverConn struct {
+	net.Conn
+	// pending counts the calls and notifications in progress. It is guarded by
+	// the server's mu.
+	pending int
+}
+
+// hasUnread reports whether bytes have arrived that were not read.
+func (c *serverConn) hasUnread() bool {
+	raw := socket.Raw(c.Conn)
+	return raw != nil && socket.Readable(raw)
 }
 
 // Serve accepts connections until the context ends or the listener fails. When
-// the context ends it closes the listener and all connections, waits for the
-// connections' goroutines and returns nil.
+// the context ends it closes the listener, closes each connection once its calls
+// are answered, waits for the connections' goroutines and returns nil.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	s.mu.Lock()
-	s.conns = map[net.Conn]struct{}{}
+	s.conns = map[*serverConn]struct{}{}
 	s.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() {
 		_ = l.Close()
-		s.closeAll()
+		s.closeIdle()
 	})
 	defer stop()
 	defer s.wg.Wait()
 	for {
-		c, err := l.Accept()
+		accepted, err := l.Accept()
 		if err != nil {
 			if ctx.Err() != nil {
 				return nil
 			}
 			return errors.Wrap(err, "accept")
 		}
+		c := &serverConn{Conn: accepted}
 		if !s.track(c) {
 			_ = c.Close()
 			return nil
@@ -89,7 +113,7 @@
 }
 
 // serveConn answers calls on a connection until it is closed.
-func (s *Server) serveConn(ctx context.Context, c net.Conn) {
+func (s *Server) serveConn(ctx context.Context, c *serverConn) {
 	defer s.wg.Done()
 	defer s.untrack(c)
 	conn, err := s.handshake(ctx, c)
@@ -101,8 +125,11 @@
 		ObjectStream: jsonrpc2.NewBufferedStream(conn, s.Codec),
 		onError:      s.reportError,
 	}
-	handler := &connHandler{server: s, slots: make(chan struct{}, maxCallsPerConn)}
-	rpcConn := jsonrpc2.NewConn(ctx, stream, handler, jsonrpc2.SetLogger(discardLogger{}))
+	callCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	handler := &connHandler{server: s, conn: c, ctx: callCtx, slots: make(chan struct{}, maxCallsPerConn)}
+	// A connection is closed with its context, so it gets another one than calls.
+	rpcConn := jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, handler, jsonrpc2.SetLogger(discardLogger{}))
 	<-rpcConn.DisconnectNotify()
 }
 
@@ -128,25 +155,49 @@
 	}
 }
 
-// track registers a connection, so that closeAll closes it. It returns false if
-// the server has stopped.
-func (s *Server) track(c net.Conn) bool {
+// track registers a connection, so that a stop closes it. It returns false if the
+// server stops.
+func (s *Server) track(c *serverConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.conns == nil {
+	if s.stopping || s.conns == nil {
 		return false
 	}
 	s.conns[c] = struct{}{}
 	return true
 }
 
-func (s *Server) untrack(c net.Conn) {
+func (s *Server) untrack(c *serverConn) {
 	_ = c.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
 }
 
+// closeIdle closes the connections without calls, and the others once their calls
+// are answered or the grace period is over.
+func (s *Server) closeIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+	for c := range s.conns {
+		s.closeIfIdle(c)
+	}
+	grace := s.Grace
+	if grace == 0 {
+		grace = defaultGrace
+	}
+	time.AfterFunc(grace, s.closeAll)
+}
+
+// closeIfIdle closes a connection if no call is in progress or has arrived on it.
+// The caller holds mu.
+func (s *Server) closeIfIdle(c *serverConn) {
+	if c.pending == 0 && !c.hasUnread() {
+		_ = c.Close()
+	}
+}
+
 func (s *Server) closeAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -156,24 +207,46 @@
 	s.conns = nil
 }
 
+func (s *Server) begin(c *serverConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.pending++
+}
+
+// end is called after a call was answered.
+func (s *Server) end(c *serverConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.pending--
+	if s.stopping {
+		s.closeIfIdle(c)
+	}
+}
+
 // connHandler runs the calls of one connection, at most maxCallsPerConn at a
 // time.
 type connHandler struct {
 	server *Server
-	slots  chan struct{}
+	conn   *serverConn
+	// ctx ends with the server or the connection.
+	ctx   context.Context
+	slots chan struct{}
 }
 
 // Handle implements jsonrpc2.Handler. It blocks while all slots are taken, which
 // stops reading from the connection.
-func (h *connHandler) Handle(ctx context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) {
+func (h *connHandler) Handle(_ context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	h.server.begin(h.conn)
 	if r.Notif {
-		h.handleNotification(ctx, r)
+		defer h.server.end(h.conn)
+		h.handleNotification(h.ctx, r)
 		return
 	}
 	h.slots <- struct{}{}
 	go func() {
 		defer func() { <-h.slots }()
-		h.handleCall(ctx, c, r)
+		defer h.server.end(h.conn)
+		h.handleCall(h.ctx, c, r)
 	}()
 }
 
