httpserver: check stops over TLS and that HTTP/2 is not offered

The server decides by the states of connections, which mean something else when a connection carries several requests. No TLS configuration of the product names h2 (identity and the entry's certificate leave NextProtos empty), so a caller that offers it gets HTTP/1.1, and cleartext HTTP/2 is off in net/http. The test passes on the code as it was.

--- a/internal/kernel/httpserver/httpserver_test.go
+++ b/internal/kernel/httpserver/httpserver_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"syscall"
@@ -195,6 +197,33 @@
 	}
 }
 
+// TestTLSRequestIsAnswered checks that an unread request is answered over TLS as
+// well, and that no caller gets HTTP/2, whose connections carry several requests at a
+// time: the states of connections would then not tell whether one is answered.
+func TestTLSRequestIsAnswered(t *testing.T) {
+	certificates := httptest.NewTLSServer(nil)
+	certificates.Close()
+	ts := startServer(t, &Server{
+		HTTP:   &http.Server{Handler: http.HandlerFunc(echo), TLSConfig: &tls.Config{Certificates: certificates.TLS.Certificates}},
+		Notice: 50 * time.Millisecond, Grace: 20 * time.Second,
+	})
+	secure := tls.Client(ts.connect(t), &tls.Config{InsecureSkipVerify: true, NextProtos: []string{"h2", "http/1.1"}})
+	c := &caller{secure, bufio.NewReader(secure)}
+	c.send(t, testRequest)
+	c.receive(t)
+	if p := secure.ConnectionState().NegotiatedProtocol; p == "h2" {
+		t.Errorf("negotiated protocol is %q", p)
+	}
+	ts.stall.begin()
+	c.send(t, testRequest)
+	ts.stop()
+	ts.awaitDrain()
+	ts.stall.end()
+	if r := c.receive(t); !r.Close {
+		t.Error("the response doesn't tell the caller to close the connection")
+	}
+}
+
 // TestHoldsHalfReadRequestIsAnswered guards against a stop that closes a kept
 // connection within the header of its next request.
 func TestHoldsHalfReadRequestIsAnswered(t *testing.T) {
