connpool: read what has arrived before an exchange is aborted

Callers would see: a site's entry answers 502 or 504, or repeats a request at another target, although the target's response had arrived in time.

Cause: a deadline, the silence timer or the end of a stop cancels an exchange by closing its connection. After a time without processor time the timer may run before the socket is read, and the response in the socket buffer is dropped.

Change: an abort first waits until the bytes that have arrived by then are read, 1 s at the most. Nothing is waited for if there are none, and later bytes are not waited for, so a target that sends without end is cut as before.

--- a/internal/exchange/connpool/connpool.go
+++ b/internal/exchange/connpool/connpool.go
@@ -9,9 +9,11 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"egretproxy/internal/kernel/socket"
 	"egretproxy/internal/wire/liveness"
 )
 
@@ -27,6 +29,10 @@
 	defaultIdleTimeout = 4 * time.Second
 	// maxIdleTimeout limits the timeout that targets announce.
 	maxIdleTimeout = 30 * time.Second
+	// arrivedTimeout limits how long an abort waits until what has arrived is
+	// read. A reader that runs takes far less.
+	arrivedTimeout      = time.Second
+	arrivedPollInterval = time.Millisecond
 	// readBufferBytes fits the header of a response and a few events.
 	readBufferBytes = 4 << 10
 )
@@ -35,6 +41,8 @@
 type persistConn struct {
 	conn net.Conn
 	br   *bufio.Reader
+	// received counts the bytes read from the socket.
+	received atomic.Int64
 	// exchanges counts the exchanges started.
 	exchanges int
 	// reuseUntil is the time after which the connection must not be reused.
@@ -92,15 +100,38 @@
 	return err == nil && idle
 }
 
+// Read implements io.Reader.
+func (c *persistConn) Read(p []byte) (int, error) {
+	n, err := c.conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
+}
+
 // abort resets the connection, so that unsent data is dropped and the target
-// learns immediately that the request was cancelled.
+// learns immediately that the request was cancelled. What has arrived is read
+// first: after a pause of the process the timer that cancels an exchange may run
+// before a response that was in time is read.
 func (c *persistConn) abort() {
+	c.awaitArrived()
 	if tcp, ok := c.conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = c.conn.Close()
 }
 
+// awaitArrived waits until the bytes that have arrived by now are read.
+func (c *persistConn) awaitArrived() {
+	raw := socket.Raw(c.conn)
+	if raw == nil {
+		return
+	}
+	due := c.received.Load()
+	due += int64(socket.Unread(raw))
+	for began := time.Now(); c.received.Load() < due && socket.Unread(raw) > 0 && time.Since(began) < arrivedTimeout; {
+		time.Sleep(arrivedPollInterval)
+	}
+}
+
 func (p *Pool) dial(ctx context.Context, address string) (*persistConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -112,7 +143,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return &persistConn{conn: c, br: bufio.NewReaderSize(c, readBufferBytes)}, nil
+	return newPersistConn(c), nil
+}
+
+func newPersistConn(c net.Conn) *persistConn {
+	out := &persistConn{conn: c}
+	out.br = bufio.NewReaderSize(out, readBufferBytes)
+	return out
 }
 
 // dialResult is the result of one connection attempt.
--- a/internal/exchange/connpool/connpool_test.go
+++ b/internal/exchange/connpool/connpool_test.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"egretproxy/internal/kernel/socket"
 )
 
 // target responds to each request on a connection with the result of a script;
@@ -201,3 +203,47 @@
 		t.Errorf("got error %v", err)
 	}
 }
+
+// stalledConn reads only after ready is closed, as if the process got no processor
+// time before. Bytes meanwhile arrive in the socket buffer.
+type stalledConn struct {
+	*net.TCPConn
+	ready chan struct{}
+}
+
+func (c stalledConn) Read(p []byte) (int, error) {
+	<-c.ready
+	return c.TCPConn.Read(p)
+}
+
+// TestHoldsArrivedResponseIsReadAfterDeadline guards against a deadline, or another
+// timer that cancels an exchange, which passes while the process gets no processor
+// time, and drops a response that has arrived.
+func TestHoldsArrivedResponseIsReadAfterDeadline(t *testing.T) {
+	s := newTarget(t, func(int32, *http.Request) string { return completeResponse })
+	conn, err := net.Dial("tcp", s.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	stalled := stalledConn{conn.(*net.TCPConn), make(chan struct{})}
+	var p Pool
+	p.put(s.Addr().String(), newPersistConn(stalled), time.Hour)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		for raw := socket.Raw(stalled.TCPConn); !socket.Readable(raw); {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+		// An exchange that is aborted whatever has arrived has ended by then.
+		time.Sleep(100 * time.Millisecond)
+		close(stalled.ready)
+	}()
+	response, err := p.Send(ctx, s.Addr().String(), buildFunc(request("1")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Close()
+	if body, err := io.ReadAll(response.Body); string(body) != "ok" || err != nil {
+		t.Errorf("got body %q, error %v", body, err)
+	}
+}
--- a/internal/kernel/socket/socket.go
+++ b/internal/kernel/socket/socket.go
@@ -33,3 +33,18 @@
 	})
 	return err == nil && found
 }
+
+// Unread returns the number of bytes that have arrived at a socket and were not
+// read, or 0 if the socket can't be asked.
+func Unread(raw syscall.RawConn) int {
+	n := 0
+	err := raw.Control(func(fd uintptr) {
+		if got, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ); err == nil {
+			n = got
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return n
+}
