--- a/internal/kernel/httpserver/httpserver_test.go
+++ b/internal/kernel/httpserver/httpserver_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strconv"
 	"strings"
@@ -16,6 +18,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"egretproxy/internal/kernel/socket"
 )
 
 // stall holds back the reads of all connections, as if the process got no
@@ -69,8 +73,8 @@
 }
 
 func (c stallConn) Read(p []byte) (int, error) {
-	if raw := rawConn(c.TCPConn); raw != nil {
-		_ = raw.Read(func(uintptr) bool { return readable(raw) })
+	if raw := socket.Raw(c.TCPConn); raw != nil {
+		_ = raw.Read(func(uintptr) bool { return socket.Readable(raw) })
 	}
 	c.stall.wait()
 	return c.TCPConn.Read(p)
@@ -88,7 +92,7 @@
 
 func (r stallRawConn) Read(f func(fd uintptr) bool) error {
 	err := r.RawConn.Read(func(fd uintptr) bool {
-		if !readable(r.RawConn) {
+		if !socket.Readable(r.RawConn) {
 			return false
 		}
 		r.stall.wait()
@@ -198,6 +202,33 @@
 	}
 }
 
+// TestTLSRequestIsAnswered checks that an unread request is answered over TLS as
+// well, and that no caller gets HTTP/2, whose connections carry several requests at a
+// time: the states of connections would then not tell whether one is answered.
+func TestTLSRequestIsAnswered(t *testing.T) {
+	certificates := httptest.NewTLSServer(nil)
+	certificates.Close()
+	ts := startServer(t, &Server{
+		HTTP:   &http.Server{Handler: http.HandlerFunc(echo), TLSConfig: &tls.Config{Certificates: certificates.TLS.Certificates}},
+		Notice: 50 * time.Millisecond, Grace: 20 * time.Second,
+	})
+	secure := tls.Client(ts.connect(t), &tls.Config{InsecureSkipVerify: true, NextProtos: []string{"h2", "http/1.1"}})
+	c := &caller{secure, bufio.NewReader(secure)}
+	c.send(t, testRequest)
+	c.receive(t)
+	if p := secure.ConnectionState().NegotiatedProtocol; p == "h2" {
+		t.Errorf("negotiated protocol is %q", p)
+	}
+	ts.stall.begin()
+	c.send(t, testRequest)
+	ts.stop()
+	ts.awaitDrain()
+	ts.stall.end()
+	if r := c.receive(t); !r.Close {
+		t.Error("the response doesn't tell the caller to close the connection")
+	}
+}
+
 // TestHoldsHalfReadRequestIsAnswered guards against a stop that drops a request
 // whose header has arrived in part: on a kept connection it was closed as idle,
 // on a new one the request was read and then dropped without a response.
@@ -252,12 +283,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &conn{Conn: inner, raw: rawConn(inner)}
+	c := &conn{Conn: inner, raw: socket.Raw(inner)}
 	defer func() { _ = c.Close() }()
 	if _, err := io.WriteString(peer, "hi"); err != nil {
 		t.Fatal(err)
 	}
-	for !readable(c.raw) {
+	for !socket.Readable(c.raw) {
 		time.Sleep(time.Millisecond)
 	}
 	_ = c.SetReadDeadline(time.Unix(1, 0))
