connpool: limit what a target may send before a body

What callers saw: a target that sent a status line, header, interim responses or the body of a response to another request without end held the request until its deadline. All of a header was kept in memory, whatever its size. Cause: http.ReadResponse has no limit of its own, interim responses were skipped without a count, and the body of a skipped response was read whole. Change: connections are read through one reader with a limit that is set for each part: 64 KiB before the body, 1 MiB for the body of a skipped response. Beyond it the exchange ends with ErrInterrupted, and the connection is reset.

--- a/internal/exchange/connpool/connpool.go
+++ b/internal/exchange/connpool/connpool.go
@@ -34,7 +34,9 @@
 // persistConn is one persistent connection.
 type persistConn struct {
 	conn net.Conn
-	br   *bufio.Reader
+	// br reads from conn through limit.
+	br    *bufio.Reader
+	limit *limitedReader
 	// exchanges counts the exchanges started.
 	exchanges int
 	// reuseUntil is the time after which the connection must not be reused.
@@ -112,7 +114,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &persistConn{conn: c, br: bufio.NewReaderSize(c, readBufferBytes)}, nil
+	limit := &limitedReader{r: c}
+	return &persistConn{conn: c, br: bufio.NewReaderSize(limit, readBufferBytes), limit: limit}, nil
 }
 
 // dialResult is the result of one connection attempt.
--- a/internal/exchange/connpool/exchange.go
+++ b/internal/exchange/connpool/exchange.go
@@ -87,7 +87,7 @@
 	response, err := p.roundTrip(address, c, r)
 	if err != nil {
 		stop()
-		_ = c.conn.Close()
+		c.abort()
 		return nil, err
 	}
 	response.stopAbort = stop
@@ -108,11 +108,13 @@
 			return nil, errors.Wrap(ErrInterrupted, err.Error())
 		}
 		if response.matches(r) {
+			c.limit.remaining = unlimited
 			return response, nil
 		}
 		if !response.Framed || response.close {
 			return nil, errors.Wrap(ErrInterrupted, "answer of another request")
 		}
+		c.limit.remaining = maxStrayBodyBytes
 		if _, err := io.Copy(io.Discard, response.rawBody); err != nil {
 			return nil, errors.Wrap(ErrInterrupted, "answer of another request: "+err.Error())
 		}
@@ -131,6 +133,7 @@
 }
 
 func (p *Pool) readResponse(address string, c *persistConn, r *Request) (*Response, error) {
+	c.limit.remaining = maxHeaderBytes
 	for {
 		res, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
 		if err != nil {
