siteentry: don't wait for the body of a response that is not needed

What callers saw: a target declined a request with 503 and a body that did not end. The request waited for that body until its deadline and was then refused, although another target was free. Cause: up to 1 MiB of the body was read, to reuse the connection, without a limit on the time. Change: the rest of such a body is read for 50 ms and up to 16 KiB; otherwise the connection is reset. So are all connections whose response is incomplete, so that the target learns at once that nobody reads it. Evidence: on the code before, TestHoldsDeclinedRequestDoesNotAwaitBody got 503 at the deadline (5 s) instead of the other target's 200, in its case of a silent target; its six cases with a flood passed, since 1 MiB arrives at once.

--- a/internal/exchange/connpool/endless_test.go
+++ b/internal/exchange/connpool/endless_test.go
@@ -103,3 +103,61 @@
 		})
 	}
 }
+
+// countingReader counts the bytes that are read.
+type countingReader struct {
+	io.Reader
+	read int
+}
+
+// Read implements io.Reader.
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.read += n
+	return n, err
+}
+
+// TestHoldsDiscardIsBounded guards against reading, or waiting for, the body of
+// a response that is not needed: the target may send it without end.
+func TestHoldsDiscardIsBounded(t *testing.T) {
+	s := newEndlessTarget(t, "HTTP/1.1 503 Full\r\nAttempt: 1\r\nContent-Length: 1099511627776\r\n\r\n", "x")
+	var p Pool
+	response, err := p.Send(t.Context(), s.Addr().String(), buildFunc(request("1")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The rest of the body is there at once.
+	body := &countingReader{Reader: strings.NewReader(strings.Repeat("x", endlessBytes))}
+	response.Body = body
+	response.Discard()
+	response.Close()
+	if body.read > 1<<20 {
+		t.Errorf("read %d bytes", body.read)
+	}
+	select {
+	case <-s.ended:
+	case <-time.After(hangGuard):
+		t.Error("connection was not closed")
+	}
+	if p.take(s.Addr().String()) != nil {
+		t.Error("connection was kept after an incomplete response")
+	}
+}
+
+// TestDiscardedResponseKeepsConnection guards against a new connection for each
+// request that a target declines.
+func TestDiscardedResponseKeepsConnection(t *testing.T) {
+	s := newTarget(t, func(int32, *http.Request) string { return completeResponse })
+	var p Pool
+	for range 3 {
+		response, err := p.Send(t.Context(), s.Addr().String(), buildFunc(request("1")))
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Discard()
+		response.Close()
+	}
+	if n := s.conns.Load(); n != 1 {
+		t.Errorf("%d connections", n)
+	}
+}
--- a/internal/exchange/connpool/exchange.go
+++ b/internal/exchange/connpool/exchange.go
@@ -24,9 +24,15 @@
 	ErrInterrupted = errors.New("exchange broke off")
 )
 
-// maxStrayResponses is the maximum number of responses to earlier requests
-// that are skipped.
-const maxStrayResponses = 2
+const (
+	// maxStrayResponses is the maximum number of responses to earlier requests
+	// that are skipped.
+	maxStrayResponses = 2
+	// maxDiscardBytes and maxDiscardTime limit what Discard reads. A new
+	// connection costs less than a longer rest.
+	maxDiscardBytes = 16 << 10
+	maxDiscardTime  = 50 * time.Millisecond
+)
 
 // Request is one request to a target.
 type Request struct {
@@ -186,11 +192,25 @@
 	return n, err
 }
 
+// Discard reads the rest of a body that is not needed, so that Close can keep
+// the connection. It leaves a rest that is long or has not arrived, since the
+// target may send without end.
+func (response *Response) Discard() {
+	_ = response.conn.conn.SetReadDeadline(time.Now().Add(maxDiscardTime))
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxDiscardBytes))
+	_ = response.conn.conn.SetReadDeadline(time.Time{})
+}
+
 // Close ends the exchange. The connection is kept if the response was read
-// completely and the target keeps the connection open.
+// completely and the target keeps the connection open, and reset if the
+// response is incomplete.
 func (response *Response) Close() {
 	cancelled := !response.stopAbort()
-	if !response.complete || response.close || cancelled || response.conn.br.Buffered() > 0 || response.idleTimeout <= 0 {
+	if !response.complete {
+		response.conn.abort()
+		return
+	}
+	if response.close || cancelled || response.conn.br.Buffered() > 0 || response.idleTimeout <= 0 {
 		_ = response.conn.conn.Close()
 		return
 	}
--- a/internal/role/siteentry/attempt.go
+++ b/internal/role/siteentry/attempt.go
@@ -42,7 +42,7 @@
 	}
 	defer response.Close()
 	if j.notRun(response) {
-		drainBody(response)
+		response.Discard()
 		j.lastError = "target declined with " + strconv.Itoa(response.Status)
 		switch {
 		case response.Status != http.StatusMisdirectedRequest:
@@ -54,7 +54,7 @@
 		return tryNext, dispatch.Rejected, true
 	}
 	if response.Status >= 500 && j.route.Repeatable() && j.canRetryElsewhere() {
-		drainBody(response)
+		response.Discard()
 		j.mayHaveRun = true
 		j.lastError = "target failed with " + strconv.Itoa(response.Status)
 		return tryNext, dispatch.Failed, true
@@ -107,10 +107,6 @@
 	return response.Status == http.StatusMisdirectedRequest || response.Header.Get(j.entry.Settings.Headers.NotRun) != ""
 }
 
-func drainBody(response *connpool.Response) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes))
-}
-
 // forwardBuffered buffers the complete response before the caller sees any of
 // it, so that a truncated response is never taken for a complete one.
 func (j *job) forwardBuffered(response *connpool.Response, grant *dispatch.Grant) (decision, dispatch.Outcome, bool) {
--- /dev/null
+++ b/internal/role/siteentry/endless_test.go
@@ -0,0 +1,80 @@
+package siteentry
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+const (
+	// endlessBytes is what an endless target sends at most. A reader without
+	// a limit takes all of it.
+	endlessBytes = 64 << 20
+	// kernelBytes bounds what may be in the buffers of a closed connection.
+	kernelBytes = 24 << 20
+	// noEnd is a length that no response reaches.
+	noEnd = "Content-Length: 1099511627776"
+)
+
+// endless returns a target's script that responds with the status, the header
+// fields and a prefix of the body, and then repeats part until the caller
+// closes the connection. It sends the number of bytes sent to taken.
+func endless(taken chan<- int, status string, fields []string, prefix, part string) func(io.Writer, *http.Request) {
+	return func(w io.Writer, r *http.Request) {
+		n, err := io.WriteString(w, head(r, status, fields...)+prefix)
+		block := strings.Repeat(part, max(4096/len(part), 1))
+		for err == nil && n < endlessBytes {
+			var m int
+			m, err = io.WriteString(w, block)
+			n += m
+		}
+		taken <- n
+	}
+}
+
+// endlessBodies are bodies without end on the two kinds of routes.
+var endlessBodies = []struct {
+	name, fields, prefix, part string
+}{
+	{"unframed", "", "", "x"},
+	{"length", noEnd, "", "x"},
+	{"chunked", "Transfer-Encoding: chunked", "", "3\r\nabc\r\n"},
+	{"chunk", "Transfer-Encoding: chunked", "ffffffffff\r\n", "x"},
+	{"chunk extension", "Transfer-Encoding: chunked", "1;", "x"},
+	{"trailer", "Transfer-Encoding: chunked", "1\r\nx\r\n0\r\n", "X: y\r\n"},
+}
+
+func checkTaken(t *testing.T, taken <-chan int) {
+	t.Helper()
+	if n := <-taken; n > kernelBytes {
+		t.Errorf("read about %d MiB of the response", n>>20)
+	}
+}
+
+// TestHoldsDeclinedRequestDoesNotAwaitBody guards against targets that decline
+// a request with a body without end, which held it until its deadline.
+func TestHoldsDeclinedRequestDoesNotAwaitBody(t *testing.T) {
+	for _, b := range endlessBodies {
+		taken := make(chan int, 1)
+		_, a1 := startTarget(t, endless(taken, "503 Full", []string{"Not-Run: 1", b.fields}, b.prefix, b.part))
+		_, a2 := startTarget(t, respondWith("ok"))
+		te := startEntry(t, a1, a2)
+		res, body, err := te.call(t, "once")
+		if err != nil || res.StatusCode != http.StatusOK || body != "ok" {
+			t.Errorf("%s: got response %v, %d bytes, error %v", b.name, res, len(body), err)
+		}
+		checkTaken(t, taken)
+	}
+	// The target sends nothing more and keeps the connection.
+	silent := func(w io.Writer, r *http.Request) {
+		_, _ = io.WriteString(w, head(r, "503 Full", "Not-Run: 1", noEnd))
+		<-r.Context().Done()
+	}
+	_, a1 := startTarget(t, silent)
+	_, a2 := startTarget(t, respondWith("ok"))
+	te := startEntry(t, a1, a2)
+	if res, _, err := te.call(t, "once"); err != nil || res.StatusCode != http.StatusOK {
+		t.Errorf("silence: got response %v, error %v", res, err)
+	}
+}
