siteentry: forward long responses whole or not at all

What callers saw: a response longer than 1 MiB was cut there and forwarded as complete, with the target's status and signature and a matching Content-Length. A body without end became such an answer, too. Cause: the body was read through io.LimitReader, whose end looks like the end of the body. Change: bodylimit.ReadAll returns the whole body or an error, so that a body beyond the limit counts as broken off: another target where the route allows it, else 502, and the connection is reset. A body with a declared length over 1 MiB is forwarded as it arrives instead, since its length shows the caller whether it is complete; memory stays bounded. Beyond 64 MiB it fails. A body of unknown length over 1 MiB fails, since it can't be told from one without end, and a caller who already has a status 200 could not be told about the failure.

--- a/internal/exchange/connpool/exchange.go
+++ b/internal/exchange/connpool/exchange.go
@@ -56,6 +56,9 @@
 	// Framed means that the end of the response is marked, by a length or
 	// chunked encoding.
 	Framed bool
+	// Length is the declared length of the body in bytes, or -1 if there is
+	// none.
+	Length int64
 
 	pool        *Pool
 	address     string
@@ -152,6 +155,7 @@
 			Status: res.StatusCode, Header: res.Header, rawBody: res.Body,
 			pool: p, address: address, conn: c, close: res.Close,
 			Framed:      res.ContentLength >= 0 || len(res.TransferEncoding) > 0,
+			Length:      res.ContentLength,
 			idleTimeout: keepAliveTimeout(res.Header),
 		}
 		response.Body = bodyReader{response}
--- a/internal/role/siteentry/attempt.go
+++ b/internal/role/siteentry/attempt.go
@@ -1,7 +1,6 @@
 package siteentry
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -13,6 +12,7 @@
 	"egretproxy/internal/exchange/connpool"
 	"egretproxy/internal/exchange/dispatch"
 	"egretproxy/internal/site/plan"
+	"egretproxy/internal/wire/bodylimit"
 )
 
 const (
@@ -22,8 +22,10 @@
 	// silenceObjectives is that silence as a multiple of the objective.
 	silenceObjectives = 2.5
 	// maxBufferedBytes limits a response that is buffered whole before it is
-	// forwarded.
+	// forwarded, and any response without a declared length.
 	maxBufferedBytes = 1 << 20
+	// maxForwardedBytes limits a response with a declared length.
+	maxForwardedBytes = 64 << 20
 )
 
 // attempt sends the request to one target and forwards its response. It
@@ -62,6 +64,9 @@
 	if j.route.Kind == plan.Streaming && response.Status < 300 {
 		return j.forwardStream(ctx, response, timer, grant)
 	}
+	if response.Length > maxBufferedBytes && !hasNoBody(response.Status, j.r.Method) {
+		return j.forwardLong(response, timer, grant)
+	}
 	return j.forwardBuffered(response, grant)
 }
 
@@ -110,27 +115,57 @@
 // forwardBuffered buffers the complete response before the caller sees any of
 // it, so that a truncated response is never taken for a complete one.
 func (j *job) forwardBuffered(response *connpool.Response, grant *dispatch.Grant) (decision, dispatch.Outcome, bool) {
-	var b bytes.Buffer
-	_, err := io.Copy(&b, io.LimitReader(response.Body, maxBufferedBytes))
+	body, err := bodylimit.ReadAll(response.Body, maxBufferedBytes)
 	if err != nil {
-		j.lastError = "answer broke off: " + err.Error()
-		j.mayHaveRun = true
-		outcome := dispatch.Broken
-		if j.r.Context().Err() != nil || time.Now().After(j.deadline) {
-			outcome = dispatch.Cancelled
-		}
-		if j.route.Repeatable() && j.route.Kind != plan.Streaming {
-			return tryNext, outcome, true
-		}
-		j.abandonSent()
-		return done, outcome, true
+		return j.responseFailed(err)
 	}
 	j.copyHeader(response)
 	if !hasNoBody(response.Status, j.r.Method) {
-		j.w.Header().Set("Content-Length", strconv.Itoa(b.Len()))
+		j.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	j.w.WriteHeader(response.Status)
+	_, _ = j.w.Write(body)
+	return j.responseEnded(response, grant)
+}
+
+// forwardLong forwards a response as it arrives. Its declared length shows the
+// caller whether it is complete.
+func (j *job) forwardLong(response *connpool.Response, timer *silenceTimer, grant *dispatch.Grant) (decision, dispatch.Outcome, bool) {
+	if response.Length > maxForwardedBytes {
+		return j.responseFailed(bodylimit.ErrTooLong)
+	}
+	timer.stop()
+	if timer.expired() {
+		return j.responseFailed(errors.New("target was silent"))
 	}
+	j.copyHeader(response)
+	j.w.Header().Set("Content-Length", strconv.FormatInt(response.Length, 10))
 	j.w.WriteHeader(response.Status)
-	_, _ = j.w.Write(b.Bytes())
+	if _, err := io.Copy(j.w, response.Body); err != nil {
+		j.logEnd("Response was aborted", "ResponseLost", "Cause", err.Error())
+		j.entry.Metrics.CountReason("Failed", "ResponseLost")
+		panic(http.ErrAbortHandler)
+	}
+	return j.responseEnded(response, grant)
+}
+
+// responseFailed handles a response that breaks off or exceeds a limit before
+// the caller received any of it.
+func (j *job) responseFailed(err error) (decision, dispatch.Outcome, bool) {
+	j.lastError = "answer broke off: " + err.Error()
+	j.mayHaveRun = true
+	outcome := dispatch.Broken
+	if j.r.Context().Err() != nil || time.Now().After(j.deadline) {
+		outcome = dispatch.Cancelled
+	}
+	if j.route.Repeatable() && j.route.Kind != plan.Streaming {
+		return tryNext, outcome, true
+	}
+	j.abandonSent()
+	return done, outcome, true
+}
+
+func (j *job) responseEnded(response *connpool.Response, grant *dispatch.Grant) (decision, dispatch.Outcome, bool) {
 	j.recordResponse(response.Status, grant)
 	if response.Status >= 500 {
 		return done, dispatch.Failed, true
--- a/internal/role/siteentry/endless_test.go
+++ b/internal/role/siteentry/endless_test.go
@@ -1,6 +1,7 @@
 package siteentry
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -13,6 +14,8 @@
 	endlessBytes = 64 << 20
 	// kernelBytes bounds what may be in the buffers of a closed connection.
 	kernelBytes = 24 << 20
+	// longBytes is longer than what an entry buffers.
+	longBytes = 3 << 20
 	// noEnd is a length that no response reaches.
 	noEnd = "Content-Length: 1099511627776"
 )
@@ -52,6 +55,35 @@
 	}
 }
 
+// TestHoldsEndlessBodyIsNoAnswer guards against a body without end that is cut
+// at the size of a buffer and forwarded as a complete response.
+func TestHoldsEndlessBodyIsNoAnswer(t *testing.T) {
+	for _, b := range endlessBodies {
+		for _, status := range []string{"200 OK", "404 Not Found", "500 Failed"} {
+			t.Run(b.name+" "+status, func(t *testing.T) {
+				taken := make(chan int, 1)
+				_, a1 := startTarget(t, endless(taken, status, []string{b.fields}, b.prefix, b.part))
+				second, a2 := startTarget(t, respondWith("ok"))
+				te := startEntry(t, a1, a2)
+				res, body, err := te.call(t, "read")
+				if err != nil || res.StatusCode != http.StatusOK || body != "ok" {
+					t.Errorf("repeatable: got response %v, %d bytes, error %v", res, len(body), err)
+				}
+				checkTaken(t, taken)
+				te = startEntry(t, a1, a2)
+				res, body, err = te.call(t, "once")
+				if err != nil || res.StatusCode != http.StatusBadGateway || res.Header.Get("Signature") != "" {
+					t.Errorf("once: got response %v, %d bytes, error %v", res, len(body), err)
+				}
+				checkTaken(t, taken)
+				if n := len(second.requests()); n != 1 {
+					t.Errorf("second target got %d requests, want the repeatable one", n)
+				}
+			})
+		}
+	}
+}
+
 // TestHoldsDeclinedRequestDoesNotAwaitBody guards against targets that decline
 // a request with a body without end, which held it until its deadline.
 func TestHoldsDeclinedRequestDoesNotAwaitBody(t *testing.T) {
@@ -78,3 +110,29 @@
 		t.Errorf("silence: got response %v, error %v", res, err)
 	}
 }
+
+// TestHoldsLongBodyIsComplete guards against a long response that is cut at the
+// size of a buffer and forwarded as a complete one.
+func TestHoldsLongBodyIsComplete(t *testing.T) {
+	long := strings.Repeat("0123456789abcdef", longBytes/16)
+	length := fmt.Sprintf("Content-Length: %d", len(long))
+	for _, host := range []string{"read", "once"} {
+		_, a := startTarget(t, respondWith(long))
+		res, body, err := startEntry(t, a).call(t, host)
+		if err != nil || res.StatusCode != http.StatusOK || res.ContentLength != int64(len(long)) || body != long {
+			t.Errorf("%s: got response %v, %d bytes, error %v", host, res, len(body), err)
+		}
+		_, a = startTarget(t, func(w io.Writer, r *http.Request) {
+			_, _ = io.WriteString(w, head(r, "200 OK", length)+long[:len(long)-1])
+		})
+		if res, body, err = startEntry(t, a).call(t, host); err == nil && res.StatusCode == http.StatusOK {
+			t.Errorf("%s: a truncated response of %d bytes looks complete", host, len(body))
+		}
+		_, a = startTarget(t, func(w io.Writer, r *http.Request) {
+			_, _ = io.WriteString(w, head(r, "200 OK", "Transfer-Encoding: chunked")+chunk(long)+"0\r\n\r\n")
+		})
+		if res, body, err = startEntry(t, a).call(t, host); err != nil || res.StatusCode != http.StatusBadGateway {
+			t.Errorf("%s: got response %v, %d bytes of unknown length, error %v", host, res, len(body), err)
+		}
+	}
+}
