sse: reject bytes that are no events

What callers saw: on a streaming route, a target that sent other bytes or blank lines without end: the entry forwarded them as events with status 200 until the deadline and then cut the stream, although another target could have run the request. Change: the bytes up to a blank line are an event only if one of their lines is a comment or a field of the standard (data, event, id, retry); other lines are permitted beside it. Blank lines alone are no event before the end of the stream, and count towards the limit of 256 KiB. The bytes of a stream of events stay the same. Ruled out: a check of every line's field name. It would reject streams with lines that clients must ignore.

--- a/internal/exchange/sse/sse.go
+++ b/internal/exchange/sse/sse.go
@@ -9,8 +9,14 @@
 	"github.com/go-faster/errors"
 )
 
-// ErrTooLong is returned for an event larger than maxEventBytes.
-var ErrTooLong = errors.New("event is too long")
+// Errors returned by Next.
+var (
+	// ErrTooLong means that an event is larger than maxEventBytes.
+	ErrTooLong = errors.New("event is too long")
+	// ErrMalformed means that the bytes up to a blank line are no event: none
+	// of their lines is a standard field or a comment.
+	ErrMalformed = errors.New("malformed event")
+)
 
 const (
 	// maxEventBytes limits the size of one event.
@@ -31,30 +37,60 @@
 }
 
 // Next returns the next complete event, including the blank line that ends
-// it. It returns io.EOF at the end of the stream, or io.ErrUnexpectedEOF if
-// the stream ends within an event, whose bytes are discarded.
+// it and blank lines before it. It returns io.EOF at the end of the stream, or
+// io.ErrUnexpectedEOF if the stream ends within an event, whose bytes are
+// discarded. Blank lines alone count as an event only at the end of the stream,
+// so that their number is limited.
 func (r *Reader) Next() ([]byte, error) {
 	var event []byte
+	// lineStart is the offset of the current line in event.
+	lineStart := 0
+	// text is set after a line that is not blank, standard after a standard
+	// field or a comment.
+	text, standard := false, false
 	for {
-		line, err := r.br.ReadSlice('\n')
-		event = append(event, line...)
+		part, err := r.br.ReadSlice('\n')
+		event = append(event, part...)
 		if len(event) > maxEventBytes {
 			return nil, ErrTooLong
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
+		line := bytes.TrimRight(event[lineStart:], "\r\n")
 		if err == io.EOF && len(event) > 0 {
-			return nil, io.ErrUnexpectedEOF
+			if text || len(line) > 0 {
+				return nil, io.ErrUnexpectedEOF
+			}
+			return event, nil
 		}
 		if err != nil {
 			return nil, err
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+		if len(line) == 0 && text {
+			if !standard {
+				return nil, ErrMalformed
+			}
 			return event, nil
 		}
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			r.LastEventID = string(bytes.TrimSpace(id))
 		}
+		lineStart = len(event)
+		text, standard = text || len(line) > 0, standard || isStandard(line)
+	}
+}
+
+// isStandard reports whether a line is a comment or a field of the standard.
+// Clients ignore all other fields.
+func isStandard(line []byte) bool {
+	name, _, found := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "data", "event", "id", "retry":
+		return true
+	case "":
+		return found
+	default:
+		return false
 	}
 }
--- a/internal/role/siteentry/endless_test.go
+++ b/internal/role/siteentry/endless_test.go
@@ -6,6 +6,9 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
 )
 
 const (
@@ -16,6 +19,7 @@
 	kernelBytes = 24 << 20
 	// longBytes is longer than what an entry buffers.
 	longBytes = 3 << 20
+	hangGuard = 30 * time.Second
 	// noEnd is a length that no response reaches.
 	noEnd = "Content-Length: 1099511627776"
 )
@@ -136,3 +140,68 @@
 		}
 	}
 }
+
+// TestHoldsEndlessStreamIsNoAnswer guards against bytes without end on a
+// streaming route that are forwarded as events or taken for a whole stream.
+func TestHoldsEndlessStreamIsNoAnswer(t *testing.T) {
+	garbage := "\x00\xff\x01\xfe{\n\n"
+	for _, b := range []struct{ name, prefix, part string }{
+		{"event", "", "data: x\n"},
+		{"line", "data: ", "x"},
+		{"id", "id: ", "1"},
+		{"blank lines", "", "\n"},
+		{"garbage", "", garbage},
+		{"garbage after an event", event(1), garbage},
+		{"blank lines after an event", event(1), "\r\n"},
+		{"line after an event", event(1) + "data: ", "x"},
+	} {
+		t.Run(b.name, func(t *testing.T) {
+			taken := make(chan int, 1)
+			_, a1 := startTarget(t, endless(taken, "200 OK", nil, b.prefix, b.part))
+			_, a2 := startTarget(t, func(w io.Writer, r *http.Request) {
+				_, _ = io.WriteString(w, head(r, "200 OK"))
+				if r.Header.Get("Last-Event-Id") == "" {
+					_, _ = io.WriteString(w, event(1))
+				}
+				_, _ = io.WriteString(w, event(2))
+			})
+			te := startEntry(t, a1, a2)
+			res, body, err := te.call(t, "stream")
+			if err != nil || res.StatusCode != http.StatusOK {
+				t.Fatalf("resumable: got response %v, error %v", res, err)
+			}
+			if d := cmp.Diff(event(1)+event(2), body); d != "" {
+				t.Errorf("resumable (-want +got):\n%.500s", d)
+			}
+			checkTaken(t, taken)
+			te = startEntry(t, a1, a2)
+			res, body, err = te.call(t, "cut")
+			if err == nil && res.StatusCode != http.StatusBadGateway || !strings.HasPrefix(event(1), body) && err != nil {
+				t.Errorf("not resumable: got response %v, body %.200q, error %v", res, body, err)
+			}
+			checkTaken(t, taken)
+		})
+	}
+}
+
+// TestEndlessEventsAreCut guards against valid events without end that
+// are forwarded beyond the caller's deadline, or as a complete stream.
+func TestEndlessEventsAreCut(t *testing.T) {
+	for _, part := range []string{"data: x\n\n", ": x\n\n"} {
+		ended := make(chan struct{})
+		_, a1 := startTarget(t, func(w io.Writer, r *http.Request) {
+			defer close(ended)
+			began := time.Now()
+			_, err := io.WriteString(w, head(r, "200 OK"))
+			for err == nil && time.Since(began) < hangGuard {
+				_, err = io.WriteString(w, part)
+			}
+		})
+		te := startEntry(t, a1)
+		res, body, err := te.call(t, "stream", "Deadline", "300")
+		if err == nil {
+			t.Errorf("got response %v, %d bytes, as a complete stream", res, len(body))
+		}
+		<-ended
+	}
+}
