platform: limit what engines and the origin send

What was seen: an engine or origin that sent a body without end cost 64 MiB of memory for each call, and the first 64 MiB were taken for the whole: a staged piece and an order counted as accepted, and a piece was passed on as read. A header could take 10 MB. Cause: bodies were read through io.LimitReader, whose end looks like the end of the body; headers had the limit of net/http. Headers are limited to 256 KiB. scripts/proofs.sh copies platform, too, so that it can test lines there.

--- a/internal/wire/header/header.go
+++ b/internal/wire/header/header.go
@@ -2,6 +2,10 @@
 // agents and targets exchange.
 package header
 
+// MaxResponseBytes limits the header of a response. It fits the bitmap of held
+// chunks that agents send each other, which is the largest field.
+const MaxResponseBytes = 256 << 10
+
 // Headers that callers see or set.
 const (
 	// Bundle is the bundle version that produced the response.
--- a/scripts/proofs.sh
+++ b/scripts/proofs.sh
@@ -11,7 +11,7 @@
 while IFS='|' read -r name file from to package test; do
   case "$name" in ''|'#'*) continue ;; esac
   [ -z "${1:-}" ] || [ "$1" = "$name" ] || continue
-  rm -rf "$scratch/tree" && mkdir "$scratch/tree" && cp -r cmd internal main.go go.mod go.sum "$scratch/tree/"
+  rm -rf "$scratch/tree" && mkdir "$scratch/tree" && cp -r cmd internal platform main.go go.mod go.sum "$scratch/tree/"
   if ! python3 - "$scratch/tree/$file" "$from" "$to" <<'EOF'
 import sys
 p, a, b = [x.replace("OROR", "||").replace("NEWLINE", "\n") for x in sys.argv[1:]]
