peerhttp: limit what peers send

What was seen: a peer that sent a body without end cost 64 MiB of memory for each call, and the first 64 MiB counted as a piece, or as the statement that the peer holds the piece. A header could take 10 MB. Cause: as for engines and the origin, io.LimitReader and the limit of net/http.

--- a/internal/weights/peerhttp/peerhttp.go
+++ b/internal/weights/peerhttp/peerhttp.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -19,12 +18,16 @@
 
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/weights/relay"
+	"egretproxy/internal/wire/bodylimit"
+	"egretproxy/internal/wire/header"
 	"egretproxy/internal/wire/liveness"
 )
 
 const (
-	// maxBytes limits the size of a piece or manifest.
-	maxBytes = 64 << 20
+	// maxManifestBytes limits the size of a manifest.
+	maxManifestBytes = 8 << 20
+	// maxReplyBytes limits the response to Await, whose body is empty.
+	maxReplyBytes = 4 << 10
 	// idleTimeout closes idle connections to peers between versions.
 	idleTimeout = 5 * time.Second
 	// EngineUploads is the number of concurrent uploads from an instance with
@@ -52,6 +55,8 @@
 	http *http.Client
 	// port is the port on which all peers listen.
 	port string
+	// pieceLimit returns the limit on a piece in bytes.
+	pieceLimit func() int64
 
 	mu sync.Mutex
 	// transferTime is the duration of the latest piece transfer, which ended
@@ -79,13 +84,14 @@
 	c.transferTime, c.transferEnd = time.Since(start), time.Now()
 }
 
-// NewClient returns a client for peers that all listen on the given port.
-func NewClient(port string) *Client {
+// NewClient returns a client for peers that all listen on the given port. The
+// function returns the limit on a piece in bytes.
+func NewClient(port string, pieceLimit func() int64) *Client {
 	return &Client{
-		port: port,
+		port: port, pieceLimit: pieceLimit,
 		http: &http.Client{Transport: &http.Transport{
 			DialContext: liveness.Dialer().DialContext, DisableCompression: true,
-			IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: maxConnsPerPeer, MaxConnsPerHost: maxConnsPerPeer,
+			MaxResponseHeaderBytes: header.MaxResponseBytes, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: maxConnsPerPeer, MaxConnsPerHost: maxConnsPerPeer,
 		}},
 	}
 }
@@ -93,7 +99,7 @@
 // Manifest implements relay.Peers.
 func (c *Client) Manifest(ctx context.Context, address string, b relay.Bundle) (relay.Manifest, error) {
 	var m relay.Manifest
-	data, err := c.get(ctx, address, "/weights/manifest", b, -1)
+	data, err := c.get(ctx, address, "/weights/manifest", b, -1, maxManifestBytes)
 	if err != nil {
 		return m, err
 	}
@@ -102,16 +108,16 @@
 
 // Piece implements relay.Peers.
 func (c *Client) Piece(ctx context.Context, address string, b relay.Bundle, n int) ([]byte, error) {
-	return c.get(ctx, address, "/weights/piece", b, n)
+	return c.get(ctx, address, "/weights/piece", b, n, c.pieceLimit())
 }
 
 // Await implements relay.Peers.
 func (c *Client) Await(ctx context.Context, address string, b relay.Bundle, n int) error {
-	_, err := c.get(ctx, address, "/weights/held", b, n)
+	_, err := c.get(ctx, address, "/weights/held", b, n, maxReplyBytes)
 	return err
 }
 
-func (c *Client) get(ctx context.Context, address, path string, b relay.Bundle, n int) ([]byte, error) {
+func (c *Client) get(ctx context.Context, address, path string, b relay.Bundle, n int, limit int64) ([]byte, error) {
 	host, _, err := net.SplitHostPort(address)
 	if err != nil {
 		return nil, err
@@ -133,7 +139,7 @@
 	// The response header ends the time for which the peer waits for the piece
 	// itself.
 	start := time.Now()
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxBytes))
+	data, err := bodylimit.ReadAll(res.Body, limit)
 	if n >= 0 {
 		c.recordTransfer(start)
 	}
