forward: limit response headers in all HTTP clients

What was seen: a response header, or interim responses, without end took 10 MB of memory for each exchange of an entry with an agent, and of an agent with its target or its peers. Cause: net/http's limit of 10 MB was left as it is. The clients for the control protocol of targets used the default transport. The clients for the control protocol are built by forward.Client, too. Evidence: on the code before, 10,485,760 bytes were received in each of the five cases, and an engine and a service whose status had a header of 1 MiB gave a status.

--- a/internal/target/backend/backend.go
+++ b/internal/target/backend/backend.go
@@ -7,12 +7,14 @@
 	"io"
 	"net/http"
 	"net/url"
+	"time"
 
 	"github.com/go-faster/errors"
 
 	"egretproxy/internal/control/view"
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/kernel/errwrap"
+	"egretproxy/internal/wire/forward"
 )
 
 // ErrStaleFence means that the target has already received an order with a
@@ -54,6 +56,12 @@
 	Load(ctx context.Context, o Order) error
 }
 
+// idleTimeout closes idle connections to a target between two queries.
+const idleTimeout = 30 * time.Second
+
+// NewClient returns the HTTP client for the control protocol of one target.
+func NewClient() *http.Client { return forward.Client(nil, idleTimeout, false) }
+
 // Get returns the body of a target's page, up to limit bytes. It returns an
 // error unless the status is 200.
 func Get(ctx context.Context, client *http.Client, page *url.URL, limit int64) ([]byte, error) {
--- a/internal/target/engine/engine.go
+++ b/internal/target/engine/engine.go
@@ -23,13 +23,13 @@
 )
 
 func init() {
-	backend.Register("engine", func(host string) backend.Backend { return &Engine{host: host} })
+	backend.Register("engine", func(host string) backend.Backend { return &Engine{host: host, client: backend.NewClient()} })
 }
 
 // Engine is the backend of a model engine.
 type Engine struct {
 	host   string
-	client http.Client
+	client *http.Client
 }
 
 // status is the JSON body of an engine's status page.
@@ -60,7 +60,7 @@
 func (e *Engine) Status(ctx context.Context) (backend.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	page, err := backend.Get(ctx, &e.client, e.BaseURL().JoinPath("status"), maxStatusBytes)
+	page, err := backend.Get(ctx, e.client, e.BaseURL().JoinPath("status"), maxStatusBytes)
 	if err != nil {
 		return backend.Status{}, err
 	}
--- a/internal/target/service/service.go
+++ b/internal/target/service/service.go
@@ -20,13 +20,13 @@
 )
 
 func init() {
-	backend.Register("service", func(host string) backend.Backend { return &Service{host: host} })
+	backend.Register("service", func(host string) backend.Backend { return &Service{host: host, client: backend.NewClient()} })
 }
 
 // Service is the backend of a plain service.
 type Service struct {
 	host   string
-	client http.Client
+	client *http.Client
 }
 
 // Kind implements backend.Backend.
@@ -40,7 +40,7 @@
 func (s *Service) Status(ctx context.Context) (backend.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
-	start, err := backend.Get(ctx, &s.client, s.BaseURL().JoinPath("healthz"), maxStartBytes)
+	start, err := backend.Get(ctx, s.client, s.BaseURL().JoinPath("healthz"), maxStartBytes)
 	if err != nil {
 		return backend.Status{}, err
 	}
--- a/internal/wire/forward/forward.go
+++ b/internal/wire/forward/forward.go
@@ -82,13 +82,15 @@
 )
 
 // Client returns an HTTP client with a timeout for dialling and for the TLS
-// handshake. It closes connections that are idle for the given time. A
-// single-use client opens a new connection for each request.
+// handshake, and a limit on response headers. It closes connections that are
+// idle for the given time. A single-use client opens a new connection for each
+// request.
 func Client(tlsConfig *tls.Config, idle time.Duration, singleUse bool) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, TLSClientConfig: tlsConfig,
 		TLSHandshakeTimeout: dialTimeout, IdleConnTimeout: idle,
-		MaxIdleConnsPerHost: maxIdlePerHost, DisableCompression: true, DisableKeepAlives: singleUse,
+		MaxResponseHeaderBytes: header.MaxResponseBytes,
+		MaxIdleConnsPerHost:    maxIdlePerHost, DisableCompression: true, DisableKeepAlives: singleUse,
 	}}
 }
