backend: take a status page without end for no status

What was seen: a plain service whose health page had no end counted as started, with the first 256 bytes of whatever it sent as its start. Cause: the page was read through io.LimitReader, whose end looks like the end of the page. Change: the page is read by bodylimit.ReadAll, with 64 KiB for health pages; the first 256 bytes identify the start as before. Evidence: on the code before, TestHoldsEndlessStatusIsNoStatus got a status from the service; the engine's was rejected as JSON.

--- a/internal/target/backend/backend.go
+++ b/internal/target/backend/backend.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
@@ -14,6 +13,7 @@
 	"egretproxy/internal/control/view"
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/kernel/errwrap"
+	"egretproxy/internal/wire/bodylimit"
 	"egretproxy/internal/wire/forward"
 )
 
@@ -62,8 +62,8 @@
 // NewClient returns the HTTP client for the control protocol of one target.
 func NewClient() *http.Client { return forward.Client(nil, idleTimeout, false) }
 
-// Get returns the body of a target's page, up to limit bytes. It returns an
-// error unless the status is 200.
+// Get returns the body of a target's page. It returns an error unless the
+// status is 200 and the body has at most limit bytes.
 func Get(ctx context.Context, client *http.Client, page *url.URL, limit int64) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, page.String(), nil)
 	if err != nil {
@@ -77,7 +77,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("target answers %s", resp.Status)
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, limit))
+	data, err := bodylimit.ReadAll(resp.Body, limit)
 	return data, errwrap.Wrap(err, "read target response")
 }
 
--- a/internal/target/service/service.go
+++ b/internal/target/service/service.go
@@ -16,6 +16,9 @@
 
 const (
 	healthTimeout = 1 * time.Second
+	// maxPageBytes limits the health page, of which the first maxStartBytes
+	// identify the start.
+	maxPageBytes  = 64 << 10
 	maxStartBytes = 256
 )
 
@@ -35,16 +38,16 @@
 // BaseURL implements backend.Backend.
 func (s *Service) BaseURL() *url.URL { return &url.URL{Scheme: "http", Host: s.host} }
 
-// Status implements backend.Backend. Start is the body of the health page,
-// which may be empty.
+// Status implements backend.Backend. Start is the beginning of the health
+// page, which may be empty.
 func (s *Service) Status(ctx context.Context) (backend.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
-	start, err := backend.Get(ctx, s.client, s.BaseURL().JoinPath("healthz"), maxStartBytes)
+	page, err := backend.Get(ctx, s.client, s.BaseURL().JoinPath("healthz"), maxPageBytes)
 	if err != nil {
 		return backend.Status{}, err
 	}
-	return backend.Status{Start: string(start)}, nil
+	return backend.Status{Start: string(page[:min(len(page), maxStartBytes)])}, nil
 }
 
 // Load implements backend.Backend. It always returns an error, since a plain
