agent: don't count an engine as warm after an answer without end

What was seen: an engine that answered the warm-up requests with bodies without end counted as warm and got requests. Cause: the first 1 MiB was read through io.LimitReader and taken for the whole. Change: the answer is read by bodylimit.ReadAll.

--- a/internal/role/agent/warm.go
+++ b/internal/role/agent/warm.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
@@ -13,6 +12,7 @@
 
 	"egretproxy/internal/control/view"
 	"egretproxy/internal/target/stream"
+	"egretproxy/internal/wire/bodylimit"
 	"egretproxy/internal/wire/header"
 )
 
@@ -69,7 +69,7 @@
 		return errors.Wrap(err, "ask engine")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxWarmResponseBytes))
+	data, err := bodylimit.ReadAll(resp.Body, maxWarmResponseBytes)
 	if err != nil {
 		return errors.Wrap(err, "read answer")
 	}
