siteentry: test that a head without end gets a truthful answer

The limits of connpool seen by callers: 8 kinds of heads on 4 kinds of routes. Requests that may be repeated get the other target's answer; the others get 502, without a signature, and no second target sees them.

--- a/internal/role/siteentry/endless_test.go
+++ b/internal/role/siteentry/endless_test.go
@@ -24,12 +24,12 @@
 	noEnd = "Content-Length: 1099511627776"
 )
 
-// endless returns a target's script that responds with the status, the header
-// fields and a prefix of the body, and then repeats part until the caller
-// closes the connection. It sends the number of bytes sent to taken.
-func endless(taken chan<- int, status string, fields []string, prefix, part string) func(io.Writer, *http.Request) {
-	return func(w io.Writer, r *http.Request) {
-		n, err := io.WriteString(w, head(r, status, fields...)+prefix)
+// flood returns a target's script that sends the prefix and then repeats part
+// until the caller closes the connection. It sends the number of bytes sent to
+// taken.
+func flood(taken chan<- int, prefix, part string) func(io.Writer, *http.Request) {
+	return func(w io.Writer, _ *http.Request) {
+		n, err := io.WriteString(w, prefix)
 		block := strings.Repeat(part, max(4096/len(part), 1))
 		for err == nil && n < endlessBytes {
 			var m int
@@ -40,6 +40,14 @@
 	}
 }
 
+// endless returns a target's script that floods the body of a response with the
+// status and the header fields.
+func endless(taken chan<- int, status string, fields []string, prefix, part string) func(io.Writer, *http.Request) {
+	return func(w io.Writer, r *http.Request) {
+		flood(taken, head(r, status, fields...)+prefix, part)(w, r)
+	}
+}
+
 // endlessBodies are bodies without end on the two kinds of routes.
 var endlessBodies = []struct {
 	name, fields, prefix, part string
@@ -59,6 +67,42 @@
 	}
 }
 
+// TestHoldsEndlessHeadIsNoAnswer guards against a head without end that holds
+// the request to its deadline, although another target could run it.
+func TestHoldsEndlessHeadIsNoAnswer(t *testing.T) {
+	const other = "HTTP/1.1 200 OK\r\nAttempt: other\r\nSignature: s\r\n"
+	for _, c := range []struct{ name, prefix, part string }{
+		{"no protocol", "", "\x00"},
+		{"status line", "HTTP/1.1 200 ", "x"},
+		{"field", "HTTP/1.1 200 OK\r\nAttempt: a1\r\nX: ", "x"},
+		{"fields", "HTTP/1.1 200 OK\r\nAttempt: a1\r\n", "X: y\r\n"},
+		{"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+		{"declined, fields", "HTTP/1.1 503 Full\r\nAttempt: a1\r\nNot-Run: 1\r\n", "X: y\r\n"},
+		{"answers of other requests", "", other + "Content-Length: 2\r\n\r\nno"},
+		{"answer of another request", other + "Transfer-Encoding: chunked\r\n\r\n", "2\r\nno\r\n"},
+	} {
+		for host, want := range map[string]int{
+			"read": http.StatusOK, "stream": http.StatusOK, "once": http.StatusBadGateway, "cut": http.StatusBadGateway,
+		} {
+			t.Run(c.name+" "+host, func(t *testing.T) {
+				taken := make(chan int, 1)
+				_, a1 := startTarget(t, flood(taken, c.prefix, c.part))
+				second, a2 := startTarget(t, func(w io.Writer, r *http.Request) {
+					_, _ = io.WriteString(w, head(r, "200 OK")+event(1))
+				})
+				res, body, err := startEntry(t, a1, a2).call(t, host)
+				if err != nil || res.StatusCode != want || (body == event(1)) != (want == http.StatusOK) {
+					t.Errorf("got response %v, %d bytes, error %v, want status %d", res, len(body), err, want)
+				}
+				if want != http.StatusOK && (res.Header.Get("Signature") != "" || len(second.requests()) > 0) {
+					t.Errorf("got header %v, %d requests at the second target", res.Header, len(second.requests()))
+				}
+				checkTaken(t, taken)
+			})
+		}
+	}
+}
+
 // TestHoldsEndlessBodyIsNoAnswer guards against a body without end that is cut
 // at the size of a buffer and forwarded as a complete response.
 func TestHoldsEndlessBodyIsNoAnswer(t *testing.T) {
