--- a/internal/exchange/connpool/connpool.go
+++ b/internal/exchange/connpool/connpool.go
@@ -40,7 +40,9 @@
 // persistConn is one persistent connection.
 type persistConn struct {
 	conn net.Conn
-	br   *bufio.Reader
+	// br reads from conn through limit.
+	br    *bufio.Reader
+	limit *limitedReader
 	// received counts the bytes read from the socket.
 	received atomic.Int64
 	// exchanges counts the exchanges started.
@@ -107,12 +109,17 @@
 	return n, err
 }
 
-// abort resets the connection, so that unsent data is dropped and the target
-// learns immediately that the request was cancelled. What has arrived is read
-// first: after a pause of the process the timer that cancels an exchange may run
-// before a response that was in time is read.
+// abort ends an exchange that was cancelled. What has arrived is read first:
+// after a pause of the process the timer that cancels an exchange may run before
+// a response that was in time is read.
 func (c *persistConn) abort() {
 	c.awaitArrived()
+	c.reset()
+}
+
+// reset closes the connection with a reset, so that unsent data is dropped and
+// the target learns immediately that it need not send more.
+func (c *persistConn) reset() {
 	if tcp, ok := c.conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
@@ -148,7 +155,8 @@
 
 func newPersistConn(c net.Conn) *persistConn {
 	out := &persistConn{conn: c}
-	out.br = bufio.NewReaderSize(out, readBufferBytes)
+	out.limit = &limitedReader{r: out}
+	out.br = bufio.NewReaderSize(out.limit, readBufferBytes)
 	return out
 }
 
--- a/internal/exchange/connpool/exchange.go
+++ b/internal/exchange/connpool/exchange.go
@@ -24,9 +24,15 @@
 	ErrInterrupted = errors.New("exchange broke off")
 )
 
-// maxStrayResponses is the maximum number of responses to earlier requests
-// that are skipped.
-const maxStrayResponses = 2
+const (
+	// maxStrayResponses is the maximum number of responses to earlier requests
+	// that are skipped.
+	maxStrayResponses = 2
+	// maxDiscardBytes and maxDiscardTime limit what Discard reads. A new
+	// connection costs less than a longer rest.
+	maxDiscardBytes = 16 << 10
+	maxDiscardTime  = 50 * time.Millisecond
+)
 
 // Request is one request to a target.
 type Request struct {
@@ -50,6 +56,9 @@
 	// Framed means that the end of the response is marked, by a length or
 	// chunked encoding.
 	Framed bool
+	// Length is the declared length of the body in bytes, or -1 if there is
+	// none.
+	Length int64
 
 	pool        *Pool
 	address     string
@@ -87,7 +96,7 @@
 	response, err := p.roundTrip(address, c, r)
 	if err != nil {
 		stop()
-		_ = c.conn.Close()
+		c.reset()
 		return nil, err
 	}
 	response.stopAbort = stop
@@ -108,11 +117,13 @@
 			return nil, errors.Wrap(ErrInterrupted, err.Error())
 		}
 		if response.matches(r) {
+			c.limit.remaining = unlimited
 			return response, nil
 		}
 		if !response.Framed || response.close {
 			return nil, errors.Wrap(ErrInterrupted, "answer of another request")
 		}
+		c.limit.remaining = maxStrayBodyBytes
 		if _, err := io.Copy(io.Discard, response.rawBody); err != nil {
 			return nil, errors.Wrap(ErrInterrupted, "answer of another request: "+err.Error())
 		}
@@ -131,6 +142,7 @@
 }
 
 func (p *Pool) readResponse(address string, c *persistConn, r *Request) (*Response, error) {
+	c.limit.remaining = maxHeaderBytes
 	for {
 		res, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
 		if err != nil {
@@ -143,6 +155,7 @@
 			Status: res.StatusCode, Header: res.Header, rawBody: res.Body,
 			pool: p, address: address, conn: c, close: res.Close,
 			Framed:      res.ContentLength >= 0 || len(res.TransferEncoding) > 0,
+			Length:      res.ContentLength,
 			idleTimeout: keepAliveTimeout(res.Header),
 		}
 		response.Body = bodyReader{response}
@@ -183,11 +196,25 @@
 	return n, err
 }
 
+// Discard reads the rest of a body that is not needed, so that Close can keep
+// the connection. It leaves a rest that is long or has not arrived, since the
+// target may send without end.
+func (response *Response) Discard() {
+	_ = response.conn.conn.SetReadDeadline(time.Now().Add(maxDiscardTime))
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxDiscardBytes))
+	_ = response.conn.conn.SetReadDeadline(time.Time{})
+}
+
 // Close ends the exchange. The connection is kept if the response was read
-// completely and the target keeps the connection open.
+// completely and the target keeps the connection open, and reset if the
+// response is incomplete.
 func (response *Response) Close() {
 	cancelled := !response.stopAbort()
-	if !response.complete || response.close || cancelled || response.conn.br.Buffered() > 0 || response.idleTimeout <= 0 {
+	if !response.complete {
+		response.conn.reset()
+		return
+	}
+	if response.close || cancelled || response.conn.br.Buffered() > 0 || response.idleTimeout <= 0 {
 		_ = response.conn.conn.Close()
 		return
 	}
--- a/internal/target/backend/backend.go
+++ b/internal/target/backend/backend.go
@@ -4,15 +4,17 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/url"
+	"time"
 
 	"github.com/go-faster/errors"
 
 	"egretproxy/internal/control/view"
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/kernel/errwrap"
+	"egretproxy/internal/wire/bodylimit"
+	"egretproxy/internal/wire/forward"
 )
 
 // ErrStaleFence means that the target has already received an order with a
@@ -54,8 +56,14 @@
 	Load(ctx context.Context, o Order) error
 }
 
-// Get returns the body of a target's page, up to limit bytes. It returns an
-// error unless the status is 200.
+// idleTimeout closes idle connections to a target between two queries.
+const idleTimeout = 30 * time.Second
+
+// NewClient returns the HTTP client for the control protocol of one target.
+func NewClient() *http.Client { return forward.Client(nil, idleTimeout, false) }
+
+// Get returns the body of a target's page. It returns an error unless the
+// status is 200 and the body has at most limit bytes.
 func Get(ctx context.Context, client *http.Client, page *url.URL, limit int64) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, page.String(), nil)
 	if err != nil {
@@ -69,7 +77,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("target answers %s", resp.Status)
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, limit))
+	data, err := bodylimit.ReadAll(resp.Body, limit)
 	return data, errwrap.Wrap(err, "read target response")
 }
 
