connpool: keep the expiry of a connection that was not used

The target's timer kept running, so that the next request could cross its close, with an unknown outcome (502 where it may not be repeated). Same class as the stop that closes unread requests, on the other side of a connection.

TestHoldsWithdrawnRequestKeepsExpiry fails without the change (expiry moved by an hour).

--- a/internal/exchange/connpool/connpool.go
+++ b/internal/exchange/connpool/connpool.go
@@ -216,6 +216,16 @@
 	p.idle[address] = append(p.idle[address], c)
 }
 
+// putUnused returns a connection that was taken and not used. The target's idle
+// timer has been running meanwhile.
+func (p *Pool) putUnused(address string, c *persistConn) {
+	idle := defaultIdleTimeout
+	if !c.reuseUntil.IsZero() {
+		idle = time.Until(c.reuseUntil)
+	}
+	p.put(address, c, idle)
+}
+
 // CloseExpired closes the idle connections that must not be reused any more.
 func (p *Pool) CloseExpired() {
 	now := time.Now()
--- a/internal/exchange/connpool/connpool_test.go
+++ b/internal/exchange/connpool/connpool_test.go
@@ -247,3 +247,26 @@
 		t.Errorf("got body %q, error %v", body, err)
 	}
 }
+
+// TestHoldsWithdrawnRequestKeepsExpiry guards against a request that is withdrawn
+// before it is sent and returns its connection with a new idle time: the target's
+// timer keeps running, so that the next request crossed its close.
+func TestHoldsWithdrawnRequestKeepsExpiry(t *testing.T) {
+	s := newTarget(t, func(int32, *http.Request) string { return completeResponse })
+	address := s.Addr().String()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var p Pool
+	c := newPersistConn(conn)
+	p.put(address, c, time.Hour)
+	expiry := c.reuseUntil
+	withdrawn := errors.New("withdrawn")
+	if _, err := p.Send(t.Context(), address, func() (*Request, error) { return nil, withdrawn }); !errors.Is(err, ErrCancelled) {
+		t.Fatalf("got error %v", err)
+	}
+	if d := c.reuseUntil.Sub(expiry).Abs(); p.take(address) != c || d > time.Minute {
+		t.Errorf("the connection expires %s from its former time", d)
+	}
+}
--- a/internal/exchange/connpool/exchange.go
+++ b/internal/exchange/connpool/exchange.go
@@ -84,12 +84,12 @@
 		}
 	}
 	if ctx.Err() != nil {
-		p.put(address, c, defaultIdleTimeout)
+		p.putUnused(address, c)
 		return nil, errors.Wrap(ErrCancelled, ctx.Err().Error())
 	}
 	r, err := build()
 	if err != nil {
-		p.put(address, c, defaultIdleTimeout)
+		p.putUnused(address, c)
 		return nil, errors.Wrap(ErrCancelled, err.Error())
 	}
 	stop := context.AfterFunc(ctx, c.abort)
