siteentry: deny routes and keys only with a plan that must be complete

An entry that misses a plan goes on with the older one until its confirmation is 4 s old, the bound for revoked keys. That suits routes and keys that it knows, but a plan must be in force within 2 s, so that what it lacks may exist by then.

TestHoldsLackOfRouteNeedsConfirmation fails without the check (404, 401).

The leader may also have sent the plan late; why the entry missed it for 2.7 s is not traced.

--- a/internal/role/siteentry/request.go
+++ b/internal/role/siteentry/request.go
@@ -101,7 +101,7 @@
 	}
 	stale := !j.confirmed()
 	if j.route = p.Match(hostOf(j.r.Host), j.r.URL.Path); j.route == nil {
-		if stale {
+		if stale || !j.planComplete() {
 			j.refuse("Stale", "configuration is not confirmed")
 			return false
 		}
@@ -119,6 +119,13 @@
 // for keys to be accepted.
 func (j *job) confirmed() bool { return j.entry.Views.Age() <= j.entry.Settings.Lease }
 
+// planComplete reports whether the plan holds everything that must be in force, so
+// that what it lacks does not exist.
+func (j *job) planComplete() bool {
+	limit := j.entry.Settings.PlanLease
+	return limit == 0 || j.entry.Views.Age() <= limit
+}
+
 // identify finds the organisation that holds the key.
 func (j *job) identify(p *plan.Plan, stale bool) bool {
 	if stale {
@@ -127,6 +134,10 @@
 		return false
 	}
 	j.tenant = p.TenantOf(j.r.Header.Get(j.entry.Settings.Headers.Key))
+	if j.tenant == nil && !j.planComplete() {
+		j.refuse("Stale", "keys are not confirmed")
+		return false
+	}
 	if j.tenant == nil {
 		j.fail(http.StatusUnauthorized, "UnknownKey", "key is not known")
 		return false
--- a/internal/role/siteentry/siteentry.go
+++ b/internal/role/siteentry/siteentry.go
@@ -63,6 +63,10 @@
 	// Lease is the maximum age of the confirmation for requests that need a
 	// key.
 	Lease time.Duration
+	// PlanLease is the maximum age of the confirmation for telling a caller that
+	// its route or key does not exist, since a plan that adds them must be in
+	// force by then. 0 means Lease.
+	PlanLease time.Duration
 	// WeightsGrace is how long after a version was published requests may still
 	// start on an older one.
 	WeightsGrace time.Duration
--- a/internal/role/siteentry/siteentry_test.go
+++ b/internal/role/siteentry/siteentry_test.go
@@ -329,6 +329,29 @@
 	}
 }
 
+// TestHoldsLackOfRouteNeedsConfirmation guards against an entry that has missed a
+// new plan for longer than plans may take, and denies a route or key of that plan
+// to callers, because its confirmation is still young enough for known keys.
+func TestHoldsLackOfRouteNeedsConfirmation(t *testing.T) {
+	_, a1 := startTarget(t, respondWith("ok"))
+	te := startEntry(t, a1)
+	te.entry.Settings.PlanLease = te.entry.Settings.Lease / 2
+	te.views.age = te.entry.Settings.Lease * 3 / 4
+	for name, c := range map[string]struct {
+		host, key string
+		want      int
+	}{
+		"known":         {"read", "secret", http.StatusOK},
+		"unknown key":   {"read", "other", http.StatusServiceUnavailable},
+		"unknown route": {"nowhere", "secret", http.StatusServiceUnavailable},
+	} {
+		res, _, err := te.call(t, c.host, "Key", c.key)
+		if err != nil || res.StatusCode != c.want {
+			t.Errorf("%s: got response %v, error %v", name, res, err)
+		}
+	}
+}
+
 func TestInvalidRequestsAreRejected(t *testing.T) {
 	_, a1 := startTarget(t, respondWith("ok"))
 	te := startEntry(t, a1)
