raft: elect a leader at once after a start

After a restart of all processes the keepers took 0.64 s to elect a leader: each waited for a full election timeout, as if a leader's heartbeats had just ended, and callers with keys waited for the leader. A node that starts and knows no leader now uses 2 to 6 ticks (0.1 to 0.3 s), for two election timeouts at most. The pre-vote keeps a member that restarts alone from deposing a leader.

Schedules with faults and the linearizability check pass as before.

--- a/internal/agreement/raft/node.go
+++ b/internal/agreement/raft/node.go
@@ -24,6 +24,10 @@
 const (
 	// DefaultElectionTicks is the minimum election timeout in ticks.
 	DefaultElectionTicks = 10
+	// startElectionTicks is the minimum election timeout of a node that has just
+	// started and knows no leader. If there is one, the pre-vote ends without
+	// an election, so that it need not wait for the leader's heartbeats.
+	startElectionTicks = 2
 	// DefaultHeartbeatTicks is the heartbeat interval in ticks.
 	DefaultHeartbeatTicks = 2
 	// maxEntriesPerAppend bounds the number of entries in one message.
@@ -122,6 +126,9 @@
 
 	elapsedTicks    int
 	electionTimeout int
+	// startTicks is the number of ticks since the start, as long as the node is
+	// starting.
+	startTicks int
 	// quorumCheckTicks is the number of ticks since the last quorum check.
 	quorumCheckTicks int
 	round            uint64
@@ -208,6 +215,9 @@
 // send heartbeats.
 func (n *Node) Tick() {
 	n.elapsedTicks++
+	if n.starting() {
+		n.startTicks++
+	}
 	if n.role == leader {
 		n.tickLeader()
 		return
@@ -370,9 +380,17 @@
 
 func (n *Node) resetTimeout() {
 	n.elapsedTicks = 0
+	if n.starting() {
+		n.electionTimeout = startElectionTicks + n.cfg.Rand.IntN(max(n.cfg.ElectionTicks/2, 1))
+		return
+	}
 	n.electionTimeout = n.cfg.ElectionTicks + n.cfg.Rand.IntN(n.cfg.ElectionTicks)
 }
 
+// starting reports whether the node started within two election timeouts and
+// knows no leader.
+func (n *Node) starting() bool { return n.leader == "" && n.startTicks < 2*n.cfg.ElectionTicks }
+
 func (n *Node) send(m record.Message) {
 	m.From = n.cfg.ID
 	n.ready.Messages = append(n.ready.Messages, m)
--- a/internal/agreement/raft/schedule_test.go
+++ b/internal/agreement/raft/schedule_test.go
@@ -298,3 +298,44 @@
 		c.process(peer)
 	}
 }
+
+// TestHoldsRestartedGroupElectsSoon covers the restart of all members at once: they
+// know that they have no leader, and must not wait for one as if its heartbeats
+// had just ended. A member that restarts alone must not disrupt the leader.
+func TestHoldsRestartedGroupElectsSoon(t *testing.T) {
+	for seed := range uint64(50) {
+		for _, size := range []int{3, 5} {
+			c := newCluster(t, seed, size, nil)
+			if err := c.converge(1); err != nil {
+				t.Fatal(err)
+			}
+			for _, k := range c.order {
+				c.crash(k)
+			}
+			for _, k := range c.order {
+				c.start(c.members[k])
+			}
+			c.inFlight = nil
+			ticks := 0
+			for c.leader() == nil && ticks < 10*raft.DefaultElectionTicks {
+				c.tickAll()
+				ticks++
+			}
+			if ticks >= raft.DefaultElectionTicks {
+				t.Errorf("seed %d: %d members took %d ticks to elect a leader", seed, size, ticks)
+				continue
+			}
+			lead := c.leader()
+			term := lead.node.Term()
+			restarted := remove(c.order, lead.id)[seed%2]
+			c.crash(restarted)
+			c.start(c.members[restarted])
+			for range 100 {
+				c.tickAll()
+			}
+			if now := c.leader(); now == nil || now.id != lead.id || now.node.Term() != term {
+				t.Errorf("seed %d: the restart of %s deposed the leader", seed, restarted)
+			}
+		}
+	}
+}
