keeper: let any leader finish the replacement of a lost member

Seen: TestHoldsAcceptedConfigurationNeverReverts once kept four members beside load. The group then needs three of four voters, one of which never votes again.

Cause: a new member requests to join until it is a voter, and only the leader's memory holds the requests. A leader that is killed after it made the new member a voter and before it removed the old one leaves nobody who knows of the removal.

Change: a member has a generation in the membership entry, one higher than those of the members of its name. Any leader removes a member once a voter of the same name and a higher generation exists. It does so only if that voter is the leader itself, or has responded within an election timeout and stores every committed entry; earlier the old member was removed without this check. It comes before the admission of others, since it makes the quorum smaller. Where they hold two voters of one name, the one with the bootstrap ID is the older one; between two others the order is not known, and both stay.

The keepers of a site don't have the fault: they remove the old member first, and the new one requests each step until the last. The steps differ, so the code is not shared; TestHoldsJoinOutlivesLeaders changes the leader after every step.

--- a/internal/agreement/node/join.go
+++ b/internal/agreement/node/join.go
@@ -32,7 +32,7 @@
 	var learned []string
 	for {
 		st := n.replica.Status()
-		if _, isMember := st.Membership.Find(n.own.ID); !isMember || !st.Membership.IsVoter(n.own.ID) && n.cfg.Durable {
+		if mustRequest(st.Membership, n.own.ID, n.cfg.Durable) {
 			learned = n.requestJoin(ctx, self, st, learned)
 		}
 		select {
@@ -43,6 +43,14 @@
 	}
 }
 
+// mustRequest reports whether a keeper has to request its next membership step. It
+// requests until the last step of its join, so that a change of the leader between
+// two steps loses nothing.
+func mustRequest(m record.Membership, own id.Keeper, durable bool) bool {
+	_, isMember := m.Find(own)
+	return !isMember || durable && !m.IsVoter(own)
+}
+
 // requestJoin sends a join request to each known keeper in the background. It
 // returns the addresses of all keepers learned so far.
 func (n *Node) requestJoin(ctx context.Context, self record.Member, st replica.Status, learned []string) []string {
--- a/internal/agreement/node/node_test.go
+++ b/internal/agreement/node/node_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"egretproxy/internal/agreement/record"
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/site/sitestate"
@@ -47,6 +49,29 @@
 	}
 }
 
+// TestHoldsJoinOutlivesLeaders guards against a membership that keeps a lost
+// member: the leader changes after every step of a replacement, and each knows
+// only the membership and the requests that the new member still sends.
+func TestHoldsJoinOutlivesLeaders(t *testing.T) {
+	for _, durable := range []bool{true, false} {
+		j := joiner{Member: record.Member{ID: "a2", Name: "a", Address: "a"}, durable: durable}
+		m := membershipOf("a1", "b1", "c1")
+		for steps := 0; mustRequest(m, j.ID, durable); steps++ {
+			if steps == 10 {
+				t.Fatalf("durable %t: the new member still requests after %d steps: %+v", durable, steps, m)
+			}
+			later := membershipState{members: m, requiredVoters: 3, lastIndex: 9, matchIndexes: map[id.Keeper]uint64{"a2": 9}}
+			if next, ok := later.next(j); ok {
+				m = next
+			}
+		}
+		want := membershipOf("b1", "c1").With(record.Member{ID: "a2", Name: "a", Address: "a", Voter: durable})
+		if diff := cmp.Diff(want, m); diff != "" {
+			t.Errorf("durable %t: membership (-want +got):\n%s", durable, diff)
+		}
+	}
+}
+
 // TestHoldsUnresponsiveLearnerStaysLearner checks that a learner that never
 // responded does not become a voter, even if the log is short.
 func TestHoldsUnresponsiveLearnerStaysLearner(t *testing.T) {
--- a/internal/agreement/record/record.go
+++ b/internal/agreement/record/record.go
@@ -40,6 +40,10 @@
 	// Voter is false for a learner, which receives the log but neither
 	// votes nor counts for a quorum.
 	Voter bool
+	// Generation orders the members of one name: each new one gets a higher
+	// number than those it replaces. It is zero for the initial members, and in
+	// logs of versions that did not store it.
+	Generation uint64 `json:",omitempty"`
 }
 
 // Membership is the set of members of a group from one log entry on.
@@ -64,6 +68,17 @@
 	return ok && c.Voter
 }
 
+// NextGeneration returns the generation of a new member of the given name.
+func (m Membership) NextGeneration(name string) uint64 {
+	next := uint64(1)
+	for _, c := range m.Members {
+		if c.Name == name {
+			next = max(next, c.Generation+1)
+		}
+	}
+	return next
+}
+
 // Voters returns the ids of all voting members.
 func (m Membership) Voters() []id.Keeper {
 	var out []id.Keeper
--- a/internal/role/keeper/leader.go
+++ b/internal/role/keeper/leader.go
@@ -6,7 +6,10 @@
 
 	"k8s.io/klog/v2"
 
+	"egretproxy/internal/agreement/identity"
+	"egretproxy/internal/agreement/raft"
 	"egretproxy/internal/agreement/record"
+	"egretproxy/internal/agreement/replica"
 	"egretproxy/internal/control/ledger"
 	"egretproxy/internal/control/rollout"
 	"egretproxy/internal/control/view"
@@ -93,9 +96,16 @@
 
 // admitMembers proposes one step of a membership change. A member that requested
 // to join becomes a learner, then a voter, and then replaces the member whose
-// disk was lost.
+// disk was lost. The last step depends only on the log, since the new member
+// stops requesting once it is a voter, and the leader may change before that step.
 func (k *Keeper) admitMembers(ctx context.Context) {
 	s := k.replica.Status()
+	if next, ok := withoutReplaced(s); ok {
+		if k.replica.ChangeMembership(ctx, next) {
+			klog.InfoS("Membership changes", "Members", len(next.Members))
+		}
+		return
+	}
 	k.mu.Lock()
 	joiners := make([]record.Member, 0, len(k.joiners))
 	for _, m := range k.joiners {
@@ -117,6 +127,45 @@
 	}
 }
 
+// withoutReplaced returns the membership without one member that a voter
+// replaces. The second result is false if there is none, or while the voter may
+// lack an entry that the replaced member holds.
+func withoutReplaced(s replica.Status) (record.Membership, bool) {
+	for _, c := range s.Membership.Members {
+		if !c.Voter || !holdsCommitted(s, c.ID) {
+			continue
+		}
+		for _, old := range s.Membership.Members {
+			if replaces(c, old) {
+				return s.Membership.Without(old.ID), true
+			}
+		}
+	}
+	return s.Membership, false
+}
+
+// replaces reports whether c is a later member of the same keeper. Without a
+// generation, as in older logs, only the bootstrap ID is known to be the earlier
+// one.
+func replaces(c, old record.Member) bool {
+	if c.Name != old.Name || c.ID == old.ID {
+		return false
+	}
+	if c.Generation == old.Generation {
+		return old.ID == identity.BootstrapID(old.Name)
+	}
+	return c.Generation > old.Generation
+}
+
+// holdsCommitted reports whether a member has responded recently and stores
+// every entry that is committed.
+func holdsCommitted(s replica.Status, k id.Keeper) bool {
+	if k == s.ID {
+		return true
+	}
+	return s.MatchIndexes[k] >= s.Commit && s.InactiveTicks[k] < raft.DefaultElectionTicks
+}
+
 // caughtUp reports whether a learner has responded and lags by at most
 // catchUpEntries. A learner that never responded must not become a voter, since
 // a quorum may then depend on it.
@@ -124,27 +173,27 @@
 	return match > 0 && match+catchUpEntries >= last
 }
 
-// nextMembership returns the membership after the next step for a joiner. ready
-// means that the joiner has caught up. The second result is false when nothing
-// is left to do.
+// nextMembership returns the membership after the next step for a joiner, up to
+// its vote. ready means that the joiner has caught up. The second result is false
+// when nothing is left to do.
 func nextMembership(m record.Membership, j record.Member, ready bool) (record.Membership, bool) {
 	c, known := m.Find(j.ID)
 	if !known {
+		j.Generation = m.NextGeneration(j.Name)
 		return m.With(j), true
 	}
-	if !c.Voter {
-		if !ready {
-			return m, true
-		}
-		c.Voter = true
-		return m.With(c), true
+	if c.Voter {
+		return m, false
 	}
-	for _, old := range m.Members {
-		if old.Name == j.Name && old.ID != j.ID {
-			return m.Without(old.ID), true
-		}
+	if !ready {
+		return m, true
+	}
+	c.Voter = true
+	if c.Generation == 0 {
+		// The learner was added by a version that did not store it.
+		c.Generation = m.NextGeneration(c.Name)
 	}
-	return m, false
+	return m.With(c), true
 }
 
 // removeSilentTargets removes targets whose agents have not renewed within the
