system: break a stream after its first event in TestHoldsBrokenStreamsResume

Seen: all streams ended whole, but no retry was counted, so that the test had checked nothing.

Cause, in the test: it killed engine-0 once its status reported a running request. That report is 500 ms old, and engines answer 32 warm-up requests before they serve.

Change: under the same load, the test opens a stream of 1000 tokens (10 s), reads its first event from the entry, and kills the engine that the response names. The load runs first until 3 streams are in progress, by the engines' current counters. All earlier checks stay; that stream's text must be whole and from one version. It now reads past the kill until that stream ends, which replaces a pause of 2 s.

--- a/internal/system/holds_test.go
+++ b/internal/system/holds_test.go
@@ -1,8 +1,10 @@
 package system_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -13,9 +15,12 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"egretproxy/internal/standin/loadgen"
 	"egretproxy/internal/standin/simengine"
 	"egretproxy/internal/standin/simservice"
+	"egretproxy/internal/standin/textgen"
 	"egretproxy/internal/wire/header"
 )
 
@@ -425,8 +430,71 @@
 	}
 }
 
-// TestHoldsBrokenStreamsResume kills an engine while it streams. Each stream
-// must resume at another engine with the same version and end completely.
+// streamEvent is an event of a streamed completion.
+type streamEvent struct {
+	Fingerprint string `json:"system_fingerprint"`
+	Choices     []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+}
+
+// openStream requests a streamed completion from an entry.
+func (f *fleet) openStream(entry, prompt string, tokens int) *http.Response {
+	f.t.Helper()
+	body, _ := json.Marshal(map[string]any{"model": "guide", "prompt": prompt, "max_tokens": tokens, "stream": true})
+	req, _ := http.NewRequest(http.MethodPost, "http://"+f.addresses[entry]+"/v1/completions", bytes.NewReader(body))
+	req.Header.Set("Authorization", "Bearer key-of-huts")
+	client := &http.Client{Timeout: conditionTimeout}
+	resp, err := client.Do(req)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = resp.Body.Close() })
+	if resp.StatusCode != http.StatusOK {
+		f.t.Fatalf("a stream was refused with status %d %s", resp.StatusCode, resp.Header.Get(header.Reason))
+	}
+	return resp
+}
+
+// readEvent returns the data of the next event of a stream, or an error if the
+// stream ends without one.
+func readEvent(lines *bufio.Scanner) (string, error) {
+	for lines.Scan() {
+		if data, ok := strings.CutPrefix(lines.Text(), "data: "); ok {
+			return data, nil
+		}
+	}
+	return "", errors.Errorf("stream ended: %v", lines.Err())
+}
+
+// readStream returns the text of a stream up to its last event. onFirst is called
+// once the first event was read.
+func readStream(body io.Reader, version string, onFirst func()) (string, error) {
+	lines := bufio.NewScanner(body)
+	var text strings.Builder
+	for events := 0; ; events++ {
+		data, err := readEvent(lines)
+		if err != nil || data == "[DONE]" {
+			return text.String(), err
+		}
+		var event streamEvent
+		if err := json.Unmarshal([]byte(data), &event); err != nil {
+			return text.String(), errors.Wrap(err, data)
+		}
+		if event.Fingerprint != version || len(event.Choices) != 1 {
+			return text.String(), errors.Errorf("event is not from version %s: %s", version, data)
+		}
+		text.WriteString(event.Choices[0].Text)
+		if events == 0 {
+			onFirst()
+		}
+	}
+}
+
+// TestHoldsBrokenStreamsResume kills an engine after the entry has forwarded the
+// first event of a long stream from it, under a load of other streams. It guards
+// against streams that end early, or with parts of another version or lost or
+// repeated parts, when their engine fails.
 func TestHoldsBrokenStreamsResume(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 1)
@@ -445,13 +513,25 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan loadgen.Counts)
 	go func() { done <- loadgen.New(cfg).Run(ctx) }()
-	f.waitUntil("engine-0 is streaming", func() bool {
-		var status simengine.Status
-		f.getJSON("engine-0", "/status", &status)
-		return status.Running > 0
+	f.waitUntil("streams are running", func() bool {
+		running := 0
+		for i := range 3 {
+			// The counts are current; the load in an engine's status is a report
+			// of 500 ms before and may show a warm-up request.
+			var counts simengine.Counts
+			f.getJSON(fmt.Sprintf("engine-%d", i), "/counts", &counts)
+			running += counts.Requests - counts.Answered - counts.Cancelled
+		}
+		return running >= 3
 	})
-	f.kill("engine-0")
-	time.Sleep(2 * time.Second)
+	// At 10 ms a token, the stream would last for 10 s.
+	const prompt, tokens = "How long is the rope?", 1000
+	resp := f.openStream("entry-0", prompt, tokens)
+	victim := resp.Header.Get(header.Target)
+	text, err := readStream(resp.Body, "v1", func() { f.kill(victim) })
+	if want := textgen.Answer("v1", fmt.Sprintf("%q", prompt), tokens); err != nil || text != want {
+		t.Errorf("the stream of the killed %s ended with error %v, its text is whole: %t", victim, err, text == want)
+	}
 	cancel()
 	counts := <-done
 	t.Logf("%+v", counts)
