siteentry: prove both checks of weights before a request starts

Seen: TestHoldsWaitingRequestSeesNewWeights passed without the check after a wait.

Cause: the request is checked again in buildRequest once it is connected, and that alone keeps it off the older version. The check after the wait does what the test did not look at: it gives the slot back before anything reaches the target. It stays, since without it the request connects to a target that may be about to load, and excludes it from its further attempts, also after the load.

Change: the test also requires that no connection is made. It makes the version required once the request waits, not after 40 ms, when a slow machine may not have sent it yet, and fails if the request got no slot. TestHoldsConnectedRequestSeesNewWeights makes the version required while the connection is set up, which shows the other check. No product code changes.

--- a/internal/role/siteentry/siteentry_test.go
+++ b/internal/role/siteentry/siteentry_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -434,9 +435,10 @@
 	}
 }
 
-// TestHoldsWaitingRequestSeesNewWeights makes a version required while a
-// request waits for a slot. The request must not start on the older version.
-func TestHoldsWaitingRequestSeesNewWeights(t *testing.T) {
+// startOldEngine starts an entry with one target of one slot, which holds version 1
+// of its weights.
+func startOldEngine(t *testing.T) (*fakeTarget, *testEntry) {
+	t.Helper()
 	first, a1 := startTarget(t, respondWith("ok"))
 	te := startEntry(t, a1)
 	te.plan.Services["s"].Engine = &plan.Engine{Model: "m", Slots: 1}
@@ -445,17 +447,67 @@
 		te.views.view.Targets[k] = o
 	}
 	te.entry.OnView(te.views.view)
+	te.entry.Dispatcher.ReportLoad("t0", dispatch.Load{Weights: 1})
+	return first, te
+}
+
+// requireSecondVersion makes version 2 required.
+func (te *testEntry) requireSecondVersion() {
+	v := *te.views.view
+	v.Weights = []siteclient.WeightsVersion{{Model: "m", Version: 2, Since: boottime.Now() - time.Hour}}
+	te.entry.floor.raise(&v, time.Second, time.Hour)
+}
+
+// TestHoldsWaitingRequestSeesNewWeights makes a version required while a request
+// waits for a slot. The request must give its slot back without a connection to
+// the target, which may be about to load, and must not start on the older version.
+func TestHoldsWaitingRequestSeesNewWeights(t *testing.T) {
+	first, te := startOldEngine(t)
+	var dials atomic.Int32
+	te.entry.Pool.OnDial = func(string, time.Duration, error) { dials.Add(1) }
+	// The request waits until the slot is free, however slow the machine is.
+	te.plan.Routes[0].Objective, te.plan.Routes[0].Timeout = time.Minute, 2*time.Minute
 	te.entry.Dispatcher.ReportLoad("t0", dispatch.Load{Active: 9, Weights: 1})
-	time.AfterFunc(40*time.Millisecond, func() {
-		v := *te.views.view
-		v.Weights = []siteclient.WeightsVersion{{Model: "m", Version: 2, Since: boottime.Now() - time.Hour}}
-		te.entry.floor.raise(&v, time.Second, time.Hour)
+	granted := make(chan bool, 1)
+	go func() {
+		for te.entry.Dispatcher.Summary("s").Waiting == 0 && t.Context().Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		te.requireSecondVersion()
 		te.entry.Dispatcher.ReportLoad("t0", dispatch.Load{Weights: 1})
-	})
+		granted <- te.entry.Dispatcher.Summary("s").Waiting == 0
+	}()
+	res, _, err := te.call(t, "once")
+	if err != nil || res.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("got response %v, error %v", res, err)
+	}
+	if !<-granted {
+		t.Error("the request got no slot, so the test checked nothing")
+	}
+	if n := dials.Load(); n != 0 {
+		t.Errorf("%d connections to a target with the older version", n)
+	}
+	if n := len(first.requests()); n != 0 {
+		t.Errorf("%d requests started on the older version", n)
+	}
+}
+
+// TestHoldsConnectedRequestSeesNewWeights makes a version required while a request
+// connects to its target. The request must not start on the older version.
+func TestHoldsConnectedRequestSeesNewWeights(t *testing.T) {
+	first, te := startOldEngine(t)
+	var dials atomic.Int32
+	te.entry.Pool.OnDial = func(string, time.Duration, error) {
+		dials.Add(1)
+		te.requireSecondVersion()
+	}
 	res, _, err := te.call(t, "once")
 	if err != nil || res.StatusCode != http.StatusServiceUnavailable {
 		t.Errorf("got response %v, error %v", res, err)
 	}
+	if n := dials.Load(); n != 1 {
+		t.Errorf("%d connections to the target, want 1", n)
+	}
 	if n := len(first.requests()); n != 0 {
 		t.Errorf("%d requests started on the older version", n)
 	}
