system: bring about the takeover that a second agent must wait for

Cause: TestHoldsOldSessionStops leaves the first agent connected. It may learn that it is replaced and stop before the second one accepts work.

Change: TestHoldsTakeoverWaitsForOldLease partitions the first agent from the keepers, so that only its lease stops it, and asks the second agent before the first, so that two yeses always mean an overlap.

--- a/internal/system/holds_test.go
+++ b/internal/system/holds_test.go
@@ -378,6 +378,43 @@
 	}
 }
 
+// TestHoldsTakeoverWaitsForOldLease partitions the agent of a target from the
+// keepers, so that it can't learn that it is replaced, and starts a second one. It
+// guards against two agents that accept work at once: the second must wait until
+// the lease of the first has expired.
+func TestHoldsTakeoverWaitsForOldLease(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1)
+	proxy := newTCPProxy(t, f.keepers[0])
+	direct := f.keepers
+	f.keepers = []string{proxy.address()}
+	f.addOrigin()
+	f.addService("inventory-0", "d0")
+	f.keepers = direct
+	f.waitServing(1)
+	first := f.addresses["agent-inventory-0"]
+	f.waitUntil("the first agent accepts work", func() bool { return acceptsWork(first) })
+	proxy.setBlackhole(true)
+	f.mu.Lock()
+	oldProcess := f.running["agent-inventory-0"]
+	delete(f.running, "agent-inventory-0")
+	f.mu.Unlock()
+	defer func() { _ = oldProcess.Process.Kill(); _ = oldProcess.Wait() }()
+	f.addAgent("inventory-0", "d0", fmt.Sprintf(`{"ID": "inventory-0", "Address": "service://%s", "Service": "inventory", "Slots": 16, "ColdSlots": 16}`, f.addresses["inventory-0"]))
+	second := f.addresses["agent-inventory-0"]
+	f.waitUntil("only the second agent accepts work", func() bool {
+		// In this order, a yes of both means that the first accepted work after
+		// the second had begun.
+		if !acceptsWork(second) {
+			return false
+		}
+		if acceptsWork(first) {
+			t.Fatal("the old agent accepted work after the new one had begun")
+		}
+		return true
+	})
+}
+
 func acceptsWork(address string) bool {
 	resp, err := http.Get("http://" + address + "/dispatch/inventory/ropes")
 	if err != nil {
