--- a/scripts/proofs.sh
+++ b/scripts/proofs.sh
@@ -23,7 +23,7 @@
   fi
   out=$(cd "$scratch/tree" && timeout 170 go test -count=1 -timeout 160s -run "$test" "$package" 2>&1)
   if [ $? = 0 ]; then echo "$name: PASSES without its mechanism ($test)"; missed=1
-  elif grep -q 'build failed\|setup failed' <<<"$out"; then echo "$name: DOES NOT BUILD: $(grep -m1 'go:' <<<"$out")"; missed=1
+  elif grep -qE 'build failed|setup failed|^panic: (#|[^ ]+\.go:[0-9]+:)' <<<"$out"; then echo "$name: DOES NOT BUILD: $(grep -m1 'go:' <<<"$out")"; missed=1
   else echo "$name: FAILS as it must: $(grep -m1 -E '_test.go:[0-9]+:|panic:' <<<"$out" | sed 's/^ *//' | cut -c1-150)"
   fi
 done <"$list"
