--- a/internal/kernel/httpserver/httpserver.go
+++ b/internal/kernel/httpserver/httpserver.go
@@ -90,19 +90,17 @@
 // each connection on which it has read no whole request header, whatever has
 // arrived, and drops requests that it reads later.
 func (s *Server) drain(l *listener, served <-chan error) {
-	began := time.Now()
 	s.stopping.Store(true)
-	notice := min(s.Notice, s.Grace/2)
 	klog.InfoS("Server is draining", "Server", s.Name, "Connections", s.count())
-	finalPass := s.FinalPass
-	if finalPass == 0 {
-		finalPass = defaultFinalPass
+	p := drainProgress{began: time.Now(), grace: s.Grace, finalPass: s.FinalPass}
+	if p.finalPass == 0 {
+		p.finalPass = defaultFinalPass
 	}
-	var longestPause time.Duration
-	var overAt time.Time
+	notice := min(s.Notice, s.Grace/2)
+	// A connection may be accepted and not tracked yet while accepting.
 	accepting := true
-	for lastPass := began; ; lastPass = time.Now() {
-		noticed := time.Since(began) >= notice
+	for {
+		noticed := time.Since(p.began) >= notice
 		if noticed {
 			l.closeUnlessBacklog()
 		}
@@ -111,23 +109,15 @@
 			accepting = false
 		default:
 		}
-		// A connection may be accepted and not tracked yet while accepting.
-		if !accepting && s.closeIdle(noticed) == 0 {
-			break
-		}
-		if overAt.IsZero() && time.Since(began) >= s.Grace {
-			overAt = time.Now()
-		}
-		if !overAt.IsZero() && time.Since(overAt) >= finalPass {
+		if !accepting && s.closeIdle(noticed) == 0 || p.isOver() {
 			break
 		}
-		time.Sleep(drainInterval)
-		longestPause = max(longestPause, time.Since(lastPass))
+		p.wait()
 	}
 	left := s.count()
 	_ = s.HTTP.Close()
-	klog.InfoS("Server has stopped", "Server", s.Name, "TookMs", time.Since(began).Milliseconds(),
-		"LongestPauseMs", longestPause.Milliseconds(), "Connections", left)
+	klog.InfoS("Server has stopped", "Server", s.Name, "TookMs", time.Since(p.began).Milliseconds(),
+		"LongestPauseMs", p.longestWait.Milliseconds(), "Connections", left)
 }
 
 // closeIdle closes the connections that their callers do not use any more, and
