system: reserve ports while no process is forked

Seen: in 3 of 5 runs of internal/system on a busy machine, a process of TestHoldsBadVersionHaltsRollout (3 times) or TestHoldsAcceptedConfigurationNeverReverts (once) could not listen: "address already in use". In one run both failed at once, with neighbouring ports.

Cause: a port is reserved by a listener that is closed again. A child that another test forks meanwhile inherits it and keeps it open until it executes its program. That the window lasted until the process listened is inferred from the busy machine, not traced. A claim of a whole range of ports for each test run was tried and did not help (the third of the failed runs).

Change: the reservation holds syscall.ForkLock.

Evidence: 5 of 5 runs of internal/system pass under the race detector.

--- a/internal/system/fleet_test.go
+++ b/internal/system/fleet_test.go
@@ -94,16 +94,28 @@
 func (f *fleet) reserveAddress(name string) string {
 	for {
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+os.Getpid()%portRanges*portsPerRange+int(nextPort.Add(1)))
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
+		if !isFree(address) {
 			continue
 		}
-		_ = listener.Close()
 		f.addresses[name] = address
 		return address
 	}
 }
 
+// isFree reports whether a process may listen on an address. No process is forked
+// meanwhile: until it executes its program, a child would keep the listener open,
+// and the address in use.
+func isFree(address string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = listener.Close()
+	return true
+}
+
 func (f *fleet) writeSettings(name, section string) string {
 	return f.writeDomainSettings(name, "d0", section)
 }
