siteentry: announce a Keep-Alive of 5 s

Cause: with a Keep-Alive of 2 s the callers' connections expire during the outage, so that all of them connect anew to entries that have just started, which then read requests seconds after they arrived.

--- a/internal/role/siteentry/siteentry.go
+++ b/internal/role/siteentry/siteentry.go
@@ -29,9 +29,10 @@
 	// plan's limits are lower.
 	headerTimeout  = 5 * time.Second
 	maxHeaderBytes = 64 << 10
-	// keepAlive is how long callers may leave a connection idle. It is below
-	// lastAdmission, so that a caller who follows it is not refused by a stop.
-	keepAlive = 2 * time.Second
+	// keepAlive is how long callers may leave a connection idle. With 2 s, all
+	// callers of a large site reconnect at once after an outage of seconds, and
+	// overload the entries that have just started.
+	keepAlive = 5 * time.Second
 	// idleTimeout is longer than the time announced to callers.
 	idleTimeout = 60 * time.Second
 	// drainNotice is how long new connections are still accepted after a stop
