siteentry: log the parts of the prompts of requests that fail

Cause: no line told which requests were at an engine that ended, so that a part of a prompt that ends engines could not be told from overload or from ends of another cause (docs/incidents, crashing part).

Change: lines about failed and repeated requests of engines carry the parts of the prompt that other requests may share, and the number of events before.

--- a/internal/exchange/headernames/headernames.go
+++ b/internal/exchange/headernames/headernames.go
@@ -25,6 +25,8 @@
 	// Usage holds the number of prompt tokens and the maximum number of
 	// response tokens.
 	Usage string
+	// Prompt lists the parts of the prompt, as ID:TOKENS entries.
+	Prompt string
 	// NotRun marks responses of targets that did not execute the request.
 	NotRun string
 	// Signature marks responses that a target produced.
--- a/internal/fleet/id/id.go
+++ b/internal/fleet/id/id.go
@@ -21,6 +21,9 @@
 // Model identifies a model that engines serve.
 type Model string
 
+// PromptPart identifies a part of prompts, which requests may share.
+type PromptPart string
+
 // Service identifies a plain service that targets serve.
 type Service string
 
--- a/internal/role/siteentry/request.go
+++ b/internal/role/siteentry/request.go
@@ -16,6 +16,7 @@
 	"egretproxy/internal/exchange/connpool"
 	"egretproxy/internal/exchange/dispatch"
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/request/prompt"
 	"egretproxy/internal/site/plan"
 	"egretproxy/internal/site/siteclient"
 )
@@ -47,6 +48,8 @@
 	regions   [][]id.Region
 	body      []byte
 	startedAt time.Time
+	// parts are the parts of the prompt that other requests may share.
+	parts []id.PromptPart
 	// deadline is when the caller must have the complete response.
 	deadline time.Time
 	// target is the target of the latest attempt.
@@ -148,6 +151,9 @@
 // schedule picks the service and sets the priority, regions and deadline.
 func (j *job) schedule() {
 	j.service = j.view.Plan.Services[pickService(j.route.Shares)]
+	if j.service.Engine != nil {
+		j.parts = prompt.SharedParts(j.r.Header.Get(j.entry.Settings.Headers.Prompt))
+	}
 	j.priority = j.route.Priority
 	if len(j.route.Regions) > 0 {
 		j.regions = append(j.regions, j.route.Regions)
--- a/internal/role/siteentry/response.go
+++ b/internal/role/siteentry/response.go
@@ -138,7 +138,7 @@
 			"Ejected", s.Ejected, "Waiting", s.Waiting, "LeastBusy", s.MinInFlight, "MinWeights", j.minWeights())
 	}
 	fields = append(fields, "Target", j.target, "Route", routeName(j.route), "Sent", j.sent, "Tried", j.tried,
-		"MayHaveRun", j.mayHaveRun, "WaitedMs", j.waited.Milliseconds(),
+		"Events", j.events(), "Parts", j.parts, "MayHaveRun", j.mayHaveRun, "WaitedMs", j.waited.Milliseconds(),
 		"TookMs", time.Since(j.startedAt).Milliseconds(), "ConfirmedMsAgo", j.entry.Views.Age().Milliseconds(),
 		"Plan", planVersion(j.view.Plan))
 	j.entry.DecisionLog.Record(kind, msg, fields...)
--- a/internal/role/siteentry/run.go
+++ b/internal/role/siteentry/run.go
@@ -75,7 +75,7 @@
 			return
 		}
 		j.entry.Metrics.CountReason("Retry", outcomeNames[outcome])
-		j.entry.DecisionLog.Record(notableKind, "Request goes to another target", "Request", j.id, "After", grant.Target, "Reason", j.lastError, "Sent", j.sent)
+		j.entry.DecisionLog.Record(notableKind, "Request goes to another target", "Request", j.id, "After", grant.Target, "Reason", j.lastError, "Sent", j.sent, "Events", j.events(), "Parts", j.parts)
 	}
 }
 
--- a/internal/role/siteentry/stream.go
+++ b/internal/role/siteentry/stream.go
@@ -41,6 +41,14 @@
 	s.lastAt = now
 }
 
+// events returns the number of events that the caller has.
+func (j *job) events() int {
+	if j.stream == nil {
+		return 0
+	}
+	return j.stream.events
+}
+
 var errOutOfOrder = errors.New("target sent an event out of order")
 
 // forwardStream forwards complete events as they arrive.
