--- a/internal/role/siteentry/request.go
+++ b/internal/role/siteentry/request.go
@@ -151,8 +151,8 @@
 // schedule picks the service and sets the priority, regions and deadline.
 func (j *job) schedule() {
 	j.service = j.view.Plan.Services[pickService(j.route.Shares)]
-	if j.service.Engine != nil {
-		j.parts = prompt.SharedParts(j.r.Header.Get(j.entry.Settings.Headers.Prompt))
+	if list := j.r.Header.Get(j.entry.Settings.Headers.Prompt); list != "" {
+		j.parts = prompt.SharedParts(list)
 	}
 	j.priority = j.route.Priority
 	if len(j.route.Regions) > 0 {
