sitekeeper, siteentry: shut out parts of prompts that end engines

Cause: an entry took the end of an engine for a fault of that engine only. It sent the request that had caused the end to a second engine, and no entry told another, so nothing ever learnt that engines end with that part.

Change: entries report the targets that ended before responses began, with the parts of those requests, to all keepers (site/witness, site/evidence). The verdict is agreed in the replicated log, so that it outlives any process, and reaches entries by their watch. Entries refuse what a verdict matches at once with 503 and a Retry-After, and hold a request whose response had not begun when its target ended until its parts are known to be harmless.

--- a/internal/exchange/connpool/exchange.go
+++ b/internal/exchange/connpool/exchange.go
@@ -34,6 +34,40 @@
 	maxDiscardTime  = 50 * time.Millisecond
 )
 
+// ErrStaleConnection means that the target had dropped an idle connection before
+// the request came. It accompanies ErrInterrupted, since the target may have
+// executed the request all the same.
+var ErrStaleConnection = errors.New("connection was dropped while it was idle")
+
+// staleWindow is how soon after the request a connection that was kept breaks if
+// it had been dropped before. It is well above the round trip between regions.
+const staleWindow = 15 * time.Millisecond
+
+// interruption is an ErrInterrupted with the error of the connection.
+type interruption struct {
+	cause error
+	// stale means that the connection had been dropped before.
+	stale bool
+}
+
+// Error implements error.
+func (i *interruption) Error() string { return i.cause.Error() + ": " + ErrInterrupted.Error() }
+
+// Unwrap returns what the interruption is and its cause.
+func (i *interruption) Unwrap() []error {
+	if i.stale {
+		return []error{ErrInterrupted, ErrStaleConnection, i.cause}
+	}
+	return []error{ErrInterrupted, i.cause}
+}
+
+// interrupted returns the error of an exchange that broke off before its
+// response.
+func (c *persistConn) interrupted(cause error, sentAt time.Time, receivedBefore int64) error {
+	stale := c.exchanges > 1 && c.received.Load() == receivedBefore && time.Since(sentAt) < staleWindow
+	return &interruption{cause, stale}
+}
+
 // Request is one request to a target.
 type Request struct {
 	Method string
@@ -105,16 +139,17 @@
 
 func (p *Pool) roundTrip(address string, c *persistConn, r *Request) (*Response, error) {
 	c.exchanges++
+	sentAt, received := time.Now(), c.received.Load()
 	if n, err := c.conn.Write(encode(r)); err != nil {
 		if n == 0 && c.exchanges == 1 {
 			return nil, errors.Wrap(ErrNotSent, err.Error())
 		}
-		return nil, errors.Wrap(ErrInterrupted, err.Error())
+		return nil, c.interrupted(err, sentAt, received)
 	}
 	for range maxStrayResponses + 1 {
 		response, err := p.readResponse(address, c, r)
 		if err != nil {
-			return nil, errors.Wrap(ErrInterrupted, err.Error())
+			return nil, c.interrupted(err, sentAt, received)
 		}
 		if response.matches(r) {
 			c.limit.remaining = unlimited
--- a/internal/exchange/dispatch/acquire.go
+++ b/internal/exchange/dispatch/acquire.go
@@ -22,7 +22,9 @@
 type Grant struct {
 	Target  id.Target
 	Address string
-	Domain  id.Domain
+	// Born is the start time of the target's incarnation in Unix milliseconds.
+	Born   int64
+	Domain id.Domain
 	// InFlight is the estimated number of requests at the target, including
 	// this one.
 	InFlight float64
@@ -188,7 +190,7 @@
 	t.bucket.take(now, d.coldRate(s))
 	t.health.recordStart(now)
 	g := &Grant{
-		Target: t.ID, Address: t.Address, Domain: t.Domain, InFlight: d.inFlight(t), ReportAge: -1,
+		Target: t.ID, Address: t.Address, Born: t.Born, Domain: t.Domain, InFlight: d.inFlight(t), ReportAge: -1,
 		Waited: now.Sub(since), Weights: t.weights(), dispatcher: d, target: t, grantedAt: now, prefillTokens: r.PromptTokens,
 	}
 	if t.hasFreshReport() {
--- a/internal/role/siteentry/attempt.go
+++ b/internal/role/siteentry/attempt.go
@@ -97,8 +97,11 @@
 	if j.r.Context().Err() != nil || !silent && time.Now().After(j.deadline) {
 		outcome = dispatch.Cancelled
 	}
-	if silent {
+	switch {
+	case silent:
 		j.lastError = "target was silent"
+	case outcome == dispatch.Broken:
+		j.brokenBy = err
 	}
 	if !j.route.Repeatable() {
 		j.abandonSent()
@@ -158,6 +161,9 @@
 	if j.r.Context().Err() != nil || time.Now().After(j.deadline) {
 		outcome = dispatch.Cancelled
 	}
+	if outcome == dispatch.Broken {
+		j.brokenBy = err
+	}
 	if j.route.Repeatable() && j.route.Kind != plan.Streaming {
 		return tryNext, outcome, true
 	}
@@ -170,6 +176,9 @@
 	if response.Status >= 500 {
 		return done, dispatch.Failed, true
 	}
+	if response.Status < 300 {
+		j.recordBegin()
+	}
 	return done, dispatch.Served, true
 }
 
@@ -196,12 +205,15 @@
 }
 
 // buildRequest returns the request for a target to which a connection has been
-// established. It returns errStale, errLeft or errOutdated if the state on which
-// the target was chosen no longer holds.
+// established. It returns errStale, errShutOut, errLeft or errOutdated if the state on
+// which the target was chosen no longer holds.
 func (j *job) buildRequest(grant *dispatch.Grant) (*connpool.Request, error) {
 	if !j.mayDispatch() {
 		return nil, errStale
 	}
+	if j.verdict() != nil {
+		return nil, errShutOut
+	}
 	if !grant.Valid() {
 		return nil, errLeft
 	}
--- /dev/null
+++ b/internal/role/siteentry/quarantine.go
@@ -0,0 +1,194 @@
+package siteentry
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"k8s.io/klog/v2"
+
+	"egretproxy/internal/exchange/connpool"
+	"egretproxy/internal/exchange/dispatch"
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/clock"
+	"egretproxy/internal/site/evidence"
+	"egretproxy/internal/site/quarantine"
+	"egretproxy/internal/site/siteclient"
+)
+
+const (
+	// beginEvents is the number of events from which a response counts as
+	// begun. An engine may end within the first.
+	beginEvents = 2
+	// clearanceTime is how long a request that may have ended its target waits
+	// for evidence against it or for it.
+	clearanceTime = 500 * time.Millisecond
+	// reportDelay combines what exchanges that end together show.
+	reportDelay = 20 * time.Millisecond
+	// maxReports limits the reports in progress.
+	maxReports = 8
+	// minVerdictRetryAfter applies to requests that are shut out while a test is
+	// due.
+	minVerdictRetryAfter = time.Second
+)
+
+// errShutOut means that the parts of the request's prompt end targets.
+var errShutOut = errors.New("requests with these parts of the prompt are shut out, since targets ended with them")
+
+// errSuspect means that the request may have ended its target.
+var errSuspect = errors.New("parts of the prompt are suspected to have ended the target")
+
+// Keepers passes evidence on to the keepers.
+type Keepers interface {
+	Report(ctx context.Context, r evidence.Report) error
+	TakeTest(ctx context.Context, v *siteclient.Verdict, holder string) bool
+}
+
+// reportEvidence sends what the witness collects until the context ends.
+func (e *Entry) reportEvidence(ctx context.Context) {
+	slots := make(chan struct{}, maxReports)
+	for ctx.Err() == nil {
+		report, more := e.witness.Take()
+		if !report.Empty() {
+			slots <- struct{}{}
+			go func() {
+				defer func() { <-slots }()
+				e.report(ctx, report)
+			}()
+		}
+		select {
+		case <-ctx.Done():
+		case <-more:
+			clock.Sleep(ctx, reportDelay)
+		}
+	}
+}
+
+func (e *Entry) report(ctx context.Context, r evidence.Report) {
+	if err := e.Keepers.Report(ctx, r); err != nil && ctx.Err() == nil {
+		klog.InfoS("Failed to report evidence about parts of prompts", "Ends", len(r.Ends), "Begun", len(r.Begun), "Error", err.Error())
+	}
+}
+
+// OnSuspects applies the parts of prompts that keepers suspect.
+func (e *Entry) OnSuspects(suspects map[id.PromptPart]time.Time) { e.witness.SetSuspects(suspects) }
+
+// verdicts returns the verdicts in a view.
+func verdicts(v *siteclient.View) []quarantine.Verdict {
+	var out []quarantine.Verdict
+	for i := range v.Quarantine {
+		out = append(out, v.Quarantine[i].Verdict)
+	}
+	return out
+}
+
+// verdict returns the newest verdict that shuts the request out, or nil. A
+// request whose response began is not concerned, nor is the test of a verdict.
+func (j *job) verdict() *siteclient.Verdict {
+	if len(j.parts) == 0 || j.tests || j.events() > 0 {
+		return nil
+	}
+	all := j.entry.Views.View().Quarantine
+	for i := len(all) - 1; i >= 0; i-- {
+		if all[i].Matches(j.parts) {
+			return &all[i]
+		}
+	}
+	return nil
+}
+
+// shutOut reports whether the request must not be sent to a target. If a test of
+// the verdict is due, the request may become that test.
+func (j *job) shutOut(ctx context.Context) bool {
+	v := j.verdict()
+	if v == nil {
+		return false
+	}
+	if j.sent == 0 && j.takeTest(ctx, v) {
+		return false
+	}
+	j.shutOutBy = v
+	return true
+}
+
+// takeTest reports whether the request was chosen to test the verdict.
+func (j *job) takeTest(ctx context.Context, v *siteclient.Verdict) bool {
+	if v.Age() < v.TestInterval() || j.entry.Keepers == nil || !j.entry.testing.CompareAndSwap(false, true) {
+		return false
+	}
+	defer j.entry.testing.Store(false)
+	j.tests = j.entry.Keepers.TakeTest(ctx, v, j.entry.Settings.Name+" "+j.id)
+	if j.tests {
+		j.entry.Metrics.Count("VerdictTested")
+		j.entry.DecisionLog.Record(failureKind, "Request tests whether its parts still end targets", "Request", j.id,
+			"Verdict", v.Parts, "Number", v.Tests+1)
+	}
+	return j.tests
+}
+
+// recordBreak tells the witness that the target ended before the response began.
+func (j *job) recordBreak(grant *dispatch.Grant) {
+	if j.brokenBy == nil || j.begun || len(j.parts) == 0 || !endsExchange(j.brokenBy) {
+		return
+	}
+	j.entry.Metrics.Count("TargetEndedBeforeResponse")
+	j.entry.DecisionLog.Record(notableKind, "Target ended before the response began", "Request", j.id, "Target", grant.Target, "Parts", j.parts)
+	j.entry.witness.Ended(grant.Target, grant.Born, j.parts)
+}
+
+// endsExchange reports whether an error shows that the peer ended, rather than
+// that the way to it was cut or that its bytes are no response.
+func endsExchange(err error) bool {
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() || errors.Is(err, connpool.ErrStaleConnection) {
+		return false
+	}
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
+}
+
+// recordBegin tells the witness that a response began.
+func (j *job) recordBegin() {
+	j.begun = true
+	j.entry.witness.Begun(j.parts)
+}
+
+// awaitClearance waits until it is known whether the request may have ended its
+// target, and returns an error if it must not go to another one.
+func (j *job) awaitClearance(ctx context.Context) error {
+	if j.brokenBy == nil || j.begun || len(j.parts) == 0 || !endsExchange(j.brokenBy) {
+		return nil
+	}
+	if j.tests {
+		return errSuspect
+	}
+	began := time.Now()
+	for !j.entry.witness.Known(j.parts) || j.entry.witness.Suspected(j.parts) {
+		if j.verdict() != nil {
+			return errShutOut
+		}
+		if time.Since(began) >= clearanceTime {
+			break
+		}
+		if !clock.Sleep(ctx, pollInterval) {
+			return ctx.Err()
+		}
+	}
+	if j.entry.witness.Suspected(j.parts) {
+		return errSuspect
+	}
+	return nil
+}
+
+// verdictRetryAfter returns the time until the next test of the verdict.
+func verdictRetryAfter(v *siteclient.Verdict) time.Duration {
+	return max(v.TestInterval()-v.Age(), minVerdictRetryAfter) + rand.N(retryAfterJitter)
+}
--- a/internal/role/siteentry/request.go
+++ b/internal/role/siteentry/request.go
@@ -50,6 +50,14 @@
 	startedAt time.Time
 	// parts are the parts of the prompt that other requests may share.
 	parts []id.PromptPart
+	// tests is set if the request tests a verdict on its parts, shutOutBy is the
+	// verdict that shuts it out.
+	tests     bool
+	shutOutBy *siteclient.Verdict
+	// begun is set once the response of the latest attempt has begun. brokenBy is
+	// the error with which the target broke that attempt off, if it did.
+	begun    bool
+	brokenBy error
 	// deadline is when the caller must have the complete response.
 	deadline time.Time
 	// target is the target of the latest attempt.
--- a/internal/role/siteentry/response.go
+++ b/internal/role/siteentry/response.go
@@ -49,6 +49,8 @@
 		after = minOutageRetryAfter + rand.N(outageRetryAfterJitter)
 	case "Stopping":
 		after = stopRetryAfter
+	case "ShutOut":
+		after = verdictRetryAfter(j.shutOutBy)
 	}
 	j.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	j.entry.Metrics.CountReason("Refused", reason)
@@ -93,6 +95,8 @@
 		reason = "Deadline"
 	case err == errStale:
 		reason = "Stale"
+	case err == errShutOut && j.shutOutBy != nil:
+		reason = "ShutOut"
 	case err == dispatch.ErrFull:
 		reason = "Full"
 	case j.sent > 0:
@@ -137,6 +141,9 @@
 		fields = append(fields, "Service", j.service.Name, "Targets", s.Targets, "Out", s.Ineligible, "Closed", s.Closed,
 			"Ejected", s.Ejected, "Waiting", s.Waiting, "LeastBusy", s.MinInFlight, "MinWeights", j.minWeights())
 	}
+	if v := j.shutOutBy; v != nil {
+		fields = append(fields, "Verdict", v.Parts, "Ends", v.Ends, "Tests", v.Tests, "VerdictMsAgo", v.Age().Milliseconds())
+	}
 	fields = append(fields, "Target", j.target, "Route", routeName(j.route), "Sent", j.sent, "Tried", j.tried,
 		"Events", j.events(), "Parts", j.parts, "MayHaveRun", j.mayHaveRun, "WaitedMs", j.waited.Milliseconds(),
 		"TookMs", time.Since(j.startedAt).Milliseconds(), "ConfirmedMsAgo", j.entry.Views.Age().Milliseconds(),
--- a/internal/role/siteentry/run.go
+++ b/internal/role/siteentry/run.go
@@ -31,6 +31,10 @@
 			j.abandon(ctx, errStopping)
 			return
 		}
+		if j.shutOut(ctx) {
+			j.abandon(ctx, errShutOut)
+			return
+		}
 		req := j.dispatchRequest()
 		grant, err := j.acquire(ctx, req)
 		if err == dispatch.ErrNoTarget && j.sent == 0 && j.awaitTargets(ctx) {
@@ -69,6 +73,12 @@
 			j.abandon(ctx, errors.New("targets take no connection"))
 			return
 		}
+		if err := j.awaitClearance(ctx); err != nil {
+			j.releaseNext()
+			j.lastError += ", and " + err.Error()
+			j.abandon(ctx, err)
+			return
+		}
 		if !j.mayRetry(ctx, sent) {
 			j.releaseNext()
 			j.abandon(ctx, errors.New(j.lastError))
@@ -98,8 +108,10 @@
 			j.releaseNext()
 		}
 	}()
+	j.begun, j.brokenBy = false, nil
 	next, outcome, sent = j.attempt(ctx, grant)
 	returned = true
+	j.recordBreak(grant)
 	return next, outcome, sent
 }
 
--- a/internal/role/siteentry/siteentry.go
+++ b/internal/role/siteentry/siteentry.go
@@ -21,6 +21,7 @@
 	"egretproxy/internal/kernel/httpserver"
 	"egretproxy/internal/kernel/metrics"
 	"egretproxy/internal/site/siteclient"
+	"egretproxy/internal/site/witness"
 	"egretproxy/internal/wire/liveness"
 )
 
@@ -92,8 +93,10 @@
 // Entry accepts and routes requests. Its exported fields must be set before
 // Run is called.
 type Entry struct {
-	Settings    Settings
-	Views       ViewSource
+	Settings Settings
+	Views    ViewSource
+	// Keepers may be nil. Then no verdict is tested and no evidence reported.
+	Keepers     Keepers
 	Dispatcher  *dispatch.Dispatcher
 	RetryBudget *dispatch.RetryBudget
 	Pool        *connpool.Pool
@@ -105,6 +108,9 @@
 	floor         weightsFloor
 	retryDetector retrydetector.Detector
 	startup       startupState
+	witness       witness.Witness
+	// testing is set while a request asks for the test of a verdict.
+	testing atomic.Bool
 }
 
 // Run serves callers until the context ends, then completes the requests in
@@ -128,6 +134,11 @@
 		Name: "Callers", KeepAlive: keepAlive, Notice: drainNotice, Grace: grace,
 	}
 	e.startup.starting()
+	if e.Keepers != nil {
+		reporting, cancel := context.WithCancel(context.WithoutCancel(ctx))
+		defer cancel()
+		go e.reportEvidence(reporting)
+	}
 	go e.sweep(ctx)
 	unregister := context.AfterFunc(ctx, func() {
 		klog.InfoS("Entry is draining", "InProgress", e.active.Load())
--- a/internal/role/siteentry/stream.go
+++ b/internal/role/siteentry/stream.go
@@ -73,6 +73,8 @@
 		j.lastError = "stream fell silent"
 	case ctx.Err() != nil:
 		outcome = dispatch.Cancelled
+	default:
+		j.brokenBy = err
 	}
 	if j.route.Resumable {
 		return tryNext, outcome, true
@@ -86,19 +88,26 @@
 func (j *job) copyEvents(response *connpool.Response, timer *silenceTimer, grant *dispatch.Grant) error {
 	events := sse.New(response.Body)
 	flush := http.NewResponseController(j.w)
-	started := false
+	received := 0
 	for {
 		event, err := events.Next()
+		if err == io.EOF && received == 0 && !response.Framed {
+			// Nothing shows that a response without a length is complete.
+			return io.ErrUnexpectedEOF
+		}
 		if err == io.EOF {
+			j.recordBegin()
 			return j.endStream(response)
 		}
 		if err != nil {
 			return err
 		}
 		timer.reset()
-		if !started {
-			started = true
+		switch received++; received {
+		case 1:
 			grant.RecordFirstEvent()
+		case beginEvents:
+			j.recordBegin()
 		}
 		if !follows(j.stream.lastID, events.LastEventID) {
 			return errOutOfOrder
--- a/internal/role/siteentry/weights.go
+++ b/internal/role/siteentry/weights.go
@@ -69,6 +69,7 @@
 // OnView applies a new view to the required weights and the dispatcher.
 func (e *Entry) OnView(v *siteclient.View) {
 	e.raiseWeightsFloor(v)
+	e.witness.SetVerdicts(verdicts(v))
 	e.Dispatcher.Update(v)
 }
 
--- /dev/null
+++ b/internal/role/sitekeeper/quarantine.go
@@ -0,0 +1,158 @@
+package sitekeeper
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/site/evidence"
+	"egretproxy/internal/site/quarantine"
+	"egretproxy/internal/site/sitestate"
+	"egretproxy/internal/wire/rpc"
+)
+
+const (
+	// judgeInterval is the time between looks at suspicions that wait for
+	// objections.
+	judgeInterval = 50 * time.Millisecond
+	// followerDelay is how long a keeper that does not lead leaves a verdict to
+	// the leader, which has the same reports unless it is cut off.
+	followerDelay = 150 * time.Millisecond
+	// testSlack is how much earlier than by this keeper's clock entries may ask
+	// for a test.
+	testSlack = time.Second
+)
+
+// handleEvidence records what an entry saw. Parts on which responses began are
+// harmless, and are removed from the verdicts.
+func (k *Keeper) handleEvidence(ctx context.Context, params json.RawMessage) (any, error) {
+	var in evidence.Report
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, rpc.InvalidParams(err)
+	}
+	inForce := k.Machine.State().Quarantine
+	k.judge.Add(in, inForce)
+	for _, b := range in.Begun {
+		if !accused(inForce, b.Part) {
+			continue
+		}
+		klog.InfoS("Response began on a part of prompts that is shut out", "Part", b.Part, "AgeMs", b.AgeMs)
+		change := sitestate.QuarantineChange{Harmless: b.Part}
+		if err := k.Propose(ctx, sitestate.Command{Quarantine: &change}); err != nil {
+			return nil, rpc.NewError(rpc.CodeUnavailable, err.Error())
+		}
+	}
+	return nil, nil
+}
+
+func accused(verdicts []quarantine.Verdict, p id.PromptPart) bool {
+	for _, v := range verdicts {
+		for _, q := range v.Parts {
+			if p == q {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// handleTest grants the next test of a verdict to one caller.
+func (k *Keeper) handleTest(ctx context.Context, params json.RawMessage) (any, error) {
+	var in evidence.Test
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, rpc.InvalidParams(err)
+	}
+	v := findVerdict(k.Machine.State().Quarantine, in.Key)
+	now := time.Now()
+	if v == nil || in.Number != v.Tests+1 || now.Sub(time.UnixMilli(v.ChangedMs)) < v.TestInterval()-testSlack {
+		return evidence.TestResponse{}, nil
+	}
+	change := sitestate.QuarantineChange{Test: &in, ChangedMs: now.UnixMilli()}
+	if err := k.Propose(ctx, sitestate.Command{Quarantine: &change}); err != nil {
+		return nil, rpc.NewError(rpc.CodeUnavailable, err.Error())
+	}
+	st, err := k.Confirmed(ctx)
+	if err != nil {
+		return nil, rpc.NewError(rpc.CodeUnavailable, err.Error())
+	}
+	v = findVerdict(st.Quarantine, in.Key)
+	granted := v != nil && v.Tests == in.Number && v.Holder == in.Holder
+	klog.InfoS("Test of a verdict was requested", "Verdict", in.Key, "Number", in.Number, "Holder", in.Holder, "Granted", granted)
+	return evidence.TestResponse{Granted: granted}, nil
+}
+
+func findVerdict(verdicts []quarantine.Verdict, key string) *quarantine.Verdict {
+	for i := range verdicts {
+		if verdicts[i].Key() == key {
+			return &verdicts[i]
+		}
+	}
+	return nil
+}
+
+// handleQuarantine lists the verdicts, after lifting some if the caller asks for
+// it.
+func (k *Keeper) handleQuarantine(ctx context.Context, params json.RawMessage) (any, error) {
+	var in evidence.QuarantineRequest
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, rpc.InvalidParams(err)
+	}
+	if in.Lift != "" {
+		klog.InfoS("Verdicts are lifted by an operator", "Part", in.Lift)
+		// The ends so far must not convict the part again.
+		k.judge.Add(evidence.Report{Begun: []evidence.Begun{{Part: in.Lift}}}, k.Machine.State().Quarantine)
+		change := sitestate.QuarantineChange{Lift: in.Lift}
+		if err := k.Propose(ctx, sitestate.Command{Quarantine: &change}); err != nil {
+			return nil, rpc.NewError(rpc.CodeUnavailable, err.Error())
+		}
+	}
+	st, err := k.Confirmed(ctx)
+	if err != nil {
+		return nil, rpc.NewError(rpc.CodeUnavailable, err.Error())
+	}
+	return st.Quarantine, nil
+}
+
+// judgeLoop submits the verdicts that the reports justify.
+func (k *Keeper) judgeLoop(ctx context.Context) {
+	// dueSince is when this keeper first saw the verdict that is due.
+	var dueSince time.Time
+	for ctx.Err() == nil {
+		changed, stateChanged := k.judge.Changed(), k.Machine.Changed()
+		v, pending := k.judge.Verdict(k.Machine.State().Quarantine)
+		if v == nil {
+			dueSince = time.Time{}
+		} else {
+			if dueSince.IsZero() {
+				dueSince = time.Now()
+			}
+			k.submit(ctx, v, dueSince)
+		}
+		var wait <-chan time.Time
+		if pending {
+			wait = time.After(judgeInterval)
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-stateChanged:
+		case <-wait:
+		}
+	}
+}
+
+// submit proposes a verdict, unless that is left to the leader for now.
+func (k *Keeper) submit(ctx context.Context, v *quarantine.Verdict, dueSince time.Time) {
+	if !k.raftNode.Status().IsLeader && time.Since(dueSince) < followerDelay {
+		return
+	}
+	klog.InfoS("Parts of prompts are shut out", "Parts", v.Parts, "Ends", v.Ends)
+	k.metrics.Count("PartsShutOut")
+	change := sitestate.QuarantineChange{Verdict: v}
+	if err := k.Propose(ctx, sitestate.Command{Quarantine: &change}); err != nil {
+		klog.InfoS("Failed to shut out parts of prompts", "Parts", v.Parts, "Error", err.Error())
+	}
+}
--- a/internal/role/sitekeeper/sitekeeper.go
+++ b/internal/role/sitekeeper/sitekeeper.go
@@ -18,7 +18,9 @@
 	"egretproxy/internal/kernel/boottime"
 	"egretproxy/internal/kernel/metrics"
 	"egretproxy/internal/site/discovery"
+	"egretproxy/internal/site/evidence"
 	"egretproxy/internal/site/sitestate"
+	"egretproxy/internal/site/suspicion"
 	"egretproxy/internal/site/watch"
 	"egretproxy/internal/wire/rpc"
 )
@@ -48,7 +50,9 @@
 	// Machine holds the replicated state.
 	Machine sitestate.Machine
 	// Targets holds the targets announced to this keeper.
-	Targets  discovery.Registry
+	Targets discovery.Registry
+	// judge finds the parts of prompts that end targets.
+	judge    suspicion.Judge
 	raftNode *node.Node
 	metrics  *metrics.Set
 	epoch    string
@@ -75,7 +79,10 @@
 	_, _ = rand.Read(b[:])
 	k := &Keeper{metrics: set, region: region, epoch: hex.EncodeToString(b[:]), watchers: map[watcher]time.Time{}}
 	cfg.Machine = &k.Machine
-	cfg.Handlers = map[string]rpc.Handler{watch.Method: k.handleWatch}
+	cfg.Handlers = map[string]rpc.Handler{
+		watch.Method: k.handleWatch, evidence.ReportMethod: k.handleEvidence,
+		evidence.TestMethod: k.handleTest, evidence.QuarantineMethod: k.handleQuarantine,
+	}
 	cfg.OnLeadershipChange = func(leads bool) {
 		klog.InfoS("Leadership changed", "Leads", leads)
 		if leads {
@@ -94,6 +101,7 @@
 	defer k.stopping.Store(true)
 	g.Go(func() error { return k.raftNode.Run(ctx) })
 	g.Go(func() error { k.confirmLoop(ctx); return nil })
+	g.Go(func() error { k.judgeLoop(ctx); return nil })
 	return g.Wait()
 }
 
--- a/internal/role/sitekeeper/watch.go
+++ b/internal/role/sitekeeper/watch.go
@@ -37,6 +37,10 @@
 	defer timer.Stop()
 	for {
 		stateChanged, targetsChanged := k.Machine.Changed(), k.Targets.Changed()
+		var suspectsChanged <-chan struct{}
+		if in.Role == RoleEntry {
+			suspectsChanged = k.judge.Changed()
+		}
 		if k.hasChanges(in) {
 			return
 		}
@@ -55,6 +59,8 @@
 			return
 		case <-confirmed:
 		case <-stateChanged:
+		case <-suspectsChanged:
+			time.Sleep(batchDelay)
 		case <-targetsChanged:
 			time.Sleep(batchDelay)
 		}
@@ -67,6 +73,9 @@
 	}
 	changed, _ := k.Targets.Since(in.Targets)
 	st := k.Machine.State()
+	if in.Role == RoleEntry && k.judge.Position() != in.Suspects {
+		return true
+	}
 	return len(changed) > 0 || st.Index > in.Index || in.Document && st.PlanIndex > in.PlanIndex
 }
 
@@ -75,7 +84,7 @@
 	confirmed := k.confirmedAt
 	k.mu.Unlock()
 	if in.Epoch != k.epoch {
-		in.Targets = 0
+		in.Targets, in.Suspects = 0, 0
 	}
 	out := watch.Response{
 		Epoch: k.epoch, Region: k.region, Confirmed: confirmed > 0, ConfirmedMs: (confirmed - receivedAt).Milliseconds(),
@@ -83,6 +92,12 @@
 	}
 	out.Targets, out.Position = k.Targets.Since(in.Targets)
 	st := k.Machine.State()
+	if in.Role == RoleEntry {
+		out.SuspectsAt = k.judge.Position()
+	}
+	if out.SuspectsAt != in.Suspects {
+		out.Suspects, out.SuspectsAt = k.judge.Suspects(st.Quarantine)
+	}
 	wanted := in.Document && st.PlanIndex > in.PlanIndex
 	if st.Index <= in.Index && !wanted {
 		return out
@@ -94,6 +109,10 @@
 	for _, w := range k.Machine.WeightsVersions() {
 		out.State.Weights = append(out.State.Weights, watch.WeightsVersion{Model: w.Model, Version: w.Version, AgeMs: w.Age.Milliseconds()})
 	}
+	for _, v := range st.Quarantine {
+		age := max(time.Since(time.UnixMilli(v.ChangedMs)), 0)
+		out.State.Quarantine = append(out.State.Quarantine, watch.Verdict{Verdict: v, AgeMs: age.Milliseconds()})
+	}
 	if wanted {
 		out.State.Document = st.Document
 	}
--- /dev/null
+++ b/internal/site/evidence/evidence.go
@@ -0,0 +1,68 @@
+// Package evidence defines the messages about parts of prompts between entries,
+// which see engines end, and keepers.
+package evidence
+
+import "egretproxy/internal/fleet/id"
+
+const (
+	// ReportMethod is the call by which entries report what they saw.
+	ReportMethod = "site.evidence"
+	// TestMethod is the call by which an entry asks to send one request in
+	// spite of a verdict.
+	TestMethod = "site.test"
+	// QuarantineMethod is the call by which operators list and lift verdicts.
+	QuarantineMethod = "site.quarantine"
+)
+
+// Report is what an entry saw since its last report.
+type Report struct {
+	Ends  []End   `json:",omitempty"`
+	Begun []Begun `json:",omitempty"`
+}
+
+// Empty reports whether the report says nothing.
+func (r *Report) Empty() bool { return len(r.Ends) == 0 && len(r.Begun) == 0 }
+
+// End says that exchanges with a target broke off before their responses began.
+type End struct {
+	Target id.Target
+	// Born is the start time of the incarnation in Unix milliseconds.
+	Born int64
+	// Fresh are the parts of these requests on which the entry has seen no
+	// response begin yet, Known the others.
+	Fresh []id.PromptPart `json:",omitempty"`
+	Known []id.PromptPart `json:",omitempty"`
+}
+
+// Begun says that a response began on a part some time ago.
+type Begun struct {
+	Part  id.PromptPart
+	AgeMs int64
+}
+
+// Suspect is a part with which targets have ended, and no response has begun
+// since the first of them.
+type Suspect struct {
+	Part id.PromptPart
+	// AgeMs is the time since the first of these ends in milliseconds.
+	AgeMs int64
+}
+
+// Test asks for the next test of a verdict.
+type Test struct {
+	// Key is the verdict's.
+	Key string
+	// Number is one more than the tests that the caller knows of.
+	Number int
+	// Holder identifies the request.
+	Holder string
+}
+
+// TestResponse is the result of TestMethod.
+type TestResponse struct{ Granted bool }
+
+// QuarantineRequest asks for all verdicts, and lifts those that contain a part
+// if Lift is set.
+type QuarantineRequest struct {
+	Lift id.PromptPart `json:",omitempty"`
+}
--- a/internal/site/siteclient/client.go
+++ b/internal/site/siteclient/client.go
@@ -72,6 +72,9 @@
 	Decode func(document []byte) (*plan.Plan, error)
 	// OnChange is called with each new view, one at a time. It may be nil.
 	OnChange func(*View)
+	// OnSuspects is called with the time of the first end of a target with each
+	// part of prompts that keepers suspect. It may be nil.
+	OnSuspects func(map[id.PromptPart]time.Time)
 
 	view atomic.Pointer[View]
 	// confirmedAt is the start of the newest confirmation by the boottime
@@ -84,8 +87,8 @@
 	mu sync.Mutex
 	// lists holds the targets of each keeper, by address.
 	lists map[string]*targetList
-	// running holds the cancel functions of the watched keepers, by address.
-	running map[string]context.CancelFunc
+	// running holds the watched keepers, by address.
+	running map[string]*watchedKeeper
 	index   uint64
 	// planIndex is the log position of plan.
 	planIndex uint64
@@ -97,6 +100,13 @@
 	plan           *plan.Plan
 	withdrawn      map[id.Domain]bool
 	weights        []WeightsVersion
+	quarantine     []Verdict
+}
+
+// watchedKeeper is the connection to a keeper that is watched.
+type watchedKeeper struct {
+	client *rpc.Client
+	cancel context.CancelFunc
 }
 
 // View returns the newest view. It is never nil.
@@ -126,7 +136,7 @@
 func (c *Client) Run(ctx context.Context) {
 	c.mu.Lock()
 	c.lists = map[string]*targetList{}
-	c.running = map[string]context.CancelFunc{}
+	c.running = map[string]*watchedKeeper{}
 	c.mu.Unlock()
 	ticker := time.NewTicker(refreshInterval)
 	defer ticker.Stop()
@@ -163,13 +173,13 @@
 	for a := range wanted {
 		if c.running[a] == nil {
 			keeperCtx, cancel := context.WithCancel(ctx)
-			c.running[a] = cancel
-			go c.watchKeeper(keeperCtx, a)
+			c.running[a] = &watchedKeeper{&rpc.Client{Address: a, DialTimeout: dialTimeout}, cancel}
+			go c.watchKeeper(keeperCtx, c.running[a].client)
 		}
 	}
-	for a, cancel := range c.running {
+	for a, k := range c.running {
 		if !wanted[a] {
-			cancel()
+			k.cancel()
 			delete(c.running, a)
 			klog.InfoS("Stopped watching keeper", "Keeper", a)
 		}
@@ -191,10 +201,9 @@
 	}
 }
 
-func (c *Client) watchKeeper(ctx context.Context, address string) {
-	client := &rpc.Client{Address: address, DialTimeout: dialTimeout}
+func (c *Client) watchKeeper(ctx context.Context, client *rpc.Client) {
 	defer client.Close()
-	link := keeperLink{keeper: address, lost: true}
+	link := keeperLink{keeper: client.Address, lost: true}
 	for ctx.Err() == nil {
 		began := boottime.Now()
 		err := c.watchOnce(ctx, client)
@@ -250,7 +259,7 @@
 		Document: document, Unconfirmed: !c.SlowPolling && c.Age() > unconfirmedAge,
 	}
 	if l := c.lists[client.Address]; l != nil {
-		in.Epoch, in.Targets = l.epoch, l.position
+		in.Epoch, in.Targets, in.Suspects = l.epoch, l.position, l.suspectsAt
 	}
 	c.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, c.watchWait()+responseTimeout)
@@ -274,6 +283,7 @@
 	changed := len(response.Targets) > 0 || l.epoch != response.Epoch || l.entries != response.Entries
 	l.update(response.Epoch, response.Position, c.fillStartTimes(response.Targets))
 	l.entries, l.keepers, l.region = response.Entries, response.Keepers, response.Region
+	suspectsChanged := l.updateSuspects(response)
 	planOmitted := response.State != nil && response.State.PlanIndex > c.planIndex && response.State.Document == nil
 	if planOmitted && c.planOmittedSince.IsZero() {
 		c.planOmittedSince = time.Now()
@@ -285,6 +295,9 @@
 	if changed {
 		c.publish()
 	}
+	if suspectsChanged {
+		c.publishSuspects()
+	}
 	if planOmitted {
 		return errPlanOmitted
 	}
@@ -331,7 +344,8 @@
 		c.withdrawn[d] = true
 	}
 	c.applyWeights(s.Weights)
-	klog.InfoS("Agreed state changed", "Position", s.Index, "Withdrawn", s.Withdrawn, "Weights", s.Weights)
+	c.applyQuarantine(s.Quarantine)
+	klog.InfoS("Agreed state changed", "Position", s.Index, "Withdrawn", s.Withdrawn, "Weights", s.Weights, "ShutOut", s.Quarantine)
 	return true
 }
 
@@ -382,7 +396,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	v := &View{
-		Plan: c.plan, Withdrawn: c.withdrawn, Weights: c.weights,
+		Plan: c.plan, Withdrawn: c.withdrawn, Weights: c.weights, Quarantine: c.quarantine,
 		Targets: merge(c.lists), Entries: 1, Keepers: map[string]id.Region{},
 	}
 	for a, l := range c.lists {
--- a/internal/site/siteclient/view.go
+++ b/internal/site/siteclient/view.go
@@ -1,11 +1,14 @@
 package siteclient
 
 import (
+	"math"
 	"time"
 
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/boottime"
 	"egretproxy/internal/site/discovery"
 	"egretproxy/internal/site/plan"
+	"egretproxy/internal/site/quarantine"
 )
 
 // View is the state of the site as a client knows it. It is immutable.
@@ -16,6 +19,8 @@
 	Withdrawn map[id.Domain]bool
 	// Weights holds the newest published versions, oldest first.
 	Weights []WeightsVersion
+	// Quarantine holds the verdicts on parts of prompts, oldest first.
+	Quarantine []Verdict
 	// Targets holds all targets that are alive and have not left.
 	Targets map[id.Target]discovery.Target
 	// Entries is the number of known entries, at least 1.
@@ -36,6 +41,16 @@
 	return out
 }
 
+// Verdict is a verdict with the time of its last change.
+type Verdict struct {
+	quarantine.Verdict
+	// ChangedAt is by the boottime clock.
+	ChangedAt time.Duration
+}
+
+// Age returns the time since the verdict or its last test.
+func (v *Verdict) Age() time.Duration { return boottime.Now() - v.ChangedAt }
+
 // WeightsVersion is a published version of weights.
 type WeightsVersion struct {
 	Model   id.Model
@@ -55,6 +70,9 @@
 	return newest
 }
 
+// unknownPosition is a position that no keeper reaches.
+const unknownPosition = math.MaxUint64
+
 // targetList holds the targets that one keeper reported.
 type targetList struct {
 	epoch    string
@@ -70,6 +88,10 @@
 	entries      int
 	keepers      []string
 	region       id.Region
+	// suspects is the time of the first end with each part that the keeper
+	// suspects, at its position suspectsAt.
+	suspects   map[id.PromptPart]time.Time
+	suspectsAt uint64
 }
 
 // update adds targets to the list, or replaces it if the keeper restarted.
@@ -79,7 +101,7 @@
 			l.retained, l.retainedUntil = l.targets, time.Now().Add(discovery.SilenceTimeout)
 		}
 		l.targets = map[id.Target]discovery.Target{}
-		l.epoch = epoch
+		l.epoch, l.suspectsAt = epoch, unknownPosition
 	}
 	for _, t := range targets {
 		l.targets[t.ID] = t
--- a/internal/site/sitestate/sitestate.go
+++ b/internal/site/sitestate/sitestate.go
@@ -1,10 +1,12 @@
 // Package sitestate implements the replicated state of a site: the plan in
-// force, the withdrawn failure domains and the published versions of weights.
+// force, the withdrawn failure domains, the published versions of weights and the
+// parts of prompts that are shut out.
 // Keepers apply the commands of the replicated log to it.
 package sitestate
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +16,7 @@
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/kernel/boottime"
 	"egretproxy/internal/site/plan"
+	"egretproxy/internal/site/quarantine"
 )
 
 // Command is one change. Exactly one of its fields is set.
@@ -21,6 +24,8 @@
 	Plan     *PlanChange    `cbor:",omitempty"`
 	Withdraw *DomainChange  `cbor:",omitempty"`
 	Weights  *WeightsChange `cbor:",omitempty"`
+	// Quarantine changes the parts of prompts that are shut out.
+	Quarantine *QuarantineChange `cbor:",omitempty"`
 }
 
 // PlanChange sets a plan if its version is higher than the one in force.
@@ -60,6 +65,8 @@
 	Weights   map[id.Model]int64
 	// NamedMs is when those versions were published, as in WeightsChange.
 	NamedMs map[id.Model]int64
+	// Quarantine holds the verdicts on parts of prompts, oldest first.
+	Quarantine []quarantine.Verdict
 }
 
 // Machine is the replicated state machine. It is safe for concurrent use. The
@@ -133,6 +140,7 @@
 	out.Withdrawn = maps.Clone(out.Withdrawn)
 	out.Weights = maps.Clone(out.Weights)
 	out.NamedMs = maps.Clone(out.NamedMs)
+	out.Quarantine = slices.Clone(out.Quarantine)
 	return out
 }
 
@@ -196,6 +204,8 @@
 		}
 		s.Weights[in.Weights.Model] = in.Weights.Version
 		s.NamedMs[in.Weights.Model] = in.Weights.NamedMs
+	case in.Quarantine != nil:
+		return s.applyQuarantine(*in.Quarantine)
 	default:
 		return false
 	}
--- a/internal/site/watch/watch.go
+++ b/internal/site/watch/watch.go
@@ -5,7 +5,9 @@
 import (
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/site/discovery"
+	"egretproxy/internal/site/evidence"
 	"egretproxy/internal/site/plan"
+	"egretproxy/internal/site/quarantine"
 )
 
 // Method is the name of the watch call. It returns at once if there are
@@ -31,6 +33,9 @@
 	// Unconfirmed means that the watcher has no recent confirmation and can't
 	// wait for one until its hold is over.
 	Unconfirmed bool `json:",omitempty"`
+	// Suspects is the position of the suspects held. It is ignored if the
+	// keeper's epoch differs.
+	Suspects uint64 `json:",omitempty"`
 	// HoldMs is the longest wait for changes in milliseconds.
 	HoldMs int64
 }
@@ -51,6 +56,11 @@
 	// changed.
 	Position uint64
 	Targets  []discovery.Target `json:",omitempty"`
+	// SuspectsAt is the newest position of the parts of prompts that are
+	// suspected to end targets, Suspects all of them if the position held was
+	// another one.
+	SuspectsAt uint64             `json:",omitempty"`
+	Suspects   []evidence.Suspect `json:",omitempty"`
 	// Keepers holds the addresses of all members.
 	Keepers []string
 	// Entries is the number of entries that watch this keeper.
@@ -67,6 +77,14 @@
 	Withdrawn []id.Domain
 	// Weights holds the newest published versions, oldest first.
 	Weights []WeightsVersion
+	// Quarantine holds the verdicts on parts of prompts.
+	Quarantine []Verdict `json:",omitempty"`
+}
+
+// Verdict is a verdict, with the time since its last change in milliseconds.
+type Verdict struct {
+	quarantine.Verdict
+	AgeMs int64
 }
 
 // WeightsVersion is a version of weights. AgeMs is how long the keeper has
--- /dev/null
+++ b/internal/site/witness/witness.go
@@ -0,0 +1,186 @@
+// Package witness collects what an entry learns about the parts of prompts: the
+// responses that began on them, and the targets that ended before.
+package witness
+
+import (
+	"container/list"
+	"slices"
+	"sync"
+	"time"
+
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/site/evidence"
+	"egretproxy/internal/site/quarantine"
+)
+
+const (
+	// maxParts limits the parts whose responses are remembered.
+	maxParts = 4096
+	// maxPartsPerReport limits a report. The rest is dropped.
+	maxPartsPerReport = 256
+)
+
+// Witness is the memory of one entry. It is safe for concurrent use. The zero
+// value is empty.
+type Witness struct {
+	mu sync.Mutex
+	// begun holds the parts on which responses began, in recent, which is sorted
+	// by use, the latest first.
+	begun  map[id.PromptPart]*list.Element
+	recent list.List
+	// suspects holds the time of the first end with each suspect.
+	suspects map[id.PromptPart]time.Time
+	accused  map[id.PromptPart]bool
+	pending  evidence.Report
+	size     int
+	// changed is closed when there is something to report.
+	changed chan struct{}
+}
+
+// memory is when a response last began on a part.
+type memory struct {
+	part id.PromptPart
+	at   time.Time
+}
+
+// Begun records that a response began on the parts.
+func (w *Witness) Begun(parts []id.PromptPart) {
+	if len(parts) == 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	for _, p := range parts {
+		w.remember(p, now)
+		since, suspect := w.suspects[p]
+		if suspect && now.After(since) || w.accused[p] {
+			w.addBegun(p, 0)
+		}
+	}
+}
+
+func (w *Witness) remember(p id.PromptPart, now time.Time) {
+	if w.begun == nil {
+		w.begun = map[id.PromptPart]*list.Element{}
+	}
+	if e, ok := w.begun[p]; ok {
+		e.Value = memory{p, now}
+		w.recent.MoveToFront(e)
+		return
+	}
+	w.begun[p] = w.recent.PushFront(memory{p, now})
+	if len(w.begun) > maxParts {
+		oldest := w.recent.Back()
+		delete(w.begun, oldest.Value.(memory).part)
+		w.recent.Remove(oldest)
+	}
+}
+
+// addBegun adds to the report. The caller holds mu.
+func (w *Witness) addBegun(p id.PromptPart, age time.Duration) {
+	same := func(b evidence.Begun) bool { return b.Part == p }
+	if w.size < maxPartsPerReport && !slices.ContainsFunc(w.pending.Begun, same) {
+		w.size++
+		w.pending.Begun = append(w.pending.Begun, evidence.Begun{Part: p, AgeMs: age.Milliseconds()})
+		w.notify()
+	}
+}
+
+// Known reports whether responses were seen to begin on all of the parts.
+func (w *Witness) Known(parts []id.PromptPart) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !slices.ContainsFunc(parts, func(p id.PromptPart) bool { return w.begun[p] == nil })
+}
+
+// Suspected reports whether one of the parts is a suspect on which no response
+// was seen to begin since.
+func (w *Witness) Suspected(parts []id.PromptPart) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.ContainsFunc(parts, func(p id.PromptPart) bool {
+		since, suspect := w.suspects[p]
+		return suspect && !w.begunSince(p, since)
+	})
+}
+
+func (w *Witness) begunSince(p id.PromptPart, since time.Time) bool {
+	e := w.begun[p]
+	return e != nil && e.Value.(memory).at.After(since)
+}
+
+// Ended records that a target ended before the response to a request with the
+// parts began.
+func (w *Witness) Ended(target id.Target, born int64, parts []id.PromptPart) {
+	if len(parts) == 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	same := func(e evidence.End) bool { return e.Target == target && e.Born == born }
+	i := slices.IndexFunc(w.pending.Ends, same)
+	if i < 0 {
+		i = len(w.pending.Ends)
+		w.pending.Ends = append(w.pending.Ends, evidence.End{Target: target, Born: born})
+	}
+	e := &w.pending.Ends[i]
+	for _, p := range parts {
+		if w.size >= maxPartsPerReport || slices.Contains(e.Fresh, p) || slices.Contains(e.Known, p) {
+			continue
+		}
+		w.size++
+		if w.begun[p] == nil {
+			e.Fresh = append(e.Fresh, p)
+		} else {
+			e.Known = append(e.Known, p)
+		}
+	}
+	w.notify()
+}
+
+// SetSuspects replaces the suspects and reports the responses that began on them
+// after the first end.
+func (w *Witness) SetSuspects(suspects map[id.PromptPart]time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for p, since := range suspects {
+		if w.begunSince(p, since) {
+			w.addBegun(p, time.Since(w.begun[p].Value.(memory).at))
+		}
+	}
+	w.suspects = suspects
+}
+
+// SetVerdicts replaces the verdicts in force.
+func (w *Witness) SetVerdicts(verdicts []quarantine.Verdict) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.accused = map[id.PromptPart]bool{}
+	for _, v := range verdicts {
+		for _, p := range v.Parts {
+			w.accused[p] = true
+		}
+	}
+}
+
+// Take returns what was not reported yet, and a channel that is closed when
+// there is more.
+func (w *Witness) Take() (evidence.Report, <-chan struct{}) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := w.pending
+	w.pending, w.size = evidence.Report{}, 0
+	if w.changed == nil {
+		w.changed = make(chan struct{})
+	}
+	return out, w.changed
+}
+
+// notify wakes the waiter. The caller holds mu.
+func (w *Witness) notify() {
+	if w.changed != nil {
+		close(w.changed)
+		w.changed = nil
+	}
+}
