suspicion, siteentry, sitestate: test the shutting out of parts of prompts

The judge is played with witnesses and engines in a module without network: each place of the part, one and three of them, 8, 2 and 0.5 requests a second among 80 sound ones; engines that end at random, in turn, as a failure domain, and connections of an entry that end together; hostile ids.

--- /dev/null
+++ b/internal/site/suspicion/load_test.go
@@ -0,0 +1,379 @@
+package suspicion
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/site/evidence"
+	"egretproxy/internal/site/quarantine"
+	"egretproxy/internal/site/witness"
+)
+
+// load is a site without a network: entries with a witness each, one keeper, and
+// engines that end with some parts or for other reasons.
+type load struct {
+	random    *rand.Rand
+	witnesses []*witness.Witness
+	judge     Judge
+	verdicts  []quarantine.Verdict
+	engines   []*engine
+
+	// guilty are the parts that end engines.
+	guilty []id.PromptPart
+	// ends counts the engines that ended with each guilty part, refusedSound the
+	// sound requests that a verdict shut out, sound all of them.
+	ends                map[id.PromptPart]int
+	refusedSound, sound int
+	// soundVerdicts are the verdicts on parts that end nothing.
+	soundVerdicts []quarantine.Verdict
+	steps         int
+}
+
+// engine is one incarnation of an engine.
+type engine struct {
+	id      id.Target
+	domain  int
+	upAt    time.Time
+	running []*promptRequest
+}
+
+type promptRequest struct {
+	entry    int
+	parts    []id.PromptPart
+	beginsAt time.Time
+	begun    bool
+	again    bool
+}
+
+const (
+	loadStep     = 10 * time.Millisecond
+	loadEngines  = 14
+	loadEntries  = 6
+	loadReturn   = 2500 * time.Millisecond
+	loadRunTime  = time.Second
+	loadMaxBegin = 300 * time.Millisecond
+)
+
+func newLoad(seed uint64, guilty ...id.PromptPart) *load {
+	l := &load{random: rand.New(rand.NewPCG(seed, 1)), guilty: guilty, ends: map[id.PromptPart]int{}}
+	for range loadEntries {
+		l.witnesses = append(l.witnesses, &witness.Witness{})
+	}
+	for i := range loadEngines {
+		l.engines = append(l.engines, &engine{id: id.Target(fmt.Sprintf("e%d", i)), domain: i % 3})
+	}
+	return l
+}
+
+// drawParts returns the shared parts of a sound request.
+func (l *load) drawParts() []id.PromptPart {
+	return []id.PromptPart{
+		id.PromptPart(fmt.Sprintf("a%d", l.random.IntN(4))), id.PromptPart(fmt.Sprintf("b%d", l.random.IntN(400))),
+		id.PromptPart(fmt.Sprintf("c%d", l.random.IntN(20))),
+	}
+}
+
+// send routes a request to a random engine that is up, unless it is shut out.
+func (l *load) send(r *promptRequest) {
+	for _, v := range l.verdicts {
+		if v.Matches(r.parts) {
+			if l.guiltyPart(r.parts) == "" {
+				l.refusedSound++
+			}
+			return
+		}
+	}
+	now := time.Now()
+	var up []*engine
+	for _, e := range l.engines {
+		if !now.Before(e.upAt) {
+			up = append(up, e)
+		}
+	}
+	if len(up) == 0 {
+		return
+	}
+	e := up[l.random.IntN(len(up))]
+	r.beginsAt = now.Add(50*time.Millisecond + time.Duration(l.random.Int64N(int64(loadMaxBegin))))
+	e.running = append(e.running, r)
+}
+
+func (l *load) guiltyPart(parts []id.PromptPart) id.PromptPart {
+	for _, p := range parts {
+		if slices.Contains(l.guilty, p) {
+			return p
+		}
+	}
+	return ""
+}
+
+// end ends an engine. Bystanders whose parts are known to be harmless are sent
+// again.
+func (l *load) end(e *engine) {
+	running := e.running
+	e.running = nil
+	e.upAt = time.Now().Add(loadReturn)
+	for _, r := range running {
+		if r.begun {
+			continue
+		}
+		w := l.witnesses[r.entry]
+		w.Ended(e.id, e.upAt.UnixMilli(), r.parts)
+		if !r.again && l.guiltyPart(r.parts) == "" && w.Known(r.parts) {
+			r.again = true
+			l.send(r)
+		}
+	}
+}
+
+// step lets responses begin, and passes evidence on.
+func (l *load) step() {
+	now := time.Now()
+	for _, e := range l.engines {
+		for _, r := range e.running {
+			if r.begun || now.Before(r.beginsAt) {
+				continue
+			}
+			if p := l.guiltyPart(r.parts); p != "" {
+				l.ends[p]++
+				l.end(e)
+				break
+			}
+			r.begun = true
+			l.witnesses[r.entry].Begun(r.parts)
+		}
+		e.running = slices.DeleteFunc(e.running, func(r *promptRequest) bool { return now.After(r.beginsAt.Add(loadRunTime)) })
+	}
+	for _, w := range l.witnesses {
+		report, _ := w.Take()
+		if report.Empty() {
+			continue
+		}
+		l.judge.Add(report, l.verdicts)
+		for _, b := range report.Begun {
+			l.clear(b.Part)
+		}
+	}
+	if l.steps++; l.steps%5 != 0 {
+		return
+	}
+	suspects, _ := l.judge.Suspects(l.verdicts)
+	since := map[id.PromptPart]time.Time{}
+	for _, s := range suspects {
+		since[s.Part] = now.Add(-time.Duration(s.AgeMs) * time.Millisecond)
+	}
+	for _, w := range l.witnesses {
+		w.SetSuspects(since)
+	}
+	if v, _ := l.judge.Verdict(l.verdicts); v != nil {
+		l.verdicts = append(l.verdicts, *v)
+		if !slices.ContainsFunc(v.Parts, func(p id.PromptPart) bool { return slices.Contains(l.guilty, p) }) {
+			l.soundVerdicts = append(l.soundVerdicts, *v)
+		}
+		for _, w := range l.witnesses {
+			w.SetVerdicts(l.verdicts)
+		}
+	}
+}
+
+func (l *load) clear(p id.PromptPart) {
+	var kept []quarantine.Verdict
+	for _, v := range l.verdicts {
+		if v = v.Without(p); len(v.Parts) > 0 {
+			kept = append(kept, v)
+		}
+	}
+	l.verdicts = kept
+}
+
+// run plays sound and crashing requests at rates per second for a time. other is
+// called at each step.
+func (l *load) run(length time.Duration, sound, crashing float64, place int, other func()) {
+	for began := time.Now(); time.Since(began) < length; time.Sleep(loadStep) {
+		if l.random.Float64() < sound*loadStep.Seconds() {
+			l.sound++
+			l.send(&promptRequest{entry: l.random.IntN(loadEntries), parts: l.drawParts()})
+		}
+		if l.random.Float64() < crashing*loadStep.Seconds() {
+			parts := l.drawParts()
+			parts[place] = l.guilty[l.random.IntN(len(l.guilty))]
+			l.send(&promptRequest{entry: l.random.IntN(loadEntries), parts: parts})
+		}
+		if other != nil {
+			other()
+		}
+		l.step()
+	}
+}
+
+const (
+	testSeeds = 4
+	quietTime = 10 * time.Second
+	crashTime = 20 * time.Second
+	// maxEndsPerPart is five ends and those within the time to react at the rate
+	// of the test.
+	maxEndsPerPart = 5
+	reactionTime   = 3 * time.Second
+)
+
+// TestHoldsGuiltyPartIsShutOut guards against parts of prompts that end engine
+// after engine: at each place, alone or with others, at a high and a low rate,
+// among many bystanders.
+func TestHoldsGuiltyPartIsShutOut(t *testing.T) {
+	for _, c := range []struct {
+		place  int
+		guilty []id.PromptPart
+		rate   float64
+	}{
+		{0, []id.PromptPart{"g"}, 8},
+		{1, []id.PromptPart{"g"}, 8},
+		{2, []id.PromptPart{"g"}, 8},
+		{1, []id.PromptPart{"g"}, 2},
+		{1, []id.PromptPart{"g"}, 0.5},
+		{2, []id.PromptPart{"g", "h", "i"}, 8},
+	} {
+		t.Run(fmt.Sprintf("place %d, %d parts, %v per second", c.place, len(c.guilty), c.rate), func(t *testing.T) {
+			for seed := range uint64(testSeeds) {
+				synctest.Test(t, func(t *testing.T) {
+					l := newLoad(seed, c.guilty...)
+					l.run(quietTime, 80, 0, 0, nil)
+					l.sound, l.refusedSound = 0, 0
+					l.run(crashTime, 80, c.rate, c.place, nil)
+					for _, g := range c.guilty {
+						if most := maxEndsPerPart + int(c.rate*reactionTime.Seconds()); l.ends[g] > most {
+							t.Errorf("seed %d: %d engines ended with part %s", seed, l.ends[g], g)
+						}
+						if c.rate > 1 && !slices.ContainsFunc(l.verdicts, func(v quarantine.Verdict) bool { return slices.Contains(v.Parts, g) }) {
+							t.Errorf("seed %d: part %s is not shut out", seed, g)
+						}
+					}
+					if l.refusedSound*100 > l.sound {
+						t.Errorf("seed %d: %d of %d sound requests were shut out; verdicts %v", seed, l.refusedSound, l.sound, l.soundVerdicts)
+					}
+				})
+			}
+		})
+	}
+}
+
+// TestHoldsOtherEndsShutNothingOut guards against verdicts on parts that were only
+// there when engines ended: at random, a whole failure domain, all that an entry
+// is connected to, and one after the other.
+func TestHoldsOtherEndsShutNothingOut(t *testing.T) {
+	for name, other := range map[string]func(l *load) func(){
+		"at random": func(l *load) func() {
+			return func() {
+				if l.random.IntN(50) == 0 {
+					l.end(l.engines[l.random.IntN(loadEngines)])
+				}
+			}
+		},
+		"failure domain": func(l *load) func() {
+			return func() {
+				if l.random.IntN(300) == 0 {
+					for _, e := range l.engines {
+						if e.domain == 1 {
+							l.end(e)
+						}
+					}
+				}
+			}
+		},
+		"connections of an entry": func(l *load) func() {
+			return func() {
+				if l.random.IntN(100) == 0 {
+					for _, e := range l.engines {
+						for _, r := range e.running {
+							if r.entry == 2 && !r.begun {
+								l.witnesses[2].Ended(e.id, e.upAt.UnixMilli(), r.parts)
+							}
+						}
+					}
+				}
+			}
+		},
+		"in turn": func(l *load) func() {
+			n := 0
+			return func() {
+				if n++; n%40 == 0 {
+					l.end(l.engines[n/40%loadEngines])
+				}
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(testSeeds) {
+				synctest.Test(t, func(t *testing.T) {
+					l := newLoad(seed)
+					l.run(crashTime, 80, 0, 0, other(l))
+					if len(l.soundVerdicts) > 0 {
+						t.Errorf("seed %d: verdicts %v", seed, l.soundVerdicts)
+					}
+				})
+			}
+		})
+	}
+}
+
+// TestHoldsOtherPartsCanNotBeShutOut guards against a caller that names another
+// organisation's part, which few requests have, beside its own that ends engines.
+func TestHoldsOtherPartsCanNotBeShutOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var j Judge
+		var w witness.Witness
+		end := func(n int, parts ...id.PromptPart) {
+			w.Ended(id.Target(fmt.Sprintf("e%d", n)), 1, parts)
+			report, _ := w.Take()
+			j.Add(report, nil)
+			time.Sleep(time.Second)
+		}
+		for n := range 6 {
+			end(n, "victim", "bad")
+		}
+		v, _ := j.Verdict(nil)
+		if v == nil || !v.Matches([]id.PromptPart{"victim", "bad"}) {
+			t.Fatalf("verdict %v", v)
+		}
+		if v.Matches([]id.PromptPart{"victim"}) || v.Matches([]id.PromptPart{"victim", "other"}) {
+			t.Errorf("verdict %v shuts out requests with one of the parts", v.Parts)
+		}
+		// A request with the part of the other organisation shows that it is
+		// harmless.
+		inForce := []quarantine.Verdict{*v}
+		j.Add(evidence.Report{Begun: []evidence.Begun{{Part: "victim"}}}, inForce)
+		inForce[0] = v.Without("victim")
+		end(7, "victim", "bad")
+		if again, _ := j.Verdict(inForce); again != nil {
+			t.Errorf("verdict %v after a response began on the part", again.Parts)
+		}
+	})
+}
+
+// TestMemoryIsBounded guards against callers that name parts without end.
+func TestMemoryIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var j Judge
+		for n := range 3 * maxEnds {
+			e := evidence.End{Target: id.Target(fmt.Sprint(n))}
+			for k := range 2 * maxPartsPerEnd {
+				e.Fresh = append(e.Fresh, id.PromptPart(fmt.Sprint(n, "-", k)))
+			}
+			// Two reports of each end.
+			j.addEnd(time.Now(), e)
+			j.addEnd(time.Now(), e)
+			time.Sleep(time.Millisecond)
+		}
+		j.Add(evidence.Report{}, nil)
+		if len(j.ends) > maxEnds || len(j.ends[0].parts) > maxPartsPerEnd || len(j.known)+len(j.begun) > maxEnds*maxPartsPerEnd {
+			t.Errorf("%d ends, %d parts in the first, %d known", len(j.ends), len(j.ends[0].parts), len(j.known))
+		}
+		if s, _ := j.Suspects(nil); len(s) > maxSuspects {
+			t.Errorf("%d suspects", len(s))
+		}
+	})
+}
--- a/internal/site/suspicion/suspicion.go
+++ b/internal/site/suspicion/suspicion.go
@@ -26,10 +26,12 @@
 	// suspectMoments is the number of moments at which engines ended from which
 	// a part is a suspect, so that entries report responses that began on it.
 	suspectMoments = 2
-	// freshMoments convict a part on which no response was seen before,
-	// knownMoments any other.
-	freshMoments = 3
-	knownMoments = 5
+	// quickMoments convict a part on which no response was seen before, if
+	// engines ended with it at quickShare of the moments since the first one.
+	// Ends without it speak for another cause. enoughMoments convict any part.
+	quickMoments  = 3
+	quickShare    = 0.5
+	enoughMoments = 5
 	// momentLength is the time in which engines that end count once: the loss of
 	// a failure domain, or of the links of an entry, ends many exchanges at once.
 	momentLength = 50 * time.Millisecond
@@ -73,14 +75,17 @@
 // Suspicion is what counts against one part.
 type Suspicion struct {
 	Part id.PromptPart
-	// Moments is the number of moments at which engines ended with the part.
-	Moments int
+	// Moments is the number of moments at which engines ended with the part, Of
+	// that at which engines ended since the first of them. Ends that verdicts on
+	// other parts explain do not count.
+	Moments, Of int
 	// Ends is the number of these engines, Since the time of the first end.
 	Ends  int
 	Since time.Time
 
-	// members identifies the ends.
+	// members identifies the ends. first is the moment of the first one.
 	members string
+	first   int
 }
 
 // Add records a report.
@@ -153,15 +158,19 @@
 func (j *Judge) suspicions(inForce []quarantine.Verdict) map[id.PromptPart]*Suspicion {
 	out := map[id.PromptPart]*Suspicion{}
 	last := map[id.PromptPart]int{}
+	var unexplained []int
 	for i, e := range j.ends {
 		explaining := explanations(e, inForce)
+		if n := len(unexplained); len(explaining) == 0 && (n == 0 || unexplained[n-1] != e.moment) {
+			unexplained = append(unexplained, e.moment)
+		}
 		for p := range e.parts {
 			if !e.at.After(j.begun[p]) || explainedByOthers(p, explaining) {
 				continue
 			}
 			s := out[p]
 			if s == nil {
-				s = &Suspicion{Part: p, Since: e.at}
+				s = &Suspicion{Part: p, Since: e.at, first: e.moment}
 				out[p] = s
 			}
 			s.Ends++
@@ -172,6 +181,10 @@
 			}
 		}
 	}
+	for _, s := range out {
+		from, _ := slices.BinarySearch(unexplained, s.first)
+		s.Of = max(len(unexplained)-from, s.Moments)
+	}
 	return out
 }
 
@@ -294,10 +307,9 @@
 // convicts reports whether a suspicion suffices for a verdict. The caller holds
 // mu.
 func (j *Judge) convicts(s *Suspicion) bool {
-	needed := freshMoments
-	if j.known[s.Part] {
-		needed = knownMoments
+	if _, suspect := j.suspects[s.Part]; !suspect {
+		return false
 	}
-	_, suspect := j.suspects[s.Part]
-	return suspect && s.Moments >= needed
+	quick := !j.known[s.Part] && float64(s.Moments) >= quickShare*float64(s.Of)
+	return s.Moments >= enoughMoments || quick && s.Moments >= quickMoments
 }
