siteentry: tell the end of a target from that of a response without a length

Cause: such a response ends with its connection. When the engine ends, its connections are closed as well, often between two events, and the entry took that for the end of the response.

Change: at the end of such a response the entry connects to the target again. If nothing accepts connections there and the target has not said that it leaves, the response has broken off: a stream goes on at another target, a plain response is fetched anew or fails. The connection is kept for the next request, which needs one in any case.

--- a/internal/exchange/connpool/connpool.go
+++ b/internal/exchange/connpool/connpool.go
@@ -7,6 +7,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -153,6 +154,17 @@
 	return newPersistConn(c), nil
 }
 
+// Refuses reports whether nothing accepts connections at the address any more. A
+// connection that is established is kept for the next request.
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	}
+	p.putUnused(address, c)
+	return false
+}
+
 func newPersistConn(c net.Conn) *persistConn {
 	out := &persistConn{conn: c}
 	out.limit = &limitedReader{r: out}
--- a/internal/role/siteentry/attempt.go
+++ b/internal/role/siteentry/attempt.go
@@ -119,6 +119,9 @@
 // it, so that a truncated response is never taken for a complete one.
 func (j *job) forwardBuffered(response *connpool.Response, grant *dispatch.Grant) (decision, dispatch.Outcome, bool) {
 	body, err := bodylimit.ReadAll(response.Body, maxBufferedBytes)
+	if err == nil && !response.Framed && j.targetEnded(grant) {
+		err = errTargetEnded
+	}
 	if err != nil {
 		return j.responseFailed(err)
 	}
@@ -131,6 +134,17 @@
 	return j.responseEnded(response, grant)
 }
 
+// errTargetEnded means that a response without a length ended with its target.
+var errTargetEnded = errors.Wrap(io.ErrUnexpectedEOF, "target ended")
+
+// targetEnded reports whether the end of a response without a length may be that
+// of its target: nothing accepts connections there, and the target has not said
+// that it leaves. The connection that tells is needed anyway, since such a
+// response uses up its own.
+func (j *job) targetEnded(grant *dispatch.Grant) bool {
+	return grant.Valid() && j.entry.Pool.Refuses(j.r.Context(), grant.Address)
+}
+
 // forwardLong forwards a response as it arrives. Its declared length shows the
 // caller whether it is complete.
 func (j *job) forwardLong(response *connpool.Response, timer *silenceTimer, grant *dispatch.Grant) (decision, dispatch.Outcome, bool) {
--- a/internal/role/siteentry/stream.go
+++ b/internal/role/siteentry/stream.go
@@ -91,9 +91,9 @@
 	received := 0
 	for {
 		event, err := events.Next()
-		if err == io.EOF && received == 0 && !response.Framed {
-			// Nothing shows that a response without a length is complete.
-			return io.ErrUnexpectedEOF
+		if err == io.EOF && !response.Framed && (received == 0 || j.targetEnded(grant)) {
+			// Nothing shows that the response is complete.
+			return errTargetEnded
 		}
 		if err == io.EOF {
 			j.recordBegin()
