quarantine: list and lift verdicts; explain: show what led to them

Operators see what is shut out and by how many ends, and readmit a part, with 'egretproxy quarantine list|lift'. 'explain' of a request refused by a verdict shows the ends and the verdict, however old and of whichever process. A lifted verdict is not given again for the ends before it, by any keeper: judges acquit parts that are in no verdict any more.

--- a/internal/command/explain/explain.go
+++ b/internal/command/explain/explain.go
@@ -36,7 +36,16 @@
 	"Leadership changed": true, "Confirmation by the quorum changed": true, "Target changed": true,
 	"Target has left": true, "Target is left out for a while": true, "Process starts": true,
 	"Process stops": true, "Entry is draining": true, "Connection to engine changed": true,
-	"Weights are in place": true, "Membership changes": true, "Settings were read again": true,
+	"Test of a verdict was requested": true,
+	"Weights are in place":            true, "Membership changes": true, "Settings were read again": true,
+}
+
+// verdictLines are the messages that lead to a verdict on parts of prompts, or end
+// it. They may be much older than the request, and of any process.
+var verdictLines = map[string]bool{
+	"Target ended before the response began": true, "Parts of prompts are shut out": true,
+	"Response began on a part of prompts that is shut out": true, "Verdicts are lifted by an operator": true,
+	"Request tests whether its parts still end targets": true,
 }
 
 // command prints the log lines that explain how a request was handled.
@@ -91,6 +100,11 @@
 	fields map[string]any
 }
 
+// list returns the elements of a field that is a list, or its only value.
+func (l logLine) list(name string) []string {
+	return strings.Fields(strings.Trim(l.field(name), "[]"))
+}
+
 func (l logLine) field(name string) string {
 	v, ok := l.fields[name]
 	if !ok {
@@ -123,12 +137,25 @@
 	return out, s.Err()
 }
 
-// findLines returns the lines about a request and the state changes of its
-// processes and targets, in order of time. It returns nil if no line is about
+// concerns reports whether the line names one of the parts.
+func (l logLine) concerns(parts map[string]bool) bool {
+	for _, name := range []string{"Parts", "Part", "Verdict"} {
+		for _, p := range l.list(name) {
+			if parts[p] {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// findLines returns the lines about a request, the state changes of its processes
+// and targets, and what led to the verdict by which it was refused, in order of
+// time. It returns nil if no line is about
 // the request.
 func findLines(lines []logLine, request string) []logLine {
 	var trace []logLine
-	involved := map[string]bool{}
+	involved, accused := map[string]bool{}, map[string]bool{}
 	for _, l := range lines {
 		if l.field("Request") != request {
 			continue
@@ -138,9 +165,12 @@
 		for _, name := range []string{"Target", "After"} {
 			involved[l.field(name)] = true
 		}
-		for k := range strings.FieldsSeq(strings.Trim(l.field("Tried"), "[]")) {
+		for _, k := range l.list("Tried") {
 			involved[k] = true
 		}
+		for _, p := range l.list("Verdict") {
+			accused[p] = true
+		}
 	}
 	if len(trace) == 0 {
 		return nil
@@ -150,6 +180,9 @@
 	slices.SortStableFunc(trace, byTime)
 	first, last := trace[0].time.Add(-contextWindow), trace[len(trace)-1].time
 	for _, l := range lines {
+		if verdictLines[l.msg] && l.field("Request") != request && !l.time.After(last) && l.concerns(accused) {
+			trace = append(trace, l)
+		}
 		if l.field("Request") == "" && stateChanges[l.msg] && !l.time.Before(first) && !l.time.After(last) &&
 			(involved[l.field("Process")] || involved[l.field("Target")]) {
 			trace = append(trace, l)
--- a/internal/command/explain/explain_test.go
+++ b/internal/command/explain/explain_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"strings"
 	"testing"
+
+	"github.com/google/go-cmp/cmp"
 )
 
 const testLogs = `  1.0 a/Entry {"time":"2026-01-01T10:00:00.0Z","level":"INFO","msg":"Connection to keeper changed","Process":"a/Entry","Keeper":"k","Lost":true}
@@ -15,6 +17,30 @@
 {"time":"2026-01-01T10:00:01.5Z","level":"INFO","msg":"Request was answered","Process":"a/Entry","Request":"r2"}
 `
 
+const verdictLogs = `{"time":"2026-01-01T09:00:00.0Z","level":"INFO","msg":"Target ended before the response began","Process":"a/Entry","Request":"r1","Target":"t1","Parts":["x","bad"]}
+{"time":"2026-01-01T09:00:00.1Z","level":"INFO","msg":"Target ended before the response began","Process":"b/Entry","Request":"r2","Target":"t1","Parts":["x","y"]}
+{"time":"2026-01-01T09:00:02.0Z","level":"INFO","msg":"Parts of prompts are shut out","Process":"k/Keeper","Parts":["bad"],"Ends":3}
+{"time":"2026-01-01T10:00:02.0Z","level":"INFO","msg":"Request was not served","Process":"a/Entry","Request":"r9","Reason":"ShutOut","Verdict":["bad"],"Parts":["x","bad"]}
+{"time":"2026-01-01T10:00:03.0Z","level":"INFO","msg":"Verdicts are lifted by an operator","Process":"k/Keeper","Part":"bad"}
+`
+
+// TestFindLinesAddsEvidence guards against a refusal by a verdict whose reason
+// lies too far back, or in another process, to be shown.
+func TestFindLinesAddsEvidence(t *testing.T) {
+	lines, err := readLines(strings.NewReader(verdictLogs))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, l := range findLines(lines, "r9") {
+		got = append(got, l.msg)
+	}
+	want := []string{"Target ended before the response began", "Parts of prompts are shut out", "Request was not served"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestFindLinesAddsStateChanges(t *testing.T) {
 	lines, err := readLines(strings.NewReader(testLogs))
 	if err != nil {
--- a/internal/command/explain/messages_test.go
+++ b/internal/command/explain/messages_test.go
@@ -9,13 +9,16 @@
 )
 
 // TestStateChangesAreLogged guards against a reworded log message that this
-// command no longer matches: each message of stateChanges must stand as a
-// string in the code of some other package.
+// command no longer matches: each message of stateChanges and verdictLines must
+// stand as a string in the code of some other package.
 func TestStateChangesAreLogged(t *testing.T) {
 	missing := map[string]bool{}
 	for m := range stateChanges {
 		missing[m] = true
 	}
+	for m := range verdictLines {
+		missing[m] = true
+	}
 	for _, root := range []string{"../../../internal", "../../../platform"} {
 		err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
 			if err != nil {
--- a/internal/role/sitekeeper/quarantine.go
+++ b/internal/role/sitekeeper/quarantine.go
@@ -102,8 +102,6 @@
 	}
 	if in.Lift != "" {
 		klog.InfoS("Verdicts are lifted by an operator", "Part", in.Lift)
-		// The ends so far must not convict the part again.
-		k.judge.Add(evidence.Report{Begun: []evidence.Begun{{Part: in.Lift}}}, k.Machine.State().Quarantine)
 		change := sitestate.QuarantineChange{Lift: in.Lift}
 		if err := k.Propose(ctx, sitestate.Command{Quarantine: &change}); err != nil {
 			return nil, rpc.NewError(rpc.CodeUnavailable, err.Error())
--- a/internal/site/suspicion/load_test.go
+++ b/internal/site/suspicion/load_test.go
@@ -354,6 +354,38 @@
 	})
 }
 
+// TestLiftedVerdictStaysLifted guards against keepers that convict a part again by
+// the ends from before its verdict was lifted.
+func TestLiftedVerdictStaysLifted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var j Judge
+		end := func(n int) {
+			j.Add(evidence.Report{Ends: []evidence.End{{Target: id.Target(fmt.Sprint(n)), Fresh: []id.PromptPart{"p"}}}}, nil)
+			time.Sleep(time.Second)
+		}
+		for n := range 3 {
+			end(n)
+		}
+		v, _ := j.Verdict(nil)
+		if v == nil {
+			t.Fatal("no verdict")
+		}
+		if again, _ := j.Verdict([]quarantine.Verdict{*v}); again != nil {
+			t.Errorf("verdict %v beside the same", again.Parts)
+		}
+		if again, _ := j.Verdict(nil); again != nil {
+			t.Errorf("verdict %v after it was lifted", again.Parts)
+		}
+		time.Sleep(time.Second)
+		for n := range 3 {
+			end(10 + n)
+		}
+		if v, _ = j.Verdict(nil); v == nil {
+			t.Error("no verdict after further ends")
+		}
+	})
+}
+
 // TestMemoryIsBounded guards against callers that name parts without end.
 func TestMemoryIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/site/suspicion/suspicion.go
+++ b/internal/site/suspicion/suspicion.go
@@ -59,6 +59,8 @@
 	known    map[id.PromptPart]bool
 	// suspects holds the time since which each part is a suspect.
 	suspects map[id.PromptPart]time.Time
+	// accused holds the parts of the verdicts in force at the last look.
+	accused  map[id.PromptPart]bool
 	position uint64
 	changed  chan struct{}
 }
@@ -93,9 +95,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	now := time.Now()
-	if j.begun == nil {
-		j.begun, j.known, j.suspects = map[id.PromptPart]time.Time{}, map[id.PromptPart]bool{}, map[id.PromptPart]time.Time{}
-	}
+	j.init()
 	for _, e := range r.Ends {
 		j.addEnd(now, e)
 	}
@@ -109,6 +109,31 @@
 	j.updateSuspects(now, inForce)
 }
 
+// init makes the maps. The caller holds mu.
+func (j *Judge) init() {
+	if j.begun == nil {
+		j.begun, j.known, j.suspects = map[id.PromptPart]time.Time{}, map[id.PromptPart]bool{}, map[id.PromptPart]time.Time{}
+	}
+}
+
+// acquit lets the ends so far no longer count against parts that are in no verdict
+// any more: a response began on them, or an operator lifted the verdict. The
+// caller holds mu.
+func (j *Judge) acquit(now time.Time, inForce []quarantine.Verdict) {
+	accused := map[id.PromptPart]bool{}
+	for _, v := range inForce {
+		for _, p := range v.Parts {
+			accused[p] = true
+		}
+	}
+	for p := range j.accused {
+		if !accused[p] {
+			j.begun[p] = now
+		}
+	}
+	j.accused = accused
+}
+
 func (j *Judge) addEnd(now time.Time, in evidence.End) {
 	var e *end
 	for _, known := range j.ends {
@@ -279,6 +304,8 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	now := time.Now()
+	j.init()
+	j.acquit(now, inForce)
 	j.updateSuspects(now, inForce)
 	all := j.sorted(inForce)
 	for _, s := range all {
--- a/main.go
+++ b/main.go
@@ -15,6 +15,7 @@
 	_ "egretproxy/internal/command/configcmd"
 	_ "egretproxy/internal/command/domain"
 	_ "egretproxy/internal/command/explain"
+	_ "egretproxy/internal/command/quarantine"
 	_ "egretproxy/internal/command/role"
 	_ "egretproxy/internal/command/target"
 	"egretproxy/internal/kernel/registry"
