--- a/internal/exchange/dispatch/dispatcher.go
+++ b/internal/exchange/dispatch/dispatcher.go
@@ -125,6 +125,7 @@
 	// next report. It is never negative.
 	credit int
 	bucket bucket
+	limit  rateLimit
 	health health
 }
 
--- a/internal/exchange/headernames/headernames.go
+++ b/internal/exchange/headernames/headernames.go
@@ -27,6 +27,9 @@
 	Usage string
 	// Prompt lists the parts of the prompt, as ID:TOKENS entries.
 	Prompt string
+	// Limit is the number of requests a second that the target takes from all
+	// callers together, for as long as its responses name it.
+	Limit string
 	// NotRun marks responses of targets that did not execute the request.
 	NotRun string
 	// Signature marks responses that a target produced.
--- a/internal/role/siteentry/attempt.go
+++ b/internal/role/siteentry/attempt.go
@@ -43,6 +43,7 @@
 		return j.sendFailed(err, timer.expired())
 	}
 	defer response.Close()
+	j.recordLimit(response, grant)
 	if j.notRun(response) {
 		response.Discard()
 		j.lastError = "target declined with " + strconv.Itoa(response.Status)
