dispatch: keep to the limits that targets name

Seen: an engine that names its limit in each answer got 49 requests in 4 s where 30 are allowed, from seven entries.

Cause: nothing read the limit. Entries share an engine by its places, which say nothing of a rate.

Class: a bound of a target that only the sum over all entries can break, left to each entry.

Change: an entry sends to a limited target by a token bucket of at most one request (or 250 ms of its rate), filled at its share of the limit. A fifth of the limit is split equally, the rest follows the traffic: entries tell keepers the requests per second that come to them for services with limited targets, in the watch calls that they make anyway, and get the sum. Shares that grow come into effect within 3 s, others at once. The bucket begins with a random part of a request. The limit changes and ends with the target's responses; one of 0 is tried at 0.3 requests a second by all entries together. Requests that limited targets can't take go elsewhere or are refused by the queue as before.

--- a/internal/exchange/dispatch/acquire.go
+++ b/internal/exchange/dispatch/acquire.go
@@ -62,6 +62,7 @@
 		d.mu.Unlock()
 		return nil, ErrNoTarget
 	}
+	s.demand.add(time.Now())
 	s.nextMinWeights = max(s.nextMinWeights, r.NextMinWeights)
 	ahead := s.ahead(r)
 	t, found := d.pick(s, r)
@@ -188,6 +189,7 @@
 	t.credit = max(t.credit-1, 0)
 	t.prefillTokens += r.PromptTokens
 	t.bucket.take(now, d.coldRate(s))
+	t.limit.take()
 	t.health.recordStart(now)
 	g := &Grant{
 		Target: t.ID, Address: t.Address, Born: t.Born, Domain: t.Domain, InFlight: d.inFlight(t), ReportAge: -1,
--- a/internal/exchange/dispatch/capacity.go
+++ b/internal/exchange/dispatch/capacity.go
@@ -127,7 +127,7 @@
 	if s.spec.Engine != nil && t.hasFreshReport() && t.credit <= 0 {
 		return false
 	}
-	return t.bucket.ready(now, d.coldRate(s))
+	return t.limit.ready(now, s.share.of(d.entries)) && t.bucket.ready(now, d.coldRate(s))
 }
 
 // ownShare returns this entry's part of the free capacity that all entries
--- a/internal/exchange/dispatch/dispatcher.go
+++ b/internal/exchange/dispatch/dispatcher.go
@@ -107,6 +107,8 @@
 	// timeToFirstEvent estimates the time from the selection of a target to
 	// its first event.
 	timeToFirstEvent quantile.Estimator
+	demand           demand
+	share            limitShare
 }
 
 type target struct {
@@ -149,6 +151,14 @@
 			delete(d.targets, k)
 		}
 	}
+	now := time.Now()
+	for k, s := range d.services {
+		if traffic, ok := v.TrafficShare[k]; ok {
+			s.share.update(now, traffic)
+			continue
+		}
+		s.share = limitShare{}
+	}
 	for k, t := range v.Targets {
 		known := d.targets[k]
 		if known == nil || known.Born != t.Born {
--- a/internal/exchange/dispatch/ratelimit_test.go
+++ b/internal/exchange/dispatch/ratelimit_test.go
@@ -29,9 +29,11 @@
 	random  *rand.Rand
 	entries []*Dispatcher
 	// weights are the shares of the entries in the traffic.
-	weights []float64
-	limit   float64
-	named   time.Time
+	weights  []float64
+	limit    float64
+	named    time.Time
+	view     *siteclient.View
+	sharedAt time.Time
 	// arrivals holds the times at which each target got requests.
 	arrivals map[id.Target][]time.Time
 	refused  int
@@ -50,6 +52,7 @@
 		k := id.Target(fmt.Sprintf("t%d", i))
 		v.Targets[k] = discovery.Target{ID: k, Service: limitService, Address: string(k), Domain: "z", Slots: 16, Born: 1, Weights: 1}
 	}
+	s.view = v
 	for range weights {
 		d := New(Settings{})
 		d.Update(v)
@@ -73,9 +76,30 @@
 	return s.entries[0]
 }
 
+// exchangeDemand tells each entry its part of the traffic, as keepers do.
+func (s *limitedSite) exchangeDemand() {
+	const interval = 600 * time.Millisecond
+	if time.Since(s.sharedAt) < interval {
+		return
+	}
+	s.sharedAt = time.Now()
+	total := 0.0
+	for _, d := range s.entries {
+		total += d.Demand()[limitService]
+	}
+	for _, d := range s.entries {
+		v := *s.view
+		if own, ok := d.Demand()[limitService]; ok && total > 0 {
+			v.TrafficShare = map[id.Service]float64{limitService: own / total}
+		}
+		d.Update(&v)
+	}
+}
+
 // run sends requests at a rate. Each response names the limit.
 func (s *limitedSite) run(t *testing.T, length time.Duration, perSecond float64) {
 	for began := time.Now(); time.Since(began) < length; time.Sleep(limitStep) {
+		s.exchangeDemand()
 		for n := perSecond * limitStep.Seconds(); n > s.random.Float64(); n-- {
 			g, err := s.entry().Acquire(t.Context(), &Request{Service: limitService})
 			if err != nil {
@@ -148,3 +172,65 @@
 		})
 	}
 }
+
+// TestUnevenTrafficUsesTheLimit guards against capacity that is left unused because
+// it belongs to entries without traffic, while others refuse requests; and against
+// more than the limit while the traffic moves between entries.
+func TestUnevenTrafficUsesTheLimit(t *testing.T) {
+	const targets, limit, leastShare = 4, 4.2, 0.7
+	for seed := range uint64(3) {
+		synctest.Test(t, func(t *testing.T) {
+			s := newLimitedSite(seed, targets, limit, []float64{8, 4, 0.1, 0.1, 0.1, 0.1, 0.1})
+			s.run(t, 10*time.Second, 60)
+			before := s.total()
+			const length = 20 * time.Second
+			s.run(t, length, 60)
+			if n, least := s.total()-before, leastShare*targets*limit*length.Seconds(); float64(n) < least {
+				t.Errorf("seed %d: targets got %d requests in %s, want %.0f", seed, n, length, least)
+			}
+			// The entry with most traffic is lost, and others get it.
+			s.weights = []float64{0, 0.1, 4, 8, 0.1, 0.1, 0.1}
+			s.run(t, 10*time.Second, 60)
+			s.weights = []float64{1, 1, 1, 1, 1, 1, 1}
+			s.run(t, 10*time.Second, 60)
+			for k := range s.arrivals {
+				if n := s.most(k); n > s.allowed() {
+					t.Errorf("seed %d: %s got %d requests in %s, allowed %d", seed, k, n, limitWindow, s.allowed())
+				}
+			}
+		})
+	}
+}
+
+func (s *limitedSite) total() int {
+	n := 0
+	for _, all := range s.arrivals {
+		n += len(all)
+	}
+	return n
+}
+
+// TestLimitEndsWithTheResponses checks that targets serve as before once their
+// responses no longer name a limit, also after one that took nothing.
+func TestLimitEndsWithTheResponses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const perSecond = 10
+		s := newLimitedSite(1, 1, 0, []float64{1, 1, 1})
+		s.limit = 0
+		for _, d := range s.entries {
+			for _, target := range d.targets {
+				target.limit.set(time.Now(), 0, true)
+			}
+		}
+		// A limit of 0 in the run means that responses name none.
+		s.run(t, 20*time.Second, perSecond)
+		before := s.total()
+		s.run(t, 5*time.Second, perSecond)
+		if n := s.total() - before; n < 4*perSecond {
+			t.Errorf("target got %d requests in 5 s after its limit had ended", n)
+		}
+		if before > 20*perSecond {
+			t.Errorf("target got %d requests", before)
+		}
+	})
+}
--- a/internal/role/sitekeeper/sitekeeper.go
+++ b/internal/role/sitekeeper/sitekeeper.go
@@ -67,17 +67,22 @@
 	// confirmed is closed and replaced at each confirmation. It is nil until it
 	// is used.
 	confirmed chan struct{}
-	// watchers is the time of each watcher's last call.
-	watchers map[watcher]time.Time
+	watchers  map[watcher]watcherState
 }
 
 type watcher struct{ role, name string }
 
+// watcherState is what a watcher's last call said.
+type watcherState struct {
+	at     time.Time
+	demand map[id.Service]float64
+}
+
 // New returns a keeper of a region. Its Raft node is open but not running.
 func New(cfg node.Config, region id.Region, set *metrics.Set) (*Keeper, error) {
 	var b [epochBytes]byte
 	_, _ = rand.Read(b[:])
-	k := &Keeper{metrics: set, region: region, epoch: hex.EncodeToString(b[:]), watchers: map[watcher]time.Time{}}
+	k := &Keeper{metrics: set, region: region, epoch: hex.EncodeToString(b[:]), watchers: map[watcher]watcherState{}}
 	cfg.Machine = &k.Machine
 	cfg.Handlers = map[string]rpc.Handler{
 		watch.Method: k.handleWatch, evidence.ReportMethod: k.handleEvidence,
@@ -197,8 +202,8 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	n := 0
-	for w, at := range k.watchers {
-		if time.Since(at) > watcherExpiry {
+	for w, state := range k.watchers {
+		if time.Since(state.at) > watcherExpiry {
 			delete(k.watchers, w)
 			continue
 		}
@@ -209,6 +214,22 @@
 	return n
 }
 
+// totalDemand returns the demand of all active watchers.
+func (k *Keeper) totalDemand() map[id.Service]float64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	out := map[id.Service]float64{}
+	for _, state := range k.watchers {
+		if time.Since(state.at) > watcherExpiry {
+			continue
+		}
+		for s, n := range state.demand {
+			out[s] += n
+		}
+	}
+	return out
+}
+
 func (k *Keeper) keeperAddresses() []string {
 	var out []string
 	for _, m := range k.raftNode.Status().Membership.Members {
--- a/internal/role/sitekeeper/watch_test.go
+++ b/internal/role/sitekeeper/watch_test.go
@@ -24,7 +24,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				k := &Keeper{epoch: "e", watchers: map[watcher]time.Time{}}
+				k := &Keeper{epoch: "e", watchers: map[watcher]watcherState{}}
 				time.AfterFunc(confirmedAfter, func() { k.recordConfirmation(boottime.Now()) })
 				began := time.Now()
 				k.awaitChanges(t.Context(), watch.Request{Epoch: "e", Unconfirmed: c.unconfirmed, HoldMs: hold.Milliseconds()})
--- a/internal/site/siteclient/client.go
+++ b/internal/site/siteclient/client.go
@@ -75,6 +75,9 @@
 	// OnSuspects is called with the time of the first end of a target with each
 	// part of prompts that keepers suspect. It may be nil.
 	OnSuspects func(map[id.PromptPart]time.Time)
+	// Demand returns the requests per second for services whose targets limit
+	// them. It may be nil.
+	Demand func() map[id.Service]float64
 
 	view atomic.Pointer[View]
 	// confirmedAt is the start of the newest confirmation by the boottime
@@ -262,6 +265,9 @@
 		in.Epoch, in.Targets, in.Suspects = l.epoch, l.position, l.suspectsAt
 	}
 	c.mu.Unlock()
+	if c.Demand != nil {
+		in.Demand = c.Demand()
+	}
 	callCtx, cancel := context.WithTimeout(ctx, c.watchWait()+responseTimeout)
 	defer cancel()
 	sent := boottime.Now()
@@ -269,11 +275,11 @@
 	if err := client.Call(callCtx, watch.Method, in, &response); err != nil {
 		return err
 	}
-	return c.applyResponse(client.Address, sent, &response)
+	return c.applyResponse(client.Address, sent, in.Demand, &response)
 }
 
 // applyResponse merges the response of one keeper.
-func (c *Client) applyResponse(address string, sent time.Duration, response *watch.Response) error {
+func (c *Client) applyResponse(address string, sent time.Duration, demand map[id.Service]float64, response *watch.Response) error {
 	c.mu.Lock()
 	l := c.lists[address]
 	if l == nil {
@@ -283,6 +289,7 @@
 	changed := len(response.Targets) > 0 || l.epoch != response.Epoch || l.entries != response.Entries
 	l.update(response.Epoch, response.Position, c.fillStartTimes(response.Targets))
 	l.entries, l.keepers, l.region = response.Entries, response.Keepers, response.Region
+	l.demand, l.totalDemand = demand, response.Demand
 	suspectsChanged := l.updateSuspects(response)
 	planOmitted := response.State != nil && response.State.PlanIndex > c.planIndex && response.State.Document == nil
 	if planOmitted && c.planOmittedSince.IsZero() {
@@ -397,7 +404,7 @@
 	defer c.mu.Unlock()
 	v := &View{
 		Plan: c.plan, Withdrawn: c.withdrawn, Weights: c.weights, Quarantine: c.quarantine,
-		Targets: merge(c.lists), Entries: 1, Keepers: map[string]id.Region{},
+		Targets: merge(c.lists), Entries: 1, Keepers: map[string]id.Region{}, TrafficShare: trafficShare(c.lists),
 	}
 	for a, l := range c.lists {
 		v.Entries = max(v.Entries, l.entries)
--- a/internal/site/siteclient/view.go
+++ b/internal/site/siteclient/view.go
@@ -25,6 +25,9 @@
 	Targets map[id.Target]discovery.Target
 	// Entries is the number of known entries, at least 1.
 	Entries int
+	// TrafficShare is this process's part, 0 to 1, of the requests of all entries
+	// for each service for which it reports its demand.
+	TrafficShare map[id.Service]float64
 	// Keepers holds the region of each responsive keeper, by address.
 	Keepers map[string]id.Region
 }
@@ -92,6 +95,9 @@
 	// suspects, at its position suspectsAt.
 	suspects   map[id.PromptPart]time.Time
 	suspectsAt uint64
+	// demand is what this process told the keeper last, totalDemand the sum over
+	// all entries in its response.
+	demand, totalDemand map[id.Service]float64
 }
 
 // update adds targets to the list, or replaces it if the keeper restarted.
--- a/internal/site/watch/watch.go
+++ b/internal/site/watch/watch.go
@@ -36,6 +36,9 @@
 	// Suspects is the position of the suspects held. It is ignored if the
 	// keeper's epoch differs.
 	Suspects uint64 `json:",omitempty"`
+	// Demand is the number of requests per second that come to the watcher for
+	// services whose targets limit them.
+	Demand map[id.Service]float64 `json:",omitempty"`
 	// HoldMs is the longest wait for changes in milliseconds.
 	HoldMs int64
 }
@@ -61,6 +64,8 @@
 	// another one.
 	SuspectsAt uint64             `json:",omitempty"`
 	Suspects   []evidence.Suspect `json:",omitempty"`
+	// Demand is the sum of Request.Demand over all active watchers.
+	Demand map[id.Service]float64 `json:",omitempty"`
 	// Keepers holds the addresses of all members.
 	Keepers []string
 	// Entries is the number of entries that watch this keeper.
