--- a/internal/site/sitestate/quarantine_test.go
+++ b/internal/site/sitestate/quarantine_test.go
@@ -68,8 +68,11 @@
 	applyQuarantine(t, &m, 1, verdictOn("a"))
 	v := m.State().Quarantine[0]
 	for i, test := range []evidence.Test{
-		{Key: v.Key(), Number: 1, Holder: "first"}, {Key: v.Key(), Number: 1, Holder: "second"},
-		{Key: v.Key(), Number: 1, Holder: "first"}, {Key: v.Key(), Number: 3, Holder: "third"}, {Key: "other", Number: 2},
+		{Key: v.Key(), Number: 1, Holder: "first"},
+		{Key: v.Key(), Number: 1, Holder: "second"},
+		{Key: v.Key(), Number: 1, Holder: "first"},
+		{Key: v.Key(), Number: 3, Holder: "third"},
+		{Key: "other", Number: 2},
 	} {
 		applyQuarantine(t, &m, uint64(i+2), QuarantineChange{Test: &test, ChangedMs: int64(10 + i)})
 	}
