--- a/internal/site/suspicion/load_test.go
+++ b/internal/site/suspicion/load_test.go
@@ -336,7 +336,7 @@
 			end(n, "victim", "bad")
 		}
 		v, _ := j.Verdict(nil)
-		if v == nil || !v.Matches([]id.PromptPart{"victim", "bad"}) {
+		if v == nil || !v.Matches([]id.PromptPart{"victim", "bad"}) || len(v.Parts) != 2 {
 			t.Fatalf("verdict %v", v)
 		}
 		if v.Matches([]id.PromptPart{"victim"}) || v.Matches([]id.PromptPart{"victim", "other"}) {
@@ -354,6 +354,27 @@
 	})
 }
 
+// TestHoldsExplainedEndsCountForNothing guards against a verdict on a part that was
+// beside a guilty one several times, and on which no response has begun because
+// few requests have it.
+func TestHoldsExplainedEndsCountForNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var j Judge
+		inForce := []quarantine.Verdict{{Parts: []id.PromptPart{"bad"}}}
+		for n := range 2 * enoughMoments {
+			e := evidence.End{Target: id.Target(fmt.Sprint(n)), Fresh: []id.PromptPart{"bad"}}
+			if n < enoughMoments {
+				e.Fresh = append(e.Fresh, "rare")
+			}
+			j.Add(evidence.Report{Ends: []evidence.End{e}}, inForce)
+			time.Sleep(time.Second)
+		}
+		if v, _ := j.Verdict(inForce); v != nil {
+			t.Errorf("verdict %v", v.Parts)
+		}
+	})
+}
+
 // TestLiftedVerdictStaysLifted guards against keepers that convict a part again by
 // the ends from before its verdict was lifted.
 func TestLiftedVerdictStaysLifted(t *testing.T) {
