prompt: replace ids of parts that messages would change by their digests

A caller may send any bytes. JSON replaces what is no UTF-8, so that a verdict on such a part matched no request. TestIDsSurviveMessages failed for the first id.

--- a/internal/request/prompt/prompt.go
+++ b/internal/request/prompt/prompt.go
@@ -15,7 +15,8 @@
 	// furtherParts stands for them.
 	furtherParts id.PromptPart = "further"
 	// maxIDBytes is the length above which the ID of a part is replaced by its
-	// digest, so that callers can't make tables and messages large.
+	// digest, so that callers can't make tables and messages large. So is one that
+	// messages would not carry unchanged.
 	maxIDBytes = 32
 	// digestBytes is the length of such a digest.
 	digestBytes = 12
@@ -49,9 +50,11 @@
 	if trimmed := strings.TrimLeft(name, "0"); trimmed != "" {
 		name = trimmed
 	}
-	if len(name) > maxIDBytes {
+	if len(name) > maxIDBytes || strings.ContainsFunc(name, isUnprintable) {
 		digest := sha256.Sum256([]byte(name))
 		name = "sha256:" + hex.EncodeToString(digest[:digestBytes])
 	}
 	return id.PromptPart(name)
 }
+
+func isUnprintable(r rune) bool { return r <= ' ' || r >= 0x7f }
--- a/internal/request/prompt/prompt_test.go
+++ b/internal/request/prompt/prompt_test.go
@@ -1,6 +1,7 @@
 package prompt
 
 import (
+	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
@@ -26,6 +27,23 @@
 	}
 }
 
+// TestIDsSurviveMessages guards against an ID that changes in a message between
+// processes, so that a verdict on it matches nothing.
+func TestIDsSurviveMessages(t *testing.T) {
+	for _, name := range []string{"\xff\xfe", "a\x00b", "ü", "a b", "\"", "<&>", "\u2028"} {
+		for _, p := range SharedParts(name + ":1,own:2") {
+			data, err := json.Marshal(p)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var back id.PromptPart
+			if err := json.Unmarshal(data, &back); err != nil || back != p {
+				t.Errorf("%q becomes %q, error %v", p, back, err)
+			}
+		}
+	}
+}
+
 // TestNumberOfPartsIsBounded guards against a caller that names parts without
 // end.
 func TestNumberOfPartsIsBounded(t *testing.T) {
