suspicion: judge by an index of parts, once for the reports of several entries

Cause: each report went through the parts of all ends: 0.3 ms with 10 ends held, 18 to 28 ms with 512, for each of the entries that report the same end.

Change: each part knows its ends, only parts with several are looked at, and the keeper looks once for the reports of 15 ms.

--- a/internal/role/sitekeeper/quarantine.go
+++ b/internal/role/sitekeeper/quarantine.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/clock"
 	"egretproxy/internal/site/evidence"
 	"egretproxy/internal/site/quarantine"
 	"egretproxy/internal/site/sitestate"
@@ -18,6 +19,8 @@
 	// judgeInterval is the time between looks at suspicions that wait for
 	// objections.
 	judgeInterval = 50 * time.Millisecond
+	// reportsDelay combines the reports of several entries.
+	reportsDelay = 15 * time.Millisecond
 	// followerDelay is how long a keeper that does not lead leaves a verdict to
 	// the leader, which has the same reports unless it is cut off.
 	followerDelay = 150 * time.Millisecond
@@ -34,7 +37,7 @@
 		return nil, rpc.InvalidParams(err)
 	}
 	inForce := k.Machine.State().Quarantine
-	k.judge.Add(in, inForce)
+	k.judge.Add(in)
 	for _, b := range in.Begun {
 		if !accused(inForce, b.Part) {
 			continue
@@ -119,7 +122,7 @@
 	// dueSince is when this keeper first saw the verdict that is due.
 	var dueSince time.Time
 	for ctx.Err() == nil {
-		changed, stateChanged := k.judge.Changed(), k.Machine.Changed()
+		reported, stateChanged := k.judge.Reported(), k.Machine.Changed()
 		v, pending := k.judge.Verdict(k.Machine.State().Quarantine)
 		if v == nil {
 			dueSince = time.Time{}
@@ -135,7 +138,9 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-changed:
+		case <-reported:
+			// Entries see the same end at about the same time.
+			clock.Sleep(ctx, reportsDelay)
 		case <-stateChanged:
 		case <-wait:
 		}
--- a/internal/role/sitekeeper/watch.go
+++ b/internal/role/sitekeeper/watch.go
@@ -99,7 +99,7 @@
 		out.SuspectsAt = k.judge.Position()
 	}
 	if out.SuspectsAt != in.Suspects {
-		out.Suspects, out.SuspectsAt = k.judge.Suspects(st.Quarantine)
+		out.Suspects, out.SuspectsAt = k.judge.Suspects()
 	}
 	wanted := in.Document && st.PlanIndex > in.PlanIndex
 	if st.Index <= in.Index && !wanted {
--- a/internal/site/suspicion/load_test.go
+++ b/internal/site/suspicion/load_test.go
@@ -154,7 +154,7 @@
 		if report.Empty() {
 			continue
 		}
-		l.judge.Add(report, l.verdicts)
+		l.judge.Add(report)
 		for _, b := range report.Begun {
 			l.clear(b.Part)
 		}
@@ -162,7 +162,8 @@
 	if l.steps++; l.steps%5 != 0 {
 		return
 	}
-	suspects, _ := l.judge.Suspects(l.verdicts)
+	v, _ := l.judge.Verdict(l.verdicts)
+	suspects, _ := l.judge.Suspects()
 	since := map[id.PromptPart]time.Time{}
 	for _, s := range suspects {
 		since[s.Part] = now.Add(-time.Duration(s.AgeMs) * time.Millisecond)
@@ -170,7 +171,7 @@
 	for _, w := range l.witnesses {
 		w.SetSuspects(since)
 	}
-	if v, _ := l.judge.Verdict(l.verdicts); v != nil {
+	if v != nil {
 		l.verdicts = append(l.verdicts, *v)
 		if !slices.ContainsFunc(v.Parts, func(p id.PromptPart) bool { return slices.Contains(l.guilty, p) }) {
 			l.soundVerdicts = append(l.soundVerdicts, *v)
@@ -329,7 +330,8 @@
 		end := func(n int, parts ...id.PromptPart) {
 			w.Ended(id.Target(fmt.Sprintf("e%d", n)), 1, parts)
 			report, _ := w.Take()
-			j.Add(report, nil)
+			j.Add(report)
+			j.Verdict(nil)
 			time.Sleep(time.Second)
 		}
 		for n := range 6 {
@@ -345,7 +347,7 @@
 		// A request with the part of the other organisation shows that it is
 		// harmless.
 		inForce := []quarantine.Verdict{*v}
-		j.Add(evidence.Report{Begun: []evidence.Begun{{Part: "victim"}}}, inForce)
+		j.Add(evidence.Report{Begun: []evidence.Begun{{Part: "victim"}}})
 		inForce[0] = v.Without("victim")
 		end(7, "victim", "bad")
 		if again, _ := j.Verdict(inForce); again != nil {
@@ -366,12 +368,12 @@
 			if n < enoughMoments {
 				e.Fresh = append(e.Fresh, "rare")
 			}
-			j.Add(evidence.Report{Ends: []evidence.End{e}}, inForce)
+			j.Add(evidence.Report{Ends: []evidence.End{e}})
+			if v, _ := j.Verdict(inForce); v != nil {
+				t.Fatalf("verdict %v after %d ends", v.Parts, n+1)
+			}
 			time.Sleep(time.Second)
 		}
-		if v, _ := j.Verdict(inForce); v != nil {
-			t.Errorf("verdict %v", v.Parts)
-		}
 	})
 }
 
@@ -380,8 +382,10 @@
 func TestLiftedVerdictStaysLifted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var j Judge
+		var inForce []quarantine.Verdict
 		end := func(n int) {
-			j.Add(evidence.Report{Ends: []evidence.End{{Target: id.Target(fmt.Sprint(n)), Fresh: []id.PromptPart{"p"}}}}, nil)
+			j.Add(evidence.Report{Ends: []evidence.End{{Target: id.Target(fmt.Sprint(n)), Fresh: []id.PromptPart{"p"}}}})
+			j.Verdict(inForce)
 			time.Sleep(time.Second)
 		}
 		for n := range 3 {
@@ -421,11 +425,12 @@
 			j.addEnd(time.Now(), e)
 			time.Sleep(time.Millisecond)
 		}
-		j.Add(evidence.Report{}, nil)
-		if len(j.ends) > maxEnds || len(j.ends[0].parts) > maxPartsPerEnd || len(j.known)+len(j.begun) > maxEnds*maxPartsPerEnd {
-			t.Errorf("%d ends, %d parts in the first, %d known", len(j.ends), len(j.ends[0].parts), len(j.known))
+		j.Add(evidence.Report{})
+		j.Verdict(nil)
+		if len(j.ends) > maxEnds || len(j.ends[0].parts) > maxPartsPerEnd || len(j.parts) > maxEnds*maxPartsPerEnd {
+			t.Errorf("%d ends, %d parts in the first, %d parts in all", len(j.ends), len(j.ends[0].parts), len(j.parts))
 		}
-		if s, _ := j.Suspects(nil); len(s) > maxSuspects {
+		if s, _ := j.Suspects(); len(s) > maxSuspects {
 			t.Errorf("%d suspects", len(s))
 		}
 	})
--- a/internal/site/suspicion/suspicion.go
+++ b/internal/site/suspicion/suspicion.go
@@ -8,9 +8,9 @@
 package suspicion
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/binary"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -44,6 +44,8 @@
 	maxEnds        = 512
 	maxPartsPerEnd = 256
 	maxSuspects    = 64
+	// logInterval is the least time between two lines about changed suspects.
+	logInterval = time.Second
 )
 
 // Judge collects reports. It is safe for concurrent use. The zero value holds
@@ -52,17 +54,31 @@
 	mu sync.Mutex
 	// ends is sorted by time.
 	ends []*end
+	// parts holds what is known of each part of the ends.
+	parts map[id.PromptPart]*part
 	// moments numbers the moments; momentAt is the start of the last one.
 	moments  int
 	momentAt time.Time
-	begun    map[id.PromptPart]time.Time
-	known    map[id.PromptPart]bool
-	// suspects holds the time since which each part is a suspect.
-	suspects map[id.PromptPart]time.Time
+	// suspects holds the time since which each part is a suspect, announced those
+	// of which entries are told, the gravest first.
+	suspects  map[id.PromptPart]time.Time
+	announced []*Suspicion
 	// accused holds the parts of the verdicts in force at the last look.
 	accused  map[id.PromptPart]bool
 	position uint64
-	changed  chan struct{}
+	// changed is closed when the suspects change, reported at each report.
+	changed, reported chan struct{}
+	loggedAt          time.Time
+}
+
+// part is what is known of one part.
+type part struct {
+	// ends is sorted by time and never empty.
+	ends []*end
+	// begunAt is when a response last began on the part.
+	begunAt time.Time
+	// known is set if a response was seen to begin on the part before an end.
+	known bool
 }
 
 // end is the end of one incarnation of a target.
@@ -72,6 +88,10 @@
 	at     time.Time
 	moment int
 	parts  map[id.PromptPart]bool
+	// number tells ends apart.
+	number int
+	// explained holds the verdicts that explain the end, at the last look.
+	explained []quarantine.Verdict
 }
 
 // Suspicion is what counts against one part.
@@ -86,34 +106,40 @@
 	Since time.Time
 
 	// members identifies the ends. first is the moment of the first one.
-	members string
+	members []byte
 	first   int
+	known   bool
 }
 
 // Add records a report.
-func (j *Judge) Add(r evidence.Report, inForce []quarantine.Verdict) {
+func (j *Judge) Add(r evidence.Report) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	now := time.Now()
-	j.init()
 	for _, e := range r.Ends {
 		j.addEnd(now, e)
 	}
 	for _, b := range r.Begun {
 		at := now.Add(-time.Duration(max(b.AgeMs, 0)) * time.Millisecond)
-		if at.After(j.begun[b.Part]) {
-			j.begun[b.Part] = at
+		if p := j.parts[b.Part]; p != nil && at.After(p.begunAt) {
+			p.begunAt = at
 		}
 	}
 	j.forget(now)
-	j.updateSuspects(now, inForce)
+	if j.reported != nil {
+		close(j.reported)
+		j.reported = nil
+	}
 }
 
-// init makes the maps. The caller holds mu.
-func (j *Judge) init() {
-	if j.begun == nil {
-		j.begun, j.known, j.suspects = map[id.PromptPart]time.Time{}, map[id.PromptPart]bool{}, map[id.PromptPart]time.Time{}
+// Reported returns a channel that is closed at the next report.
+func (j *Judge) Reported() <-chan struct{} {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.reported == nil {
+		j.reported = make(chan struct{})
 	}
+	return j.reported
 }
 
 // acquit lets the ends so far no longer count against parts that are in no verdict
@@ -126,39 +152,64 @@
 			accused[p] = true
 		}
 	}
-	for p := range j.accused {
-		if !accused[p] {
-			j.begun[p] = now
+	for k := range j.accused {
+		if p := j.parts[k]; p != nil && !accused[k] {
+			p.begunAt = now
 		}
 	}
 	j.accused = accused
 }
 
+// addEnd requires mu.
 func (j *Judge) addEnd(now time.Time, in evidence.End) {
-	var e *end
-	for _, known := range j.ends {
-		if known.target == in.Target && known.born == in.Born {
-			e = known
-		}
-	}
-	if e == nil {
+	i := slices.IndexFunc(j.ends, func(e *end) bool { return e.target == in.Target && e.born == in.Born })
+	if i < 0 {
 		if now.Sub(j.momentAt) >= momentLength {
 			j.moments++
 			j.momentAt = now
 		}
-		e = &end{target: in.Target, born: in.Born, at: now, moment: j.moments, parts: map[id.PromptPart]bool{}}
-		j.ends = append(j.ends, e)
+		i = len(j.ends)
+		number := 0
+		if i > 0 {
+			number = j.ends[i-1].number + 1
+		}
+		j.ends = append(j.ends, &end{
+			target: in.Target, born: in.Born, at: now, moment: j.moments, number: number, parts: map[id.PromptPart]bool{},
+		})
 	}
-	for _, p := range in.Known {
-		j.known[p] = true
+	for _, k := range in.Fresh {
+		j.addPart(j.ends[i], k)
 	}
-	for _, p := range slices.Concat(in.Fresh, in.Known) {
-		if len(e.parts) < maxPartsPerEnd {
-			e.parts[p] = true
+	for _, k := range in.Known {
+		if p := j.addPart(j.ends[i], k); p != nil {
+			p.known = true
 		}
 	}
 }
 
+// addPart adds a part to an end and returns what is known of it, or nil if the end
+// has too many. The caller holds mu.
+func (j *Judge) addPart(e *end, k id.PromptPart) *part {
+	p := j.parts[k]
+	if e.parts[k] {
+		return p
+	}
+	if len(e.parts) >= maxPartsPerEnd {
+		return nil
+	}
+	if p == nil {
+		p = &part{}
+		if j.parts == nil {
+			j.parts = map[id.PromptPart]*part{}
+		}
+		j.parts[k] = p
+	}
+	e.parts[k] = true
+	at, _ := slices.BinarySearchFunc(p.ends, e.number, func(x *end, n int) int { return cmp.Compare(x.number, n) })
+	p.ends = slices.Insert(p.ends, at, e)
+	return p
+}
+
 // forget drops ends that are too old or too many, and the parts that only they
 // had. The caller holds mu.
 func (j *Judge) forget(now time.Time) {
@@ -166,53 +217,68 @@
 	for n < len(j.ends) && now.Sub(j.ends[n].at) > retention {
 		n++
 	}
-	j.ends = slices.Delete(j.ends, 0, n)
-	held := map[id.PromptPart]bool{}
-	for _, e := range j.ends {
-		for p := range e.parts {
-			held[p] = true
+	for _, e := range j.ends[:n] {
+		for k := range e.parts {
+			p := j.parts[k]
+			p.ends = p.ends[1:]
+			if len(p.ends) == 0 {
+				delete(j.parts, k)
+			}
 		}
 	}
-	absent := func(p id.PromptPart) bool { return !held[p] }
-	maps.DeleteFunc(j.begun, func(p id.PromptPart, _ time.Time) bool { return absent(p) })
-	maps.DeleteFunc(j.known, func(p id.PromptPart, _ bool) bool { return absent(p) })
+	j.ends = slices.Delete(j.ends, 0, n)
 }
 
-// suspicions returns what counts against each part. Ends that a verdict on other
-// parts explains do not count. The caller holds mu.
-func (j *Judge) suspicions(inForce []quarantine.Verdict) map[id.PromptPart]*Suspicion {
-	out := map[id.PromptPart]*Suspicion{}
-	last := map[id.PromptPart]int{}
+// suspicions returns what counts against each part with which targets ended at
+// several moments, the gravest first. Ends that a verdict on other parts explains
+// do not count. The caller holds mu.
+func (j *Judge) suspicions(inForce []quarantine.Verdict) []*Suspicion {
 	var unexplained []int
-	for i, e := range j.ends {
-		explaining := explanations(e, inForce)
-		if n := len(unexplained); len(explaining) == 0 && (n == 0 || unexplained[n-1] != e.moment) {
+	for _, e := range j.ends {
+		e.explained = explanations(e, inForce)
+		if n := len(unexplained); len(e.explained) == 0 && (n == 0 || unexplained[n-1] != e.moment) {
 			unexplained = append(unexplained, e.moment)
 		}
-		for p := range e.parts {
-			if !e.at.After(j.begun[p]) || explainedByOthers(p, explaining) {
-				continue
-			}
-			s := out[p]
-			if s == nil {
-				s = &Suspicion{Part: p, Since: e.at, first: e.moment}
-				out[p] = s
-			}
-			s.Ends++
-			s.members = string(binary.AppendUvarint([]byte(s.members), uint64(i)))
-			if last[p] != e.moment {
-				last[p] = e.moment
-				s.Moments++
-			}
-		}
 	}
-	for _, s := range out {
+	var out []*Suspicion
+	for k, p := range j.parts {
+		if len(p.ends) < suspectMoments {
+			continue
+		}
+		s := p.suspicion(k)
+		if s.Moments < suspectMoments {
+			continue
+		}
 		from, _ := slices.BinarySearch(unexplained, s.first)
 		s.Of = max(len(unexplained)-from, s.Moments)
+		out = append(out, s)
 	}
+	slices.SortFunc(out, func(a, b *Suspicion) int {
+		return cmp.Or(cmp.Compare(b.Moments, a.Moments), cmp.Compare(b.Ends, a.Ends), cmp.Compare(a.Part, b.Part))
+	})
 	return out
 }
 
+// suspicion returns what counts against the part.
+func (p *part) suspicion(k id.PromptPart) *Suspicion {
+	s := &Suspicion{Part: k, known: p.known}
+	last := -1
+	for _, e := range p.ends {
+		if !e.at.After(p.begunAt) || explainedByOthers(k, e.explained) {
+			continue
+		}
+		if s.Ends++; s.Ends == 1 {
+			s.Since, s.first = e.at, e.moment
+		}
+		s.members = binary.AppendUvarint(s.members, uint64(e.number))
+		if last != e.moment {
+			last = e.moment
+			s.Moments++
+		}
+	}
+	return s
+}
+
 // explanations returns the verdicts that explain an end.
 func explanations(e *end, inForce []quarantine.Verdict) []quarantine.Verdict {
 	var out []quarantine.Verdict
@@ -229,27 +295,27 @@
 	return slices.ContainsFunc(explaining, func(v quarantine.Verdict) bool { return !slices.Contains(v.Parts, p) })
 }
 
-// updateSuspects finds the suspects and wakes waiters if there are others than
+// updateSuspects takes over the suspects and wakes waiters if there are others than
 // before. The caller holds mu.
-func (j *Judge) updateSuspects(now time.Time, inForce []quarantine.Verdict) {
-	found := j.suspicions(inForce)
-	changed := false
-	for p := range j.suspects {
-		if s := found[p]; s == nil || s.Moments < suspectMoments {
-			delete(j.suspects, p)
-			changed = true
-		}
-	}
-	for p, s := range found {
-		if _, known := j.suspects[p]; !known && s.Moments >= suspectMoments {
-			j.suspects[p] = now
-			changed = true
+func (j *Judge) updateSuspects(now time.Time, found []*Suspicion) {
+	old := j.suspects
+	j.suspects = map[id.PromptPart]time.Time{}
+	changed := len(found) != len(old)
+	for _, s := range found {
+		since, known := old[s.Part]
+		if !known {
+			since, changed = now, true
 		}
+		j.suspects[s.Part] = since
 	}
 	if !changed {
 		return
 	}
-	klog.InfoS("Parts of prompts that are suspected to end targets have changed", "Suspects", len(j.suspects), "Ends", len(j.ends))
+	j.announced = found[:min(len(found), maxSuspects)]
+	if now.Sub(j.loggedAt) >= logInterval {
+		j.loggedAt = now
+		klog.InfoS("Parts of prompts that are suspected to end targets have changed", "Suspects", len(found), "Ends", len(j.ends))
+	}
 	j.position++
 	if j.changed != nil {
 		close(j.changed)
@@ -257,16 +323,14 @@
 	}
 }
 
-// Suspects returns the parts that are suspects, those with most ends first, and
-// the position of this answer.
-func (j *Judge) Suspects(inForce []quarantine.Verdict) ([]evidence.Suspect, uint64) {
+// Suspects returns the suspects, those with most ends first, and the position of
+// this answer.
+func (j *Judge) Suspects() ([]evidence.Suspect, uint64) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	var out []evidence.Suspect
-	for _, s := range j.sorted(inForce) {
-		if _, ok := j.suspects[s.Part]; ok && len(out) < maxSuspects {
-			out = append(out, evidence.Suspect{Part: s.Part, AgeMs: time.Since(s.Since).Milliseconds()})
-		}
+	for _, s := range j.announced {
+		out = append(out, evidence.Suspect{Part: s.Part, AgeMs: time.Since(s.Since).Milliseconds()})
 	}
 	return out, j.position
 }
@@ -288,15 +352,6 @@
 	return j.changed
 }
 
-// sorted returns the suspicions, the gravest first. The caller holds mu.
-func (j *Judge) sorted(inForce []quarantine.Verdict) []*Suspicion {
-	out := slices.Collect(maps.Values(j.suspicions(inForce)))
-	slices.SortFunc(out, func(a, b *Suspicion) int {
-		return cmp.Or(cmp.Compare(b.Moments, a.Moments), cmp.Compare(b.Ends, a.Ends), cmp.Compare(a.Part, b.Part))
-	})
-	return out
-}
-
 // Verdict returns the verdict that is due beside those in force, if any, and
 // otherwise whether one may become due without further reports. Parts that came
 // together each time are convicted together.
@@ -304,17 +359,16 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	now := time.Now()
-	j.init()
 	j.acquit(now, inForce)
-	j.updateSuspects(now, inForce)
-	all := j.sorted(inForce)
+	all := j.suspicions(inForce)
+	j.updateSuspects(now, all)
 	for _, s := range all {
-		if !j.convicts(s) {
+		if !s.convicts() {
 			continue
 		}
 		v := quarantine.Verdict{Ends: s.Ends, ChangedMs: now.UnixMilli()}
 		for _, other := range all {
-			if other.members == s.members && j.convicts(other) {
+			if bytes.Equal(other.members, s.members) && other.convicts() {
 				v.Parts = append(v.Parts, other.Part)
 			}
 		}
@@ -331,12 +385,8 @@
 	return nil, pending
 }
 
-// convicts reports whether a suspicion suffices for a verdict. The caller holds
-// mu.
-func (j *Judge) convicts(s *Suspicion) bool {
-	if _, suspect := j.suspects[s.Part]; !suspect {
-		return false
-	}
-	quick := !j.known[s.Part] && float64(s.Moments) >= quickShare*float64(s.Of)
+// convicts reports whether the suspicion suffices for a verdict.
+func (s *Suspicion) convicts() bool {
+	quick := !s.known && float64(s.Moments) >= quickShare*float64(s.Of)
 	return s.Moments >= enoughMoments || quick && s.Moments >= quickMoments
 }
