siteentry: don't send a request whose caller has closed its connection

Cause: an entry learns from net/http that its caller left. In a process that lacks processor time (0.288 cores there, requests were read 2.8 s late), what arrives on sockets is handled in the order of the run queue, a second late, while a target that becomes free wakes a waiting request at once. So the request was sent before its caller's close was read.

Ruled out: a close that had not arrived; the wait in the entry's queue (its context ends it as soon as the close is read); the dial, which ends with the same context.

Change: right before a request is sent, and before it goes to another target, the entry asks the socket whether its caller has closed it.

--- a/internal/kernel/httpserver/httpserver.go
+++ b/internal/kernel/httpserver/httpserver.go
@@ -66,6 +66,7 @@
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	tracked := &listener{Listener: l, server: s}
 	s.HTTP.ConnState = s.onState
+	s.HTTP.ConnContext = withConn
 	s.HTTP.Handler = s.announcing(s.HTTP.Handler)
 	accepting := net.Listener(tracked)
 	if s.HTTP.TLSConfig != nil {
--- a/internal/kernel/socket/socket.go
+++ b/internal/kernel/socket/socket.go
@@ -48,3 +48,15 @@
 	}
 	return n
 }
+
+// Ended reports whether the peer has closed or reset the connection and everything
+// that came before has been read. It is false if the socket can't be asked.
+func Ended(raw syscall.RawConn) bool {
+	ended := false
+	err := raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		ended = err == nil && n == 0 || err == unix.ECONNRESET
+	})
+	return err == nil && ended
+}
--- a/internal/role/siteentry/attempt.go
+++ b/internal/role/siteentry/attempt.go
@@ -11,6 +11,7 @@
 
 	"egretproxy/internal/exchange/connpool"
 	"egretproxy/internal/exchange/dispatch"
+	"egretproxy/internal/kernel/httpserver"
 	"egretproxy/internal/site/plan"
 	"egretproxy/internal/wire/bodylimit"
 )
@@ -220,12 +221,16 @@
 }
 
 // buildRequest returns the request for a target to which a connection has been
-// established. It returns errStale, errShutOut, errLeft or errOutdated if the state on
-// which the target was chosen no longer holds.
+// established. It returns errCallerLeft if the caller has left meanwhile, and errStale,
+// errShutOut, errLeft or errOutdated if the state on which the target was chosen no
+// longer holds.
 func (j *job) buildRequest(grant *dispatch.Grant) (*connpool.Request, error) {
 	if !j.mayDispatch() {
 		return nil, errStale
 	}
+	if httpserver.CallerLeft(j.r) {
+		return nil, errCallerLeft
+	}
 	if j.verdict() != nil {
 		return nil, errShutOut
 	}
--- a/internal/role/siteentry/response.go
+++ b/internal/role/siteentry/response.go
@@ -9,6 +9,7 @@
 
 	"egretproxy/internal/exchange/dispatch"
 	"egretproxy/internal/kernel/decisionlog"
+	"egretproxy/internal/kernel/httpserver"
 	"egretproxy/internal/site/plan"
 )
 
@@ -74,7 +75,7 @@
 // abandon ends a request for which no further target is tried. It aborts the
 // connection if the caller has left or already has part of a stream.
 func (j *job) abandon(ctx context.Context, err error) {
-	if j.r.Context().Err() != nil {
+	if httpserver.CallerLeft(j.r) {
 		j.abortCallerLeft()
 		return
 	}
--- a/internal/role/siteentry/run.go
+++ b/internal/role/siteentry/run.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"egretproxy/internal/exchange/dispatch"
+	"egretproxy/internal/kernel/httpserver"
 )
 
 // maxDialFailures limits how many unreachable targets are tried.
@@ -130,7 +131,7 @@
 
 // mayRetry reports whether another target may be tried.
 func (j *job) mayRetry(ctx context.Context, sent bool) bool {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || httpserver.CallerLeft(j.r) {
 		return false
 	}
 	if !sent {
