siteentry: test a verdict only with requests that no other one matches

Found in review: a request that tests the verdict on one of its parts passed all verdicts, so that a part that does end engines reached one with each test of another. TestHoldsTestNamesOnlyItsVerdict fails without the check.

--- a/internal/role/siteentry/quarantine.go
+++ b/internal/role/siteentry/quarantine.go
@@ -86,19 +86,31 @@
 	return out
 }
 
-// verdict returns the newest verdict that shuts the request out, or nil. A
-// request whose response began is not concerned, nor is the test of a verdict.
+// verdict returns the newest verdict that shuts the request out, or nil. A request
+// whose response began is not concerned, nor is the test of a verdict.
 func (j *job) verdict() *siteclient.Verdict {
-	if len(j.parts) == 0 || j.tests || j.events() > 0 {
+	if j.tests || j.events() >= beginEvents {
 		return nil
 	}
+	if all := j.matchingVerdicts(); len(all) > 0 {
+		return all[len(all)-1]
+	}
+	return nil
+}
+
+// matchingVerdicts returns all verdicts that match the request, oldest first.
+func (j *job) matchingVerdicts() []*siteclient.Verdict {
+	if len(j.parts) == 0 {
+		return nil
+	}
+	var out []*siteclient.Verdict
 	all := j.entry.Views.View().Quarantine
-	for i := len(all) - 1; i >= 0; i-- {
+	for i := range all {
 		if all[i].Matches(j.parts) {
-			return &all[i]
+			out = append(out, &all[i])
 		}
 	}
-	return nil
+	return out
 }
 
 // shutOut reports whether the request must not be sent to a target. If a test of
@@ -115,9 +127,10 @@
 	return true
 }
 
-// takeTest reports whether the request was chosen to test the verdict.
+// takeTest reports whether the request was chosen to test the verdict. A request
+// that another verdict matches as well would show nothing about this one.
 func (j *job) takeTest(ctx context.Context, v *siteclient.Verdict) bool {
-	if v.Age() < v.TestInterval() || j.entry.Keepers == nil || !j.entry.testing.CompareAndSwap(false, true) {
+	if len(j.matchingVerdicts()) > 1 || v.Age() < v.TestInterval() || j.entry.Keepers == nil || !j.entry.testing.CompareAndSwap(false, true) {
 		return false
 	}
 	defer j.entry.testing.Store(false)
--- a/internal/role/siteentry/quarantine_test.go
+++ b/internal/role/siteentry/quarantine_test.go
@@ -127,6 +127,23 @@
 	}
 }
 
+// TestHoldsTestNamesOnlyItsVerdict guards against a request that tests the verdict on
+// one of its parts while another one ends engines.
+func TestHoldsTestNamesOnlyItsVerdict(t *testing.T) {
+	target, address := startTarget(t, streams(1, 2))
+	te := startEntry(t, address)
+	keepers := &fakeKeepers{}
+	te.entry.Keepers = keepers
+	te.shutOut(3*time.Second, "bad")
+	te.views.view.Quarantine = append(te.views.view.Quarantine, siteclient.Verdict{
+		Verdict: quarantine.Verdict{Parts: []id.PromptPart{"f00d"}}, ChangedAt: boottime.Now() - time.Hour,
+	})
+	res, _, err := te.call(t, "stream", "Prompt", "bad:1,f00d:2,own:3")
+	if err != nil || res.StatusCode != http.StatusServiceUnavailable || keepers.granted != 0 || len(target.requests()) != 0 {
+		t.Errorf("got response %v, error %v, %d tests requested", res, err, keepers.granted)
+	}
+}
+
 // TestVerdictIsTestedOnce guards against a verdict on a harmless part that stays
 // for good, and against more than one request that tests it.
 func TestVerdictIsTestedOnce(t *testing.T) {
