siteentry: let failures and other targets end no limit

Found in review: a 503 or 421 that does not name the limit ended it, and the target got its full load until the next response. TestFailureEndsNoLimit covers it.

--- a/internal/role/siteentry/limit.go
+++ b/internal/role/siteentry/limit.go
@@ -2,19 +2,27 @@
 
 import (
 	"math"
+	"net/http"
 	"strconv"
 
 	"egretproxy/internal/exchange/connpool"
 	"egretproxy/internal/exchange/dispatch"
 )
 
-// recordLimit takes the limit from a response of a target.
+// recordLimit takes the limit from a response of a target. Failures may come from
+// elsewhere than the part that names it, and 421 comes from another target.
 func (j *job) recordLimit(response *connpool.Response, grant *dispatch.Grant) {
+	if response.Status == http.StatusMisdirectedRequest {
+		return
+	}
 	text := response.Header.Get(j.entry.Settings.Headers.Limit)
 	perSecond, named := parseLimit(text)
 	if text != "" && !named {
 		j.entry.Metrics.Count("InvalidLimit")
 	}
+	if !named && response.Status >= http.StatusInternalServerError {
+		return
+	}
 	if !grant.RecordLimit(perSecond, named) {
 		return
 	}
