--- a/internal/role/siteentry/quarantine.go
+++ b/internal/role/siteentry/quarantine.go
@@ -143,9 +143,15 @@
 	return j.tests
 }
 
+// mayHaveEndedTarget reports whether the target of the latest attempt ended before
+// the response began, so that a part of the prompt may be the reason.
+func (j *job) mayHaveEndedTarget() bool {
+	return j.brokenBy != nil && !j.begun && len(j.parts) > 0 && endsExchange(j.brokenBy)
+}
+
 // recordBreak tells the witness that the target ended before the response began.
 func (j *job) recordBreak(grant *dispatch.Grant) {
-	if j.brokenBy == nil || j.begun || len(j.parts) == 0 || !endsExchange(j.brokenBy) {
+	if !j.mayHaveEndedTarget() {
 		return
 	}
 	j.entry.Metrics.Count("TargetEndedBeforeResponse")
@@ -177,7 +183,7 @@
 // awaitClearance waits until it is known whether the request may have ended its
 // target, and returns an error if it must not go to another one.
 func (j *job) awaitClearance(ctx context.Context) error {
-	if j.brokenBy == nil || j.begun || len(j.parts) == 0 || !endsExchange(j.brokenBy) {
+	if !j.mayHaveEndedTarget() {
 		return nil
 	}
 	if j.tests {
--- a/internal/role/sitekeeper/quarantine.go
+++ b/internal/role/sitekeeper/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -51,15 +52,9 @@
 	return nil, nil
 }
 
+// accused reports whether a verdict contains the part.
 func accused(verdicts []quarantine.Verdict, p id.PromptPart) bool {
-	for _, v := range verdicts {
-		for _, q := range v.Parts {
-			if p == q {
-				return true
-			}
-		}
-	}
-	return false
+	return slices.ContainsFunc(verdicts, func(v quarantine.Verdict) bool { return slices.Contains(v.Parts, p) })
 }
 
 // handleTest grants the next test of a verdict to one caller.
--- a/internal/site/suspicion/suspicion.go
+++ b/internal/site/suspicion/suspicion.go
@@ -62,7 +62,7 @@
 	// suspects holds the time since which each part is a suspect, announced those
 	// of which entries are told, the gravest first.
 	suspects  map[id.PromptPart]time.Time
-	announced []*Suspicion
+	announced []*suspicion
 	// accused holds the parts of the verdicts in force at the last look.
 	accused  map[id.PromptPart]bool
 	position uint64
@@ -94,16 +94,16 @@
 	explained []quarantine.Verdict
 }
 
-// Suspicion is what counts against one part.
-type Suspicion struct {
-	Part id.PromptPart
-	// Moments is the number of moments at which engines ended with the part, Of
+// suspicion is what counts against one part.
+type suspicion struct {
+	part id.PromptPart
+	// moments is the number of moments at which engines ended with the part, of
 	// that at which engines ended since the first of them. Ends that verdicts on
 	// other parts explain do not count.
-	Moments, Of int
-	// Ends is the number of these engines, Since the time of the first end.
-	Ends  int
-	Since time.Time
+	moments, of int
+	// ends is the number of these engines, since the time of the first end.
+	ends  int
+	since time.Time
 
 	// members identifies the ends. first is the moment of the first one.
 	members []byte
@@ -232,7 +232,7 @@
 // suspicions returns what counts against each part with which targets ended at
 // several moments, the gravest first. Ends that a verdict on other parts explains
 // do not count. The caller holds mu.
-func (j *Judge) suspicions(inForce []quarantine.Verdict) []*Suspicion {
+func (j *Judge) suspicions(inForce []quarantine.Verdict) []*suspicion {
 	var unexplained []int
 	for _, e := range j.ends {
 		e.explained = explanations(e, inForce)
@@ -240,40 +240,40 @@
 			unexplained = append(unexplained, e.moment)
 		}
 	}
-	var out []*Suspicion
+	var out []*suspicion
 	for k, p := range j.parts {
 		if len(p.ends) < suspectMoments {
 			continue
 		}
 		s := p.suspicion(k)
-		if s.Moments < suspectMoments {
+		if s.moments < suspectMoments {
 			continue
 		}
 		from, _ := slices.BinarySearch(unexplained, s.first)
-		s.Of = max(len(unexplained)-from, s.Moments)
+		s.of = max(len(unexplained)-from, s.moments)
 		out = append(out, s)
 	}
-	slices.SortFunc(out, func(a, b *Suspicion) int {
-		return cmp.Or(cmp.Compare(b.Moments, a.Moments), cmp.Compare(b.Ends, a.Ends), cmp.Compare(a.Part, b.Part))
+	slices.SortFunc(out, func(a, b *suspicion) int {
+		return cmp.Or(cmp.Compare(b.moments, a.moments), cmp.Compare(b.ends, a.ends), cmp.Compare(a.part, b.part))
 	})
 	return out
 }
 
 // suspicion returns what counts against the part.
-func (p *part) suspicion(k id.PromptPart) *Suspicion {
-	s := &Suspicion{Part: k, known: p.known}
+func (p *part) suspicion(k id.PromptPart) *suspicion {
+	s := &suspicion{part: k, known: p.known}
 	last := -1
 	for _, e := range p.ends {
 		if !e.at.After(p.begunAt) || explainedByOthers(k, e.explained) {
 			continue
 		}
-		if s.Ends++; s.Ends == 1 {
-			s.Since, s.first = e.at, e.moment
+		if s.ends++; s.ends == 1 {
+			s.since, s.first = e.at, e.moment
 		}
 		s.members = binary.AppendUvarint(s.members, uint64(e.number))
 		if last != e.moment {
 			last = e.moment
-			s.Moments++
+			s.moments++
 		}
 	}
 	return s
@@ -297,16 +297,16 @@
 
 // updateSuspects takes over the suspects and wakes waiters if there are others than
 // before. The caller holds mu.
-func (j *Judge) updateSuspects(now time.Time, found []*Suspicion) {
+func (j *Judge) updateSuspects(now time.Time, found []*suspicion) {
 	old := j.suspects
 	j.suspects = map[id.PromptPart]time.Time{}
 	changed := len(found) != len(old)
 	for _, s := range found {
-		since, known := old[s.Part]
+		since, known := old[s.part]
 		if !known {
 			since, changed = now, true
 		}
-		j.suspects[s.Part] = since
+		j.suspects[s.part] = since
 	}
 	if !changed {
 		return
@@ -330,7 +330,7 @@
 	defer j.mu.Unlock()
 	var out []evidence.Suspect
 	for _, s := range j.announced {
-		out = append(out, evidence.Suspect{Part: s.Part, AgeMs: time.Since(s.Since).Milliseconds()})
+		out = append(out, evidence.Suspect{Part: s.part, AgeMs: time.Since(s.since).Milliseconds()})
 	}
 	return out, j.position
 }
@@ -366,17 +366,17 @@
 		if !s.convicts() {
 			continue
 		}
-		v := quarantine.Verdict{Ends: s.Ends, ChangedMs: now.UnixMilli()}
+		v := quarantine.Verdict{Ends: s.ends, ChangedMs: now.UnixMilli()}
 		for _, other := range all {
 			if bytes.Equal(other.members, s.members) && other.convicts() {
-				v.Parts = append(v.Parts, other.Part)
+				v.Parts = append(v.Parts, other.part)
 			}
 		}
 		slices.Sort(v.Parts)
 		if slices.ContainsFunc(inForce, func(old quarantine.Verdict) bool { return old.Matches(v.Parts) }) {
 			continue
 		}
-		if now.Sub(j.suspects[s.Part]) < objectionTime {
+		if now.Sub(j.suspects[s.part]) < objectionTime {
 			pending = true
 			continue
 		}
@@ -386,7 +386,7 @@
 }
 
 // convicts reports whether the suspicion suffices for a verdict.
-func (s *Suspicion) convicts() bool {
-	quick := !s.known && float64(s.Moments) >= quickShare*float64(s.Of)
-	return s.Moments >= enoughMoments || quick && s.Moments >= quickMoments
+func (s *suspicion) convicts() bool {
+	quick := !s.known && float64(s.moments) >= quickShare*float64(s.of)
+	return s.moments >= enoughMoments || quick && s.moments >= quickMoments
 }
