--- a/internal/role/siteentry/attempt.go
+++ b/internal/role/siteentry/attempt.go
@@ -229,6 +229,9 @@
 		return nil, errStale
 	}
 	if httpserver.CallerLeft(j.r) {
+		j.entry.Metrics.Count("CallerLeftBeforeSend")
+		j.entry.DecisionLog.Record(notableKind, "Caller left before its request was sent", "Request", j.id, "Target", grant.Target,
+			"Noticed", j.r.Context().Err() != nil, "TookMs", time.Since(j.startedAt).Milliseconds())
 		return nil, errCallerLeft
 	}
 	if j.verdict() != nil {
