siteentry: record once that a response began

Each stream told the witness twice that it began: at its second event, and at its end, which took the lock and moved its parts again, and made a response that had begun before a target ended count as one that began after.

--- a/internal/role/siteentry/quarantine.go
+++ b/internal/role/siteentry/quarantine.go
@@ -174,8 +174,12 @@
 	return false
 }
 
-// recordBegin tells the witness that a response began.
+// recordBegin tells the witness that the response of the latest attempt began. Later
+// calls for it have no effect.
 func (j *job) recordBegin() {
+	if j.begun {
+		return
+	}
 	j.begun = true
 	j.entry.witness.Begun(j.parts)
 }
