--- a/internal/command/explain/explain.go
+++ b/internal/command/explain/explain.go
@@ -151,8 +151,7 @@
 
 // findLines returns the lines about a request, the state changes of its processes
 // and targets, and what led to the verdict by which it was refused, in order of
-// time. It returns nil if no line is about
-// the request.
+// time. It returns nil if no line is about the request.
 func findLines(lines []logLine, request string) []logLine {
 	var trace []logLine
 	involved, accused := map[string]bool{}, map[string]bool{}
--- a/internal/exchange/dispatch/ratelimit.go
+++ b/internal/exchange/dispatch/ratelimit.go
@@ -69,17 +69,17 @@
 	}
 }
 
-// limitShare is the entry's share of the limits of a service's targets.
+// limitShare is the entry's share of the limits of a service's targets. In its zero
+// value the entry's traffic is unknown.
 type limitShare struct {
-	// traffic is the entry's part of the requests of all entries, 0 to 1, or
-	// negative if it is unknown.
+	// traffic is the entry's part of the requests of all entries, 0 to 1.
 	traffic float64
 	at      time.Time
 }
 
 // update applies a new share of the traffic.
 func (s *limitShare) update(now time.Time, traffic float64) {
-	if traffic > s.traffic && !s.at.IsZero() && s.traffic >= 0 {
+	if traffic > s.traffic && !s.at.IsZero() {
 		traffic = s.traffic + (traffic-s.traffic)*min(now.Sub(s.at).Seconds()/shareRise.Seconds(), 1)
 	}
 	s.traffic, s.at = traffic, now
@@ -88,7 +88,7 @@
 // of returns the share of the limits among a number of entries.
 func (s *limitShare) of(entries int) float64 {
 	equal := 1 / float64(entries)
-	if s.at.IsZero() || s.traffic < 0 {
+	if s.at.IsZero() {
 		return equal
 	}
 	return equalShare*equal + (1-equalShare)*s.traffic
--- a/internal/role/sitekeeper/quarantine.go
+++ b/internal/role/sitekeeper/quarantine.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
 
-	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/kernel/clock"
 	"egretproxy/internal/site/evidence"
 	"egretproxy/internal/site/quarantine"
@@ -37,10 +35,10 @@
 	if err := json.Unmarshal(params, &in); err != nil {
 		return nil, rpc.InvalidParams(err)
 	}
-	inForce := k.Machine.State().Quarantine
+	accused := quarantine.Parts(k.Machine.State().Quarantine)
 	k.judge.Add(in)
 	for _, b := range in.Begun {
-		if !accused(inForce, b.Part) {
+		if !accused[b.Part] {
 			continue
 		}
 		klog.InfoS("Response began on a part of prompts that is shut out", "Part", b.Part, "AgeMs", b.AgeMs)
@@ -52,20 +50,14 @@
 	return nil, nil
 }
 
-// accused reports whether a verdict contains the part.
-func accused(verdicts []quarantine.Verdict, p id.PromptPart) bool {
-	return slices.ContainsFunc(verdicts, func(v quarantine.Verdict) bool { return slices.Contains(v.Parts, p) })
-}
-
 // handleTest grants the next test of a verdict to one caller.
 func (k *Keeper) handleTest(ctx context.Context, params json.RawMessage) (any, error) {
 	var in evidence.Test
 	if err := json.Unmarshal(params, &in); err != nil {
 		return nil, rpc.InvalidParams(err)
 	}
-	v := findVerdict(k.Machine.State().Quarantine, in.Key)
 	now := time.Now()
-	if v == nil || in.Number != v.Tests+1 || now.Sub(time.UnixMilli(v.ChangedMs)) < v.TestInterval()-testSlack {
+	if !isTestDue(k.Machine.State().Quarantine, in, now) {
 		return evidence.TestResponse{}, nil
 	}
 	change := sitestate.QuarantineChange{Test: &in, ChangedMs: now.UnixMilli()}
@@ -76,19 +68,20 @@
 	if err != nil {
 		return nil, rpc.NewError(rpc.CodeUnavailable, err.Error())
 	}
-	v = findVerdict(st.Quarantine, in.Key)
-	granted := v != nil && v.Tests == in.Number && v.Holder == in.Holder
+	i := quarantine.Index(st.Quarantine, in.Key)
+	granted := i >= 0 && st.Quarantine[i].Tests == in.Number && st.Quarantine[i].Holder == in.Holder
 	klog.InfoS("Test of a verdict was requested", "Verdict", in.Key, "Number", in.Number, "Holder", in.Holder, "Granted", granted)
 	return evidence.TestResponse{Granted: granted}, nil
 }
 
-func findVerdict(verdicts []quarantine.Verdict, key string) *quarantine.Verdict {
-	for i := range verdicts {
-		if verdicts[i].Key() == key {
-			return &verdicts[i]
-		}
+// isTestDue reports whether the test is the next one of a verdict and due by now.
+func isTestDue(verdicts []quarantine.Verdict, t evidence.Test, now time.Time) bool {
+	i := quarantine.Index(verdicts, t.Key)
+	if i < 0 || t.Number != verdicts[i].Tests+1 {
+		return false
 	}
-	return nil
+	v := &verdicts[i]
+	return now.Sub(time.UnixMilli(v.ChangedMs)) >= v.TestInterval()-testSlack
 }
 
 // handleQuarantine lists the verdicts, after lifting some if the caller asks for
--- a/internal/site/quarantine/quarantine.go
+++ b/internal/site/quarantine/quarantine.go
@@ -27,7 +27,7 @@
 	// Tests counts the requests that were sent in spite of the verdict, to see
 	// whether it still holds.
 	Tests int
-	// Holder identifies the process that took the last test.
+	// Holder identifies the process and the request that took the last test.
 	Holder string
 	// ChangedMs is the wall clock time of the verdict or of its last test, in
 	// Unix milliseconds.
@@ -68,3 +68,19 @@
 func (v *Verdict) TestInterval() time.Duration {
 	return testIntervals[min(v.Tests, len(testIntervals)-1)]
 }
+
+// Parts returns all parts of the verdicts.
+func Parts(verdicts []Verdict) map[id.PromptPart]bool {
+	out := map[id.PromptPart]bool{}
+	for _, v := range verdicts {
+		for _, p := range v.Parts {
+			out[p] = true
+		}
+	}
+	return out
+}
+
+// Index returns the position of the verdict with the key, or -1.
+func Index(verdicts []Verdict, key string) int {
+	return slices.IndexFunc(verdicts, func(v Verdict) bool { return v.Key() == key })
+}
--- a/internal/site/siteclient/client.go
+++ b/internal/site/siteclient/client.go
@@ -16,7 +16,6 @@
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/kernel/boottime"
 	"egretproxy/internal/kernel/clock"
-	"egretproxy/internal/site/deflate"
 	"egretproxy/internal/site/discovery"
 	"egretproxy/internal/site/plan"
 	"egretproxy/internal/site/watch"
@@ -328,34 +327,6 @@
 	return targets
 }
 
-// applyState reports whether the state was applied. The caller holds mu.
-func (c *Client) applyState(s *watch.State) bool {
-	if s.PlanIndex > c.planIndex {
-		document, err := deflate.Decompress(s.Document)
-		if err != nil {
-			klog.ErrorS(err, "Failed to decompress plan", "Version", s.Version)
-			return false
-		}
-		p, err := c.Decode(document)
-		if err != nil {
-			klog.ErrorS(err, "Failed to decode plan", "Version", s.Version)
-			return false
-		}
-		c.plan, c.planIndex = p, s.PlanIndex
-		c.planOmittedSince, c.planReceivedAt = time.Time{}, time.Now()
-		klog.InfoS("Plan is in force", "Version", p.Version, "Routes", len(p.Routes), "Position", s.Index)
-	}
-	c.index = max(c.index, s.Index)
-	c.withdrawn = map[id.Domain]bool{}
-	for _, d := range s.Withdrawn {
-		c.withdrawn[d] = true
-	}
-	c.applyWeights(s.Weights)
-	c.applyQuarantine(s.Quarantine)
-	klog.InfoS("Agreed state changed", "Position", s.Index, "Withdrawn", s.Withdrawn, "Weights", s.Weights, "ShutOut", s.Quarantine)
-	return true
-}
-
 func (c *Client) watchWait() time.Duration {
 	if c.SlowPolling {
 		return slowWatchWait
@@ -363,23 +334,6 @@
 	return defaultWatchWait
 }
 
-// applyWeights keeps the greatest age that any keeper reported for a version,
-// since a restarted keeper reports a smaller one. The caller holds mu.
-func (c *Client) applyWeights(versions []watch.WeightsVersion) {
-	now := boottime.Now()
-	old := c.weights
-	c.weights = nil
-	for _, w := range versions {
-		since := now - time.Duration(w.AgeMs)*time.Millisecond
-		for _, o := range old {
-			if o.Model == w.Model && o.Version == w.Version {
-				since = min(since, o.Since)
-			}
-		}
-		c.weights = append(c.weights, WeightsVersion{Model: w.Model, Version: w.Version, Since: since})
-	}
-}
-
 // planInterval returns the least time between two plans, which are costly to
 // decode.
 func (c *Client) planInterval() time.Duration {
--- a/internal/site/siteclient/suspects.go
+++ b/internal/site/siteclient/suspects.go
@@ -9,7 +9,6 @@
 	"k8s.io/klog/v2"
 
 	"egretproxy/internal/fleet/id"
-	"egretproxy/internal/kernel/boottime"
 	"egretproxy/internal/site/evidence"
 	"egretproxy/internal/site/watch"
 	"egretproxy/internal/wire/rpc"
@@ -53,15 +52,6 @@
 	c.OnSuspects(out)
 }
 
-// applyQuarantine takes over the verdicts in force. The caller holds mu.
-func (c *Client) applyQuarantine(verdicts []watch.Verdict) {
-	now := boottime.Now()
-	c.quarantine = nil
-	for _, v := range verdicts {
-		c.quarantine = append(c.quarantine, Verdict{v.Verdict, now - time.Duration(v.AgeMs)*time.Millisecond})
-	}
-}
-
 // keepers returns the connections to the keepers.
 func (c *Client) keepers() []*rpc.Client {
 	c.mu.Lock()
--- a/internal/site/sitestate/quarantine.go
+++ b/internal/site/sitestate/quarantine.go
@@ -72,7 +72,7 @@
 }
 
 func (s *State) grantTest(t evidence.Test, changedMs int64) bool {
-	i := slices.IndexFunc(s.Quarantine, func(v quarantine.Verdict) bool { return v.Key() == t.Key })
+	i := quarantine.Index(s.Quarantine, t.Key)
 	if i < 0 || t.Number != s.Quarantine[i].Tests+1 {
 		return false
 	}
--- a/internal/site/suspicion/suspicion.go
+++ b/internal/site/suspicion/suspicion.go
@@ -146,12 +146,7 @@
 // any more: a response began on them, or an operator lifted the verdict. The
 // caller holds mu.
 func (j *Judge) acquit(now time.Time, inForce []quarantine.Verdict) {
-	accused := map[id.PromptPart]bool{}
-	for _, v := range inForce {
-		for _, p := range v.Parts {
-			accused[p] = true
-		}
-	}
+	accused := quarantine.Parts(inForce)
 	for k := range j.accused {
 		if p := j.parts[k]; p != nil && !accused[k] {
 			p.begunAt = now
--- a/internal/site/witness/witness.go
+++ b/internal/site/witness/witness.go
@@ -156,12 +156,7 @@
 func (w *Witness) SetVerdicts(verdicts []quarantine.Verdict) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.accused = map[id.PromptPart]bool{}
-	for _, v := range verdicts {
-		for _, p := range v.Parts {
-			w.accused[p] = true
-		}
-	}
+	w.accused = quarantine.Parts(verdicts)
 }
 
 // Take returns what was not reported yet, and a channel that is closed when
