siteentry: let one owner decide how a response ends

A caller had part of a stream when its target broke off.

Each way to end a request wrote to the caller and decided for itself whether the caller had something. Now only the type reply writes to the caller: a whole response, a long one, a failure or a refusal is sent only to a caller that has nothing, else the connection is aborted; so is a response that has not ended when its handler returns. In a resumed attempt, an answer other than 2xx is a failed attempt, and so is a 2xx without an event after the last one, since nothing marks the last event of a stream: another target if an attempt is left, else the connection is aborted. Comments before the first event of a resumed run are no progress and are left out. A first answer without events stays as its target sent it.

--- a/internal/exchange/sse/sse.go
+++ b/internal/exchange/sse/sse.go
@@ -29,6 +29,9 @@
 	br *bufio.Reader
 	// LastEventID is the ID of the most recent event that had one.
 	LastEventID string
+	// Event is set if what Next returned last has data or an ID. Otherwise it is
+	// a comment, a setting for clients or blank lines.
+	Event bool
 }
 
 // New returns a Reader of the stream r.
@@ -42,6 +45,7 @@
 // discarded. Blank lines alone count as an event only at the end of the stream,
 // so that their number is limited.
 func (r *Reader) Next() ([]byte, error) {
+	r.Event = false
 	var event []byte
 	// lineStart is the offset of the current line in event.
 	lineStart := 0
@@ -75,12 +79,20 @@
 		}
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			r.LastEventID = string(bytes.TrimSpace(id))
+			r.Event = true
 		}
+		r.Event = r.Event || isData(line)
 		lineStart = len(event)
 		text, standard = text || len(line) > 0, standard || isStandard(line)
 	}
 }
 
+// isData reports whether a line is a data field.
+func isData(line []byte) bool {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	return string(name) == "data"
+}
+
 // isStandard reports whether a line is a comment or a field of the standard.
 // Clients ignore all other fields.
 func isStandard(line []byte) bool {
--- a/internal/exchange/sse/sse_test.go
+++ b/internal/exchange/sse/sse_test.go
@@ -72,3 +72,22 @@
 		}
 	}
 }
+
+// TestEventsAreToldFromComments checks what counts as an event.
+func TestEventsAreToldFromComments(t *testing.T) {
+	for part, want := range map[string]bool{
+		"data: x\n\n": true, "data\n\n": true, "id: 1\n\n": true, "id: 1\n{\"a\": 1}\n\n": true,
+		"x-weight-versions: 3\nid: 1\ndata: x\n\n": true, ": ok\nevent: e\r\ndata: x\r\n\r\n": true,
+		": data: x\n\n": false, "event: e\n\n": false, "retry: 5\n\n": false, "\n\n": false,
+	} {
+		events := sse.New(strings.NewReader("id: 1\ndata: x\n\n" + part))
+		for range 2 {
+			if _, err := events.Next(); err != nil {
+				t.Fatalf("%q: %v", part, err)
+			}
+		}
+		if events.Event != want {
+			t.Errorf("%q is an event: %v, want %v", part, events.Event, want)
+		}
+	}
+}
--- a/internal/role/siteentry/attempt.go
+++ b/internal/role/siteentry/attempt.go
@@ -61,6 +61,9 @@
 		}
 		return tryNext, dispatch.Rejected, true
 	}
+	if j.reply.begun() && response.Status >= 300 {
+		return j.notContinued(response)
+	}
 	if response.Status >= 500 && j.route.Repeatable() && j.canRetryElsewhere() {
 		response.Discard()
 		j.mayHaveRun = true
@@ -135,12 +138,11 @@
 	if err != nil {
 		return j.responseFailed(err)
 	}
-	j.copyHeader(response)
-	if !hasNoBody(response.Status, j.r.Method) {
-		j.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	length := int64(len(body))
+	if hasNoBody(response.Status, j.r.Method) {
+		length = undeclared
 	}
-	j.w.WriteHeader(response.Status)
-	_, _ = j.w.Write(body)
+	j.reply.whole(response, body, length)
 	return j.responseEnded(response, grant)
 }
 
@@ -165,19 +167,17 @@
 	if timer.expired() {
 		return j.responseFailed(errors.New("target was silent"))
 	}
-	j.copyHeader(response)
-	j.w.Header().Set("Content-Length", strconv.FormatInt(response.Length, 10))
-	j.w.WriteHeader(response.Status)
-	if _, err := io.Copy(j.w, response.Body); err != nil {
+	if err := j.reply.long(response); err != nil {
 		j.logEnd("Response was aborted", "ResponseLost", "Cause", err.Error())
 		j.entry.Metrics.CountReason("Failed", "ResponseLost")
-		panic(http.ErrAbortHandler)
+		j.reply.abort()
 	}
 	return j.responseEnded(response, grant)
 }
 
 // responseFailed handles a response that breaks off or exceeds a limit before
-// the caller received any of it.
+// the caller received any of it. A request whose caller has part of a stream was
+// repeated before, and goes to another target.
 func (j *job) responseFailed(err error) (decision, dispatch.Outcome, bool) {
 	j.lastError = "answer broke off: " + err.Error()
 	j.mayHaveRun = true
@@ -188,6 +188,9 @@
 	if outcome == dispatch.Broken {
 		j.brokenBy = err
 	}
+	if j.reply.begun() {
+		return tryNext, outcome, true
+	}
 	if j.route.Repeatable() && j.route.Kind != plan.Streaming {
 		return tryNext, outcome, true
 	}
@@ -206,26 +209,20 @@
 	return done, dispatch.Served, true
 }
 
-func hasNoBody(status int, method string) bool {
-	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
+// notContinued handles an answer that does not continue the stream of which the
+// caller has part.
+func (j *job) notContinued(response *connpool.Response) (decision, dispatch.Outcome, bool) {
+	response.Discard()
+	j.mayHaveRun = true
+	j.lastError = "target did not continue the stream: answered " + strconv.Itoa(response.Status)
+	if response.Status >= 500 {
+		return tryNext, dispatch.Failed, true
+	}
+	return tryNext, dispatch.Cancelled, true
 }
 
-// copyHeader copies the target's response header without the hop-by-hop
-// fields.
-func (j *job) copyHeader(response *connpool.Response) {
-	h := j.w.Header()
-	for name, values := range response.Header {
-		h[name] = values
-	}
-	for _, name := range hopHeaders {
-		delete(h, name)
-	}
-	if _, ok := response.Header["Content-Type"]; !ok {
-		h["Content-Type"] = nil
-	}
-	if _, ok := response.Header["Date"]; !ok {
-		h["Date"] = nil
-	}
+func hasNoBody(status int, method string) bool {
+	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
 }
 
 // buildRequest returns the request for a target to which a connection has been
--- a/internal/role/siteentry/dispatchrequest.go
+++ b/internal/role/siteentry/dispatchrequest.go
@@ -84,7 +84,7 @@
 // streamWeights returns the weights version that the stream started with, or 0
 // for none.
 func (j *job) streamWeights() int64 {
-	if j.stream == nil || !j.stream.headerSent {
+	if j.stream == nil {
 		return 0
 	}
 	return j.stream.weights
--- a/internal/role/siteentry/request.go
+++ b/internal/role/siteentry/request.go
@@ -35,7 +35,7 @@
 // job is the state of one caller's request.
 type job struct {
 	entry *Entry
-	w     http.ResponseWriter
+	reply reply
 	r     *http.Request
 	id    string
 	view  *siteclient.View
@@ -88,8 +88,10 @@
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
 	e.active.Add(1)
 	defer e.active.Add(-1)
-	j := &job{entry: e, w: w, r: r, id: r.Header.Get(e.Settings.Headers.Attempt), startedAt: time.Now()}
+	j := &job{entry: e, r: r, id: r.Header.Get(e.Settings.Headers.Attempt), startedAt: time.Now()}
+	j.reply = reply{w: w, lost: j.recordLost}
 	if !j.admit() {
+		j.reply.close()
 		return
 	}
 	bounded, release := e.stop.bound(r.Context())
@@ -97,6 +99,7 @@
 	ctx, cancel := context.WithDeadline(bounded, j.deadline)
 	defer cancel()
 	j.run(ctx)
+	j.reply.close()
 }
 
 // admit finds the route and the organisation and reads the body. It reports
@@ -199,7 +202,7 @@
 // readBody reads the whole body, so that it can be sent to a second target.
 func (j *job) readBody(limit int64) bool {
 	if limit > 0 {
-		j.r.Body = http.MaxBytesReader(j.w, j.r.Body, limit)
+		j.reply.limitBody(j.r, limit)
 	}
 	body, err := io.ReadAll(j.r.Body)
 	if err == nil {
@@ -212,7 +215,8 @@
 		return false
 	}
 	j.logEnd("Caller left while sending the body", "CallerLeft")
-	panic(http.ErrAbortHandler)
+	j.reply.abort()
+	return false
 }
 
 // outgoing builds the request to the target.
--- a/internal/role/siteentry/response.go
+++ b/internal/role/siteentry/response.go
@@ -44,6 +44,7 @@
 // refuse responds with 503 and a Retry-After. The response states that the
 // request has not run and never will.
 func (j *job) refuse(reason, text string) {
+	j.reply.requireNothing()
 	after := minRetryAfter + rand.N(retryAfterJitter)
 	switch reason {
 	case "NoPlan", "Stale", "NoTarget":
@@ -53,37 +54,39 @@
 	case "ShutOut":
 		after = verdictRetryAfter(j.shutOutBy)
 	}
-	j.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	j.entry.Metrics.CountReason("Refused", reason)
-	j.writeError(http.StatusServiceUnavailable, reason, text)
+	header := http.Header{"Retry-After": {strconv.FormatFloat(after.Seconds(), 'f', 3, 64)}}
+	j.writeError(http.StatusServiceUnavailable, reason, text, header)
 }
 
 // fail responds with a status that makes no statement about later attempts.
 func (j *job) fail(status int, reason, text string) {
+	j.reply.requireNothing()
 	j.entry.Metrics.CountReason("Failed", reason)
-	j.writeError(status, reason, text)
+	j.writeError(status, reason, text, http.Header{})
 }
 
-func (j *job) writeError(status int, reason, text string) {
+func (j *job) writeError(status int, reason, text string, header http.Header) {
 	j.logEnd("Request was not served", reason, "Status", status, "Cause", text)
 	if j.id != "" {
-		j.w.Header().Set(j.entry.Settings.Headers.Attempt, j.id)
+		header.Set(j.entry.Settings.Headers.Attempt, j.id)
 	}
-	http.Error(j.w, text, status)
+	j.reply.error(status, text, header)
 }
 
-// abandon ends a request for which no further target is tried. It aborts the
-// connection if the caller has left or already has part of a stream.
+// recordLost records that a caller has part of a stream that is aborted.
+func (j *job) recordLost() {
+	j.logEnd("Stream was aborted", "StreamLost", "Cause", j.lastError)
+	j.entry.Metrics.CountReason("Failed", "StreamLost")
+}
+
+// abandon ends a request for which no further target is tried. The connection is
+// aborted if the caller has left or already has part of a stream.
 func (j *job) abandon(ctx context.Context, err error) {
 	if httpserver.CallerLeft(j.r) {
 		j.abortCallerLeft()
 		return
 	}
-	if j.stream != nil && j.stream.headerSent {
-		j.logEnd("Stream was aborted", "StreamLost", "Cause", j.lastError)
-		j.entry.Metrics.CountReason("Failed", "StreamLost")
-		panic(http.ErrAbortHandler)
-	}
 	if j.mayHaveRun {
 		j.abandonSent()
 		return
@@ -112,11 +115,6 @@
 		j.abortCallerLeft()
 		return
 	}
-	if j.stream != nil && j.stream.headerSent {
-		j.logEnd("Stream was aborted", "StreamLost", "Cause", j.lastError)
-		j.entry.Metrics.CountReason("Failed", "StreamLost")
-		panic(http.ErrAbortHandler)
-	}
 	if time.Now().After(j.deadline) {
 		j.fail(http.StatusGatewayTimeout, "Timeout", "target did not answer in time")
 		return
@@ -127,7 +125,7 @@
 func (j *job) abortCallerLeft() {
 	j.logEnd("Caller left", "CallerLeft")
 	j.entry.Metrics.Count("CallerLeft")
-	panic(http.ErrAbortHandler)
+	j.reply.abort()
 }
 
 // logEnd logs a request that ended without a response from a target.
--- a/internal/role/siteentry/resume_test.go
+++ b/internal/role/siteentry/resume_test.go
@@ -101,3 +101,61 @@
 		}
 	}
 }
+
+// TestHoldsStreamGoesOnAtAThirdTarget guards against a stream that is given up, or
+// ends as complete, because the second target did not continue it although another
+// attempt is left.
+func TestHoldsStreamGoesOnAtAThirdTarget(t *testing.T) {
+	for name, answer := range map[string]func(r *http.Request) string{
+		"500":      withBody("500 Internal Server Error"),
+		"400":      withBody("400 Bad Request"),
+		"302":      withBody("302 Found"),
+		"no event": func(r *http.Request) string { return head(r, "200 OK", "Content-Length: 0") },
+		"comment": func(r *http.Request) string {
+			return head(r, "200 OK", "Transfer-Encoding: chunked") + chunk(": ok\n\n") + "0\r\n\r\n"
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, a1 := startTarget(t, breaksAfterTwo)
+			_, a2 := startTarget(t, func(w io.Writer, r *http.Request) { _, _ = io.WriteString(w, answer(r)) })
+			third, a3 := startTarget(t, func(w io.Writer, r *http.Request) {
+				_, _ = io.WriteString(w, head(r, "200 OK", "Transfer-Encoding: chunked")+chunk(": ok\n\n")+chunk(event(3))+"0\r\n\r\n")
+			})
+			te := startEntry(t, a1, a2, a3)
+			for i := range te.plan.Routes {
+				te.plan.Routes[i].MaxAttempts = 3
+			}
+			res, body, err := te.call(t, "stream")
+			if err != nil || res.StatusCode != http.StatusOK || body != event(1)+event(2)+event(3) {
+				t.Errorf("got response %v, body %q, error %v", res, body, err)
+			}
+			if got := third.requests(); len(got) != 1 || got[0].Header.Get("Last-Event-Id") != "2" {
+				t.Errorf("the third target got %v", got)
+			}
+		})
+	}
+}
+
+// TestFirstStreamWithoutEventIsWhole checks that a framed stream without an event
+// stays as its target sent it if the caller has nothing before.
+func TestFirstStreamWithoutEventIsWhole(t *testing.T) {
+	for _, c := range []struct {
+		rest, body string
+		fields     []string
+	}{
+		{"", "", []string{"Content-Length: 0"}},
+		{"0\r\n\r\n", "", []string{"Transfer-Encoding: chunked"}},
+		{": ok\n\n", ": ok\n\n", []string{"Content-Length: 6"}},
+	} {
+		_, address := startTarget(t, func(w io.Writer, r *http.Request) {
+			_, _ = io.WriteString(w, head(r, "200 OK", c.fields...)+c.rest)
+		})
+		te := startEntry(t, address)
+		for _, last := range []string{"", "7"} {
+			res, body, err := te.call(t, "stream", "Last-Event-Id", last)
+			if err != nil || res.StatusCode != http.StatusOK || body != c.body {
+				t.Errorf("%v after event %q: got response %v, body %q, error %v", c.fields, last, res, body, err)
+			}
+		}
+	}
+}
--- a/internal/role/siteentry/stream.go
+++ b/internal/role/siteentry/stream.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -20,9 +19,8 @@
 	lastID string
 	// events counts the forwarded events.
 	events int
-	// headerSent is set once the caller has received the header.
-	headerSent bool
-	// weights is the version that the stream started with, 0 if unknown.
+	// weights is the version that the stream started with, 0 if unknown or if
+	// the caller has no part of the stream.
 	weights int64
 	// firstEvent is the time to the first event, maxGap the longest pause
 	// between two events.
@@ -49,7 +47,12 @@
 	return j.stream.events
 }
 
-var errOutOfOrder = errors.New("target sent an event out of order")
+var (
+	errOutOfOrder = errors.New("target sent an event out of order")
+	// errNotContinued means that a resumed run has no event after the last one.
+	// Nothing marks the last event of a stream, so that the caller may lack some.
+	errNotContinued = errors.New("target did not continue the stream")
+)
 
 // forwardStream forwards complete events as they arrive.
 func (j *job) forwardStream(ctx context.Context, response *connpool.Response, timer *silenceTimer, grant *dispatch.Grant) (decision, dispatch.Outcome, bool) {
@@ -71,7 +74,7 @@
 		return done, outcome, true
 	case timer.expired():
 		j.lastError = "stream fell silent"
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, errors.Is(err, errNotContinued):
 		outcome = dispatch.Cancelled
 	default:
 		j.brokenBy = err
@@ -87,7 +90,7 @@
 
 func (j *job) copyEvents(response *connpool.Response, timer *silenceTimer, grant *dispatch.Grant) error {
 	events := sse.New(response.Body)
-	flush := http.NewResponseController(j.w)
+	resumed := j.reply.begun()
 	received := 0
 	for {
 		event, err := events.Next()
@@ -97,11 +100,19 @@
 		}
 		if err == io.EOF {
 			j.recordBegin()
-			return j.endStream(response)
+			if resumed && received == 0 {
+				return errNotContinued
+			}
+			j.reply.endStream(response)
+			return nil
 		}
 		if err != nil {
 			return err
 		}
+		if resumed && received == 0 && !events.Event {
+			// Comments alone would look like progress.
+			continue
+		}
 		timer.reset()
 		switch received++; received {
 		case 1:
@@ -112,18 +123,12 @@
 		if !follows(j.stream.lastID, events.LastEventID) {
 			return errOutOfOrder
 		}
-		if !j.stream.headerSent {
-			j.stream.headerSent = true
+		if !j.reply.begun() {
 			j.stream.weights = j.servedWeights(response)
-			j.copyHeader(response)
-			j.w.WriteHeader(response.Status)
 			j.entry.Metrics.Observe("FirstEvent", time.Since(j.startedAt))
 		}
-		if _, err := j.w.Write(event); err != nil {
-			return errCallerLeft
-		}
-		if err := flush.Flush(); err != nil {
-			return errCallerLeft
+		if err := j.reply.event(response, event); err != nil {
+			return err
 		}
 		j.stream.recordEvent(j.startedAt)
 		j.stream.lastID = events.LastEventID
@@ -141,17 +146,6 @@
 	return v
 }
 
-// endStream completes a stream that the target ended. It sends the header if
-// there were no events. The error is always nil.
-func (j *job) endStream(response *connpool.Response) error {
-	if j.stream.events == 0 && !j.stream.headerSent {
-		j.stream.headerSent = true
-		j.copyHeader(response)
-		j.w.WriteHeader(response.Status)
-	}
-	return nil
-}
-
 // follows reports whether an event may come after the last one. Integer ids
 // must increase.
 func follows(last, next string) bool {
