siteentry: never repeat events without an id, nor cut a stream at a comment

Callers of a stream whose last events carry no id got these events twice: when the target broke off or fell silent, the stream went on at another target after the last id, or from its start. An event without an id, or with the id that the caller has already, was taken as the next one of a resumed run. And a sound stream was cut at any comment or event without an id that came after an event with one, since the reader still gave the earlier id for it, which does not follow itself.

The reader now gives the id of the event itself. The stream knows whether the caller has events after the last id; then it neither goes on elsewhere nor is given up for silence. The first event of a resumed run must have an id that follows. Comments count as no event, and leave the caller's Last-Event-Id in force.

--- a/internal/exchange/sse/sse.go
+++ b/internal/exchange/sse/sse.go
@@ -27,8 +27,8 @@
 // Reader reads events from a stream. Create one with New.
 type Reader struct {
 	br *bufio.Reader
-	// LastEventID is the ID of the most recent event that had one.
-	LastEventID string
+	// ID is the ID of what Next returned last, empty if it has none.
+	ID string
 	// Event is set if what Next returned last has data or an ID. Otherwise it is
 	// a comment, a setting for clients or blank lines.
 	Event bool
@@ -45,7 +45,7 @@
 // discarded. Blank lines alone count as an event only at the end of the stream,
 // so that their number is limited.
 func (r *Reader) Next() ([]byte, error) {
-	r.Event = false
+	r.ID, r.Event = "", false
 	var event []byte
 	// lineStart is the offset of the current line in event.
 	lineStart := 0
@@ -78,7 +78,7 @@
 			return event, nil
 		}
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			r.LastEventID = string(bytes.TrimSpace(id))
+			r.ID = string(bytes.TrimSpace(id))
 			r.Event = true
 		}
 		r.Event = r.Event || isData(line)
--- a/internal/role/siteentry/attempt.go
+++ b/internal/role/siteentry/attempt.go
@@ -165,7 +165,7 @@
 	}
 	timer.stop()
 	if timer.expired() {
-		return j.responseFailed(errors.New("target was silent"))
+		return j.responseFailed(errSilent)
 	}
 	if err := j.reply.long(response); err != nil {
 		j.logEnd("Response was aborted", "ResponseLost", "Cause", err.Error())
--- a/internal/role/siteentry/silence.go
+++ b/internal/role/siteentry/silence.go
@@ -22,8 +22,9 @@
 	mu sync.Mutex
 	// timer is nil without a limit.
 	timer *time.Timer
-	// stopped is set when the attempt has ended, fired when it was cancelled.
-	stopped, fired bool
+	// stopped is set when the attempt has ended, fired when it was cancelled,
+	// held while no other target could take over.
+	stopped, fired, held bool
 }
 
 func newSilenceTimer(cancel context.CancelFunc, limit time.Duration, reserveNext func() bool) *silenceTimer {
@@ -39,7 +40,7 @@
 func (s *silenceTimer) onTimeout() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopped || s.fired {
+	if s.stopped || s.fired || s.held {
 		return
 	}
 	if !s.reserveNext() {
@@ -50,10 +51,18 @@
 	s.cancel()
 }
 
+// hold keeps the timer from cancelling the attempt until it is reset.
+func (s *silenceTimer) hold() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held = true
+}
+
 // reset restarts the timer.
 func (s *silenceTimer) reset() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.held = false
 	if s.timer != nil && !s.fired {
 		s.timer.Reset(s.limit)
 	}
--- a/internal/role/siteentry/stream.go
+++ b/internal/role/siteentry/stream.go
@@ -17,6 +17,9 @@
 type stream struct {
 	// lastID is the id of the latest forwarded event.
 	lastID string
+	// unplaced is set if the caller has events without an id after that one. A
+	// second run would repeat them.
+	unplaced bool
 	// events counts the forwarded events.
 	events int
 	// weights is the version that the stream started with, 0 if unknown or if
@@ -49,6 +52,7 @@
 
 var (
 	errOutOfOrder = errors.New("target sent an event out of order")
+	errSilent     = errors.New("target was silent")
 	// errNotContinued means that a resumed run has no event after the last one.
 	// Nothing marks the last event of a stream, so that the caller may lack some.
 	errNotContinued = errors.New("target did not continue the stream")
@@ -79,7 +83,7 @@
 	default:
 		j.brokenBy = err
 	}
-	if j.route.Resumable {
+	if j.route.Resumable && !j.stream.unplaced {
 		return tryNext, outcome, true
 	}
 	j.abandonSent()
@@ -113,27 +117,67 @@
 			// Comments alone would look like progress.
 			continue
 		}
-		timer.reset()
-		switch received++; received {
-		case 1:
-			grant.RecordFirstEvent()
-		case beginEvents:
-			j.recordBegin()
+		if events.Event {
+			received++
+			j.recordArrival(received, grant)
 		}
-		if !follows(j.stream.lastID, events.LastEventID) {
+		if !j.stream.continuedBy(events, resumed && events.Event && received == 1) {
 			return errOutOfOrder
 		}
-		if !j.reply.begun() {
-			j.stream.weights = j.servedWeights(response)
-			j.entry.Metrics.Observe("FirstEvent", time.Since(j.startedAt))
+		if !j.stream.unplacedAfter(events) {
+			timer.reset()
+		} else if timer.hold(); timer.expired() {
+			return errSilent
 		}
-		if err := j.reply.event(response, event); err != nil {
+		if err := j.forwardEvent(response, events, event); err != nil {
 			return err
 		}
+	}
+}
+
+// forwardEvent sends the event that was read last, or a comment, to the caller.
+func (j *job) forwardEvent(response *connpool.Response, events *sse.Reader, event []byte) error {
+	if !j.reply.begun() {
+		j.stream.weights = j.servedWeights(response)
+		j.entry.Metrics.Observe("FirstEvent", time.Since(j.startedAt))
+	}
+	if err := j.reply.event(response, event); err != nil {
+		return err
+	}
+	if events.Event {
 		j.stream.recordEvent(j.startedAt)
-		j.stream.lastID = events.LastEventID
 		j.stream.events++
 	}
+	j.stream.unplaced = j.stream.unplacedAfter(events)
+	if events.ID != "" {
+		j.stream.lastID = events.ID
+	}
+	return nil
+}
+
+// recordArrival records that a run has sent its first events.
+func (j *job) recordArrival(received int, grant *dispatch.Grant) {
+	switch received {
+	case 1:
+		grant.RecordFirstEvent()
+	case beginEvents:
+		j.recordBegin()
+	}
+}
+
+// continuedBy reports whether the event that was read last may come next. first is
+// set for the first event of a resumed run, which only its id can place.
+func (s *stream) continuedBy(events *sse.Reader, first bool) bool {
+	if first && (events.ID == "" || events.ID == s.lastID) {
+		return false
+	}
+	return follows(s.lastID, events.ID)
+}
+
+// unplacedAfter returns what unplaced is once the caller has the event that was
+// read last.
+func (s *stream) unplacedAfter(events *sse.Reader) bool {
+	return events.ID == "" && (events.Event || s.unplaced)
 }
 
 // servedWeights returns the weights version that served the response, or 0 if
