reply: make the owner of a response a package of its own

The owner of what a caller has moves to internal/wire/reply, without anything that is particular to the site's entry. Nothing changes for callers.

--- a/internal/role/siteentry/attempt.go
+++ b/internal/role/siteentry/attempt.go
@@ -61,7 +61,7 @@
 		}
 		return tryNext, dispatch.Rejected, true
 	}
-	if j.reply.begun() && response.Status >= 300 {
+	if j.reply.Begun() && response.Status >= 300 {
 		return j.notContinued(response)
 	}
 	if response.Status >= 500 && j.route.Repeatable() && j.canRetryElsewhere() {
@@ -138,11 +138,14 @@
 	if err != nil {
 		return j.responseFailed(err)
 	}
-	length := int64(len(body))
-	if hasNoBody(response.Status, j.r.Method) {
-		length = undeclared
-	}
-	j.reply.whole(response, body, length)
+	j.reply.Respond(func(w http.ResponseWriter) {
+		copyHeader(w.Header(), response)
+		if !hasNoBody(response.Status, j.r.Method) {
+			w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		}
+		w.WriteHeader(response.Status)
+		_, _ = w.Write(body)
+	})
 	return j.responseEnded(response, grant)
 }
 
@@ -167,10 +170,14 @@
 	if timer.expired() {
 		return j.responseFailed(errSilent)
 	}
-	if err := j.reply.long(response); err != nil {
+	j.reply.Begin(response.Status, func(h http.Header) {
+		copyHeader(h, response)
+		h.Set("Content-Length", strconv.FormatInt(response.Length, 10))
+	})
+	if err := j.reply.SendRest(response.Body); err != nil {
 		j.logEnd("Response was aborted", "ResponseLost", "Cause", err.Error())
 		j.entry.Metrics.CountReason("Failed", "ResponseLost")
-		j.reply.abort()
+		j.reply.Abort()
 	}
 	return j.responseEnded(response, grant)
 }
@@ -188,7 +195,7 @@
 	if outcome == dispatch.Broken {
 		j.brokenBy = err
 	}
-	if j.reply.begun() {
+	if j.reply.Begun() {
 		return tryNext, outcome, true
 	}
 	if j.route.Repeatable() && j.route.Kind != plan.Streaming {
@@ -225,6 +232,23 @@
 	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
 }
 
+// copyHeader copies the target's response header without the hop-by-hop
+// fields.
+func copyHeader(h http.Header, response *connpool.Response) {
+	for name, values := range response.Header {
+		h[name] = values
+	}
+	for _, name := range hopHeaders {
+		delete(h, name)
+	}
+	if _, ok := response.Header["Content-Type"]; !ok {
+		h["Content-Type"] = nil
+	}
+	if _, ok := response.Header["Date"]; !ok {
+		h["Date"] = nil
+	}
+}
+
 // buildRequest returns the request for a target to which a connection has been
 // established. It returns errCallerLeft if the caller has left meanwhile, and errStale,
 // errShutOut, errLeft or errOutdated if the state on which the target was chosen no
--- a/internal/role/siteentry/request.go
+++ b/internal/role/siteentry/request.go
@@ -19,6 +19,7 @@
 	"egretproxy/internal/request/prompt"
 	"egretproxy/internal/site/plan"
 	"egretproxy/internal/site/siteclient"
+	"egretproxy/internal/wire/reply"
 )
 
 const (
@@ -35,7 +36,7 @@
 // job is the state of one caller's request.
 type job struct {
 	entry *Entry
-	reply reply
+	reply reply.Reply
 	r     *http.Request
 	id    string
 	view  *siteclient.View
@@ -89,9 +90,9 @@
 	e.active.Add(1)
 	defer e.active.Add(-1)
 	j := &job{entry: e, r: r, id: r.Header.Get(e.Settings.Headers.Attempt), startedAt: time.Now()}
-	j.reply = reply{w: w, lost: j.recordLost}
+	j.reply = reply.New(w, j.recordLost)
 	if !j.admit() {
-		j.reply.close()
+		j.reply.Close()
 		return
 	}
 	bounded, release := e.stop.bound(r.Context())
@@ -99,7 +100,7 @@
 	ctx, cancel := context.WithDeadline(bounded, j.deadline)
 	defer cancel()
 	j.run(ctx)
-	j.reply.close()
+	j.reply.Close()
 }
 
 // admit finds the route and the organisation and reads the body. It reports
@@ -202,7 +203,7 @@
 // readBody reads the whole body, so that it can be sent to a second target.
 func (j *job) readBody(limit int64) bool {
 	if limit > 0 {
-		j.reply.limitBody(j.r, limit)
+		j.reply.LimitBody(j.r, limit)
 	}
 	body, err := io.ReadAll(j.r.Body)
 	if err == nil {
@@ -215,7 +216,7 @@
 		return false
 	}
 	j.logEnd("Caller left while sending the body", "CallerLeft")
-	j.reply.abort()
+	j.reply.Abort()
 	return false
 }
 
--- a/internal/role/siteentry/response.go
+++ b/internal/role/siteentry/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -44,7 +45,7 @@
 // refuse responds with 503 and a Retry-After. The response states that the
 // request has not run and never will.
 func (j *job) refuse(reason, text string) {
-	j.reply.requireNothing()
+	j.reply.RequireNothing()
 	after := minRetryAfter + rand.N(retryAfterJitter)
 	switch reason {
 	case "NoPlan", "Stale", "NoTarget":
@@ -61,7 +62,7 @@
 
 // fail responds with a status that makes no statement about later attempts.
 func (j *job) fail(status int, reason, text string) {
-	j.reply.requireNothing()
+	j.reply.RequireNothing()
 	j.entry.Metrics.CountReason("Failed", reason)
 	j.writeError(status, reason, text, http.Header{})
 }
@@ -71,7 +72,10 @@
 	if j.id != "" {
 		header.Set(j.entry.Settings.Headers.Attempt, j.id)
 	}
-	j.reply.error(status, text, header)
+	j.reply.Respond(func(w http.ResponseWriter) {
+		maps.Copy(w.Header(), header)
+		http.Error(w, text, status)
+	})
 }
 
 // recordLost records that a caller has part of a stream that is aborted.
@@ -125,7 +129,7 @@
 func (j *job) abortCallerLeft() {
 	j.logEnd("Caller left", "CallerLeft")
 	j.entry.Metrics.Count("CallerLeft")
-	j.reply.abort()
+	j.reply.Abort()
 }
 
 // logEnd logs a request that ended without a response from a target.
--- a/internal/role/siteentry/stream.go
+++ b/internal/role/siteentry/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -94,7 +95,7 @@
 
 func (j *job) copyEvents(response *connpool.Response, timer *silenceTimer, grant *dispatch.Grant) error {
 	events := sse.New(response.Body)
-	resumed := j.reply.begun()
+	resumed := j.reply.Begun()
 	received := 0
 	for {
 		event, err := events.Next()
@@ -107,7 +108,10 @@
 			if resumed && received == 0 {
 				return errNotContinued
 			}
-			j.reply.endStream(response)
+			if !j.reply.Begun() {
+				j.beginStream(response)
+			}
+			j.reply.End()
 			return nil
 		}
 		if err != nil {
@@ -137,12 +141,13 @@
 
 // forwardEvent sends the event that was read last, or a comment, to the caller.
 func (j *job) forwardEvent(response *connpool.Response, events *sse.Reader, event []byte) error {
-	if !j.reply.begun() {
+	if !j.reply.Begun() {
+		j.beginStream(response)
 		j.stream.weights = j.servedWeights(response)
 		j.entry.Metrics.Observe("FirstEvent", time.Since(j.startedAt))
 	}
-	if err := j.reply.event(response, event); err != nil {
-		return err
+	if err := j.reply.Send(event); err != nil {
+		return errCallerLeft
 	}
 	if events.Event {
 		j.stream.recordEvent(j.startedAt)
@@ -155,6 +160,11 @@
 	return nil
 }
 
+// beginStream sends the header of a stream.
+func (j *job) beginStream(response *connpool.Response) {
+	j.reply.Begin(response.Status, func(h http.Header) { copyHeader(h, response) })
+}
+
 // recordArrival records that a run has sent its first events.
 func (j *job) recordArrival(received int, grant *dispatch.Grant) {
 	switch received {
