siteentry: log what tells why a request outlived its caller

Callers that gave up after 2.4 s without an event saw their requests reach engines 1.4 s later, nine at once, and the logs can't tell why: a process or instance that stood still, an end of the connection that was not seen, or bytes that waited on the way to the target. All three are suspicions.

The lines about callers that left now tell the age of the request by the clock that counts suspension and by the one that doesn't, how long ago its bytes and the caller's end arrived (TCP_INFO; a request that was read late is older than it seems), how long ago it was sent, and how much of it the target's system lacked when it was cancelled. A check each 250 ms, in the goroutine that swept idle connections each second, logs and counts when the process did not run.

The new tests don't pass without the fields and without the check.

--- a/internal/command/explain/explain.go
+++ b/internal/command/explain/explain.go
@@ -38,6 +38,7 @@
 	"Process stops": true, "Entry is draining": true, "Connection to engine changed": true,
 	"Test of a verdict was requested": true,
 	"Weights are in place":            true, "Membership changes": true, "Settings were read again": true,
+	"Process did not run": true,
 }
 
 // verdictLines are the messages that lead to a verdict on parts of prompts, or end
--- a/internal/exchange/connpool/connpool.go
+++ b/internal/exchange/connpool/connpool.go
@@ -46,6 +46,8 @@
 	limit *limitedReader
 	// received counts the bytes read from the socket.
 	received atomic.Int64
+	// unacked counts the bytes that the target's system lacked at an abort.
+	unacked atomic.Int64
 	// exchanges counts the exchanges started.
 	exchanges int
 	// reuseUntil is the time after which the connection must not be reused.
@@ -114,6 +116,9 @@
 // after a pause of the process the timer that cancels an exchange may run before
 // a response that was in time is read.
 func (c *persistConn) abort() {
+	if raw := socket.Raw(c.conn); raw != nil {
+		c.unacked.Store(int64(socket.Unacked(raw)))
+	}
 	c.awaitArrived()
 	c.reset()
 }
--- a/internal/exchange/connpool/exchange.go
+++ b/internal/exchange/connpool/exchange.go
@@ -48,6 +48,9 @@
 	cause error
 	// stale means that the connection had been dropped before.
 	stale bool
+	// unacked is the number of bytes that the target's system lacked when the
+	// exchange was cancelled.
+	unacked int
 }
 
 // Error implements error.
@@ -65,7 +68,18 @@
 // response.
 func (c *persistConn) interrupted(cause error, sentAt time.Time, receivedBefore int64) error {
 	stale := c.exchanges > 1 && c.received.Load() == receivedBefore && time.Since(sentAt) < staleWindow
-	return &interruption{cause, stale}
+	return &interruption{cause, stale, int(c.unacked.Load())}
+}
+
+// Unacked returns how many bytes of the request the target's system had not
+// acknowledged when an exchange without a response was cancelled. It is 0 for all
+// other errors.
+func Unacked(err error) int {
+	var i *interruption
+	if errors.As(err, &i) {
+		return i.unacked
+	}
+	return 0
 }
 
 // Request is one request to a target.
--- a/internal/kernel/socket/socket.go
+++ b/internal/kernel/socket/socket.go
@@ -4,6 +4,7 @@
 
 import (
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -60,3 +61,35 @@
 	})
 	return err == nil && ended
 }
+
+// Unacked returns the number of bytes that were written to a TCP socket and that
+// the peer's system has not acknowledged, or 0 if the socket can't be asked.
+func Unacked(raw syscall.RawConn) int {
+	n := 0
+	err := raw.Control(func(fd uintptr) {
+		if got, err := unix.IoctlGetInt(int(fd), unix.TIOCOUTQ); err == nil {
+			n = got
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// Arrivals returns how long ago the latest bytes arrived at a TCP socket, whether
+// they were read or not, and how long ago the latest packet of any kind did, such
+// as the end of the connection. Time in which the instance was suspended doesn't
+// count. Both are 0 if the socket can't be asked.
+func Arrivals(raw syscall.RawConn) (data, packet time.Duration) {
+	var info *unix.TCPInfo
+	err := raw.Control(func(fd uintptr) {
+		if got, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			info = got
+		}
+	})
+	if err != nil || info == nil {
+		return 0, 0
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond, time.Duration(info.Last_ack_recv) * time.Millisecond
+}
--- a/internal/role/siteentry/attempt.go
+++ b/internal/role/siteentry/attempt.go
@@ -92,6 +92,7 @@
 
 func (j *job) sendFailed(err error, silent bool) (decision, dispatch.Outcome, bool) {
 	j.lastError = err.Error()
+	j.recordSendError(err)
 	if errors.Is(err, connpool.ErrCancelled) {
 		return tryNext, dispatch.Cancelled, false
 	}
@@ -258,9 +259,7 @@
 		return nil, errStale
 	}
 	if httpserver.CallerLeft(j.r) {
-		j.entry.Metrics.Count("CallerLeftBeforeSend")
-		j.entry.DecisionLog.Record(notableKind, "Caller left before its request was sent", "Request", j.id, "Target", grant.Target,
-			"Noticed", j.r.Context().Err() != nil, "TookMs", time.Since(j.startedAt).Milliseconds())
+		j.recordLeftBeforeSend(grant)
 		return nil, errCallerLeft
 	}
 	if j.verdict() != nil {
@@ -272,6 +271,7 @@
 	if j.minWeights() > grant.Weights && j.service.Engine != nil {
 		return nil, errOutdated
 	}
+	j.sentAt = j.entry.now()
 	return j.outgoing(grant.Target, j.requiredWeights(grant)), nil
 }
 
--- a/internal/role/siteentry/request.go
+++ b/internal/role/siteentry/request.go
@@ -49,6 +49,12 @@
 	regions   [][]id.Region
 	body      []byte
 	startedAt time.Time
+	// readAt is when the request's header was read, sentAt when the latest attempt
+	// was about to be written to its target.
+	readAt, sentAt moment
+	// unacked is the number of bytes of the latest attempt that its target's
+	// system lacked when it was cancelled.
+	unacked int
 	// parts are the parts of the prompt that other requests may share.
 	parts []id.PromptPart
 	// tests is set if the request tests a verdict on its parts, shutOutBy is the
@@ -89,7 +95,8 @@
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
 	e.active.Add(1)
 	defer e.active.Add(-1)
-	j := &job{entry: e, r: r, id: r.Header.Get(e.Settings.Headers.Attempt), startedAt: time.Now()}
+	read := e.now()
+	j := &job{entry: e, r: r, id: r.Header.Get(e.Settings.Headers.Attempt), startedAt: read.steady, readAt: read}
 	j.reply = reply.New(w, j.recordLost)
 	if !j.admit() {
 		j.reply.Close()
--- a/internal/role/siteentry/response.go
+++ b/internal/role/siteentry/response.go
@@ -127,7 +127,7 @@
 }
 
 func (j *job) abortCallerLeft() {
-	j.logEnd("Caller left", "CallerLeft")
+	j.logEnd("Caller left", "CallerLeft", j.ageFields()...)
 	j.entry.Metrics.Count("CallerLeft")
 	j.reply.Abort()
 }
--- a/internal/role/siteentry/siteentry.go
+++ b/internal/role/siteentry/siteentry.go
@@ -50,7 +50,8 @@
 	// lastAdmission is how long after a stop request the entry still accepts
 	// requests. A later one might not end within the grace period.
 	lastAdmission = 3 * time.Second
-	// sweepInterval is the interval between checks of idle connections.
+	// sweepInterval is the interval between checks of idle connections, a multiple
+	// of standstillTick.
 	sweepInterval = time.Second
 )
 
@@ -111,6 +112,8 @@
 	witness       witness.Witness
 	// testing is set while a request asks for the test of a verdict.
 	testing atomic.Bool
+	// bootNow replaces boottime.Now in tests.
+	bootNow func() time.Duration
 }
 
 // Run serves callers until the context ends, then completes the requests in
@@ -166,13 +169,17 @@
 }
 
 func (e *Entry) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
+	ticker := time.NewTicker(standstillTick)
 	defer ticker.Stop()
-	for {
+	var watch standstill
+	for n := time.Duration(1); ; n++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		}
+		e.watchStandstill(&watch)
+		if n%(sweepInterval/standstillTick) == 0 {
 			e.Pool.CloseExpired()
 		}
 	}
