siteentry: count suspension in the deadline at the moment of the write

A request that waited for a target while the instance was suspended was sent on when it woke, up to the whole suspension after its caller's deadline, and its target was handed that much more time than the caller had left: the deadline was kept by the monotonic clock, which doesn't count suspension.

The deadline is now read last before the write, by CLOCK_BOOTTIME. If it has passed, nothing is sent: 503 if no target may have run the request, otherwise 504. The header that targets get holds what is left by that clock.

--- a/internal/role/siteentry/attempt.go
+++ b/internal/role/siteentry/attempt.go
@@ -251,9 +251,9 @@
 }
 
 // buildRequest returns the request for a target to which a connection has been
-// established. It returns errCallerLeft if the caller has left meanwhile, and errStale,
-// errShutOut, errLeft or errOutdated if the state on which the target was chosen no
-// longer holds.
+// established. It returns errCallerLeft if the caller has left meanwhile, errOutlived if
+// it must have, and errStale, errShutOut, errLeft or errOutdated if the state on which
+// the target was chosen no longer holds.
 func (j *job) buildRequest(grant *dispatch.Grant) (*connpool.Request, error) {
 	if !j.mayDispatch() {
 		return nil, errStale
@@ -271,8 +271,11 @@
 	if j.minWeights() > grant.Weights && j.service.Engine != nil {
 		return nil, errOutdated
 	}
-	j.sentAt = j.entry.now()
-	return j.outgoing(grant.Target, j.requiredWeights(grant)), nil
+	out := j.outgoing(grant.Target, j.requiredWeights(grant))
+	if err := j.stamp(out, grant); err != nil {
+		return nil, err
+	}
+	return out, nil
 }
 
 // requiredWeights returns the weights version that the target must hold, or 0
--- a/internal/role/siteentry/request.go
+++ b/internal/role/siteentry/request.go
@@ -55,6 +55,8 @@
 	// unacked is the number of bytes of the latest attempt that its target's
 	// system lacked when it was cancelled.
 	unacked int
+	// outlived is set once the request was too old to be sent.
+	outlived bool
 	// parts are the parts of the prompt that other requests may share.
 	parts []id.PromptPart
 	// tests is set if the request tests a verdict on its parts, shutOutBy is the
@@ -227,7 +229,7 @@
 	return false
 }
 
-// outgoing builds the request to the target.
+// outgoing builds the request to the target, but for its deadline.
 func (j *job) outgoing(target id.Target, minWeights int64) *connpool.Request {
 	names := j.entry.Settings.Headers
 	h := j.r.Header.Clone()
@@ -245,8 +247,6 @@
 	if j.tenant != nil {
 		h[names.Organisation] = []string{string(j.tenant.Name)}
 	}
-	remaining := max(time.Until(j.deadline), 0)
-	h[names.Deadline] = []string{strconv.FormatInt(remaining.Milliseconds(), 10)}
 	h[names.Target] = []string{string(target)}
 	h[names.Priority] = []string{strconv.Itoa(min(max(j.priority, 0), maxPriority))}
 	if minWeights > 0 {
--- a/internal/role/siteentry/response.go
+++ b/internal/role/siteentry/response.go
@@ -99,7 +99,7 @@
 	switch {
 	case err == errStopping, j.entry.stop.ended():
 		reason = "Stopping"
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, j.outlived:
 		reason = "Deadline"
 	case err == errStale:
 		reason = "Stale"
@@ -119,7 +119,7 @@
 		j.abortCallerLeft()
 		return
 	}
-	if time.Now().After(j.deadline) {
+	if j.outlived || time.Now().After(j.deadline) {
 		j.fail(http.StatusGatewayTimeout, "Timeout", "target did not answer in time")
 		return
 	}
--- a/internal/role/siteentry/run.go
+++ b/internal/role/siteentry/run.go
@@ -131,7 +131,7 @@
 
 // mayRetry reports whether another target may be tried.
 func (j *job) mayRetry(ctx context.Context, sent bool) bool {
-	if ctx.Err() != nil || httpserver.CallerLeft(j.r) {
+	if ctx.Err() != nil || j.outlived || httpserver.CallerLeft(j.r) {
 		return false
 	}
 	if !sent {
