--- a/internal/site/plan/plan.go
+++ b/internal/site/plan/plan.go
@@ -46,6 +46,9 @@
 	Objective time.Duration
 	// EventGap is the longest pause between events. Zero means unbounded.
 	EventGap time.Duration
+	// Patience is how long callers of a stream wait for its next event, or for its
+	// first one, before they leave. Zero means that it is not known.
+	Patience time.Duration
 	// Priority orders requests; 0 is the most urgent.
 	Priority int
 	// Shares has at least one element.
