socket: see the end of a connection behind unread bytes

A caller that wrote something more and closed its connection counted as connected: Ended peeked at one byte and took any for a sign of life. Errors other than a reset didn't count as an end either. Requests of such callers were sent on.

The socket is polled for its end first, which costs one system call, as before, while the caller is connected and silent. Where the system doesn't report the end behind bytes, the peek remains; any error but EAGAIN and EINTR counts.

TestHoldsEndIsSeenWhateverCameBefore failed before in two of eight cases: bytes and the end, bytes and a reset.

--- a/internal/kernel/socket/socket.go
+++ b/internal/kernel/socket/socket.go
@@ -50,16 +50,39 @@
 	return n
 }
 
-// Ended reports whether the peer has closed or reset the connection and everything
-// that came before has been read. It is false if the socket can't be asked.
+// ended are the events of a socket whose peer has closed or reset the connection,
+// whether bytes that came before have been read or not.
+const ended = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+
+// Ended reports whether the peer has closed or reset the connection, or it has
+// failed. An end behind unread bytes is seen only if the system reports it. It is
+// false if the socket can't be asked.
 func Ended(raw syscall.RawConn) bool {
-	ended := false
+	found := false
 	err := raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		ended = err == nil && n == 0 || err == unix.ECONNRESET
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
+		n, err := unix.Poll(fds, 0)
+		if err == nil && n > 0 && fds[0].Revents&ended != 0 {
+			found = true
+			return
+		}
+		if err == nil && n == 0 {
+			return
+		}
+		found = endedByRead(int(fd))
 	})
-	return err == nil && ended
+	return err == nil && found
+}
+
+// endedByRead reports what a read would return without taking it: the end of the
+// connection, or an error that lasts.
+func endedByRead(fd int) bool {
+	var b [1]byte
+	n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	if err == unix.EAGAIN || err == unix.EINTR {
+		return false
+	}
+	return err != nil || n == 0
 }
 
 // Unacked returns the number of bytes that were written to a TCP socket and that
--- a/internal/kernel/socket/socket_test.go
+++ b/internal/kernel/socket/socket_test.go
@@ -67,3 +67,65 @@
 		t.Errorf("bytes came %v ago, the latest packet %v, want at least %v between", data, packet, apart/2)
 	}
 }
+
+// TestHoldsEndIsSeenWhateverCameBefore guards against a caller whose end is not seen
+// because unread bytes stand before it, or because it is an error of another kind.
+func TestHoldsEndIsSeenWhateverCameBefore(t *testing.T) {
+	write := func(c *net.TCPConn) { _, _ = c.Write([]byte("x")) }
+	reset := func(c *net.TCPConn) { _, _ = c.SetLinger(0), c.Close() }
+	for name, c := range map[string]struct {
+		peer  func(local, peer *net.TCPConn)
+		ended bool
+	}{
+		"open":         {func(_, _ *net.TCPConn) {}, false},
+		"bytes":        {func(_, peer *net.TCPConn) { write(peer) }, false},
+		"end":          {func(_, peer *net.TCPConn) { _ = peer.Close() }, true},
+		"half closed":  {func(_, peer *net.TCPConn) { _ = peer.CloseWrite() }, true},
+		"bytes, end":   {func(_, peer *net.TCPConn) { write(peer); _ = peer.Close() }, true},
+		"reset":        {func(_, peer *net.TCPConn) { reset(peer) }, true},
+		"bytes, reset": {func(_, peer *net.TCPConn) { write(peer); reset(peer) }, true},
+		"end, reset": {func(local, peer *net.TCPConn) {
+			_ = peer.Close()
+			time.Sleep(20 * time.Millisecond)
+			write(local)
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			local, peer := connect(t)
+			c.peer(local, peer)
+			for deadline := time.Now().Add(300 * time.Millisecond); time.Now().Before(deadline) && !Ended(Raw(local)); {
+				time.Sleep(time.Millisecond)
+			}
+			for i := range 3 {
+				if got := Ended(Raw(local)); got != c.ended {
+					t.Errorf("question %d: ended is %v, want %v", i, got, c.ended)
+				}
+			}
+		})
+	}
+}
+
+// TestEndIsSeenByRead checks the way to see an end where the system doesn't report
+// one behind unread bytes: it never takes bytes for an end.
+func TestEndIsSeenByRead(t *testing.T) {
+	for name, c := range map[string]struct {
+		peer  func(peer *net.TCPConn)
+		ended bool
+	}{
+		"open":  {func(*net.TCPConn) {}, false},
+		"bytes": {func(peer *net.TCPConn) { _, _ = peer.Write([]byte("x")) }, false},
+		"end":   {func(peer *net.TCPConn) { _ = peer.Close() }, true},
+		"reset": {func(peer *net.TCPConn) { _, _ = peer.SetLinger(0), peer.Close() }, true},
+	} {
+		local, peer := connect(t)
+		c.peer(peer)
+		time.Sleep(50 * time.Millisecond)
+		if err := Raw(local).Control(func(fd uintptr) {
+			if got := endedByRead(int(fd)); got != c.ended {
+				t.Errorf("%s: ended is %v, want %v", name, got, c.ended)
+			}
+		}); err != nil {
+			t.Error(err)
+		}
+	}
+}
