httpserver: end requests whose callers leave after sending more

While a request is handled net/http reads one byte of its connection to learn of the caller's end. A caller that sent something more and then closed the connection was not noticed: its request went on at the target until its deadline.

Once such a byte has come, the socket is asked each 100 ms, while the request is handled, and the request's context ends with the connection. Connections without such bytes cost nothing more.

--- a/internal/kernel/httpserver/caller.go
+++ b/internal/kernel/httpserver/caller.go
@@ -17,6 +17,9 @@
 	if t, ok := nc.(*tls.Conn); ok {
 		nc = t.NetConn()
 	}
+	if c, ok := nc.(*conn); ok {
+		ctx, c.leave = context.WithCancel(ctx)
+	}
 	return context.WithValue(ctx, connKey{}, nc)
 }
 
--- a/internal/kernel/httpserver/conn.go
+++ b/internal/kernel/httpserver/conn.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -19,6 +20,9 @@
 type conn struct {
 	net.Conn
 	raw syscall.RawConn
+	// leave ends the contexts of the connection's requests. It is nil for a
+	// connection without requests.
+	leave context.CancelFunc
 
 	// mu is held while bytes are taken from the socket.
 	mu sync.Mutex
@@ -29,6 +33,8 @@
 	unanswered bool
 	// lastUsed is the time of the last read or write, or of the accept.
 	lastUsed time.Time
+	// watched is set while the caller's end is looked for.
+	watched bool
 	// closed is set before an idle connection is closed.
 	closed bool
 }
@@ -66,6 +72,9 @@
 	case n == 0:
 		return 0, io.EOF
 	}
+	if len(p) == 1 {
+		c.watchEnd()
+	}
 	return n, nil
 }
 
