decisionlog: open a log without sending klog to it

Tests that read the lines of an entry replaced klog's global logger while goroutines of earlier tests were logging; the race detector reported it in a trial of a further test.

New opens a log for itself; Open, for processes, sends klog there, too.

--- a/internal/kernel/decisionlog/decisionlog.go
+++ b/internal/kernel/decisionlog/decisionlog.go
@@ -49,15 +49,22 @@
 	suppressed [kindCount]int
 }
 
-// Open returns a log that writes to w, and sends klog there as well. Each line
-// contains the attributes, which are alternating names and values.
-func Open(w io.Writer, attributes ...any) *Log {
+// New returns a log that writes to w. Each line contains the attributes, which are
+// alternating names and values.
+func New(w io.Writer, attributes ...any) *Log {
 	writer := newAsyncWriter(w)
 	logger := slog.New(slog.NewJSONHandler(writer, &slog.HandlerOptions{Level: slog.LevelInfo})).With(attributes...)
-	klog.SetSlogLogger(logger)
+	return &Log{writer: writer, logger: logger}
+}
+
+// Open returns a log like New, and sends klog there as well. It must be called
+// before anything uses klog.
+func Open(w io.Writer, attributes ...any) *Log {
+	l := New(w, attributes...)
+	klog.SetSlogLogger(l.logger)
 	var flags flag.FlagSet
 	klog.InitFlags(&flags)
-	return &Log{writer: writer, logger: logger}
+	return l
 }
 
 // Record writes one decision, unless its kind is over the rate limit.
--- a/internal/role/siteentry/age_test.go
+++ b/internal/role/siteentry/age_test.go
@@ -93,7 +93,7 @@
 	target, address := startTarget(t, func(io.Writer, *http.Request) { time.Sleep(10 * time.Second) })
 	te := startEntry(t, address)
 	var logged logBuffer
-	te.entry.DecisionLog = decisionlog.Open(&logged)
+	te.entry.DecisionLog = decisionlog.New(&logged)
 	clock := bootClock{began: time.Now()}
 	te.entry.bootNow = clock.now
 	c := send(t, te.listenFor(t, unwrapped), "once")
--- a/internal/role/siteentry/standstill_test.go
+++ b/internal/role/siteentry/standstill_test.go
@@ -31,7 +31,7 @@
 func TestSuspensionIsLogged(t *testing.T) {
 	te := startEntry(t)
 	var logged logBuffer
-	te.entry.DecisionLog = decisionlog.Open(&logged)
+	te.entry.DecisionLog = decisionlog.New(&logged)
 	clock := bootClock{began: time.Now()}
 	te.entry.bootNow = clock.now
 	te.listenFor(t, unwrapped)
