siteentry: ask the socket for the caller at each end of a request

A request that may run once and broke off at its target ended as a failure (502, logged and counted so) though its caller had closed the connection, if the process had not read that. abandon asked the socket, abandonSent the context.

Both ask the socket now. What a target is blamed for stays a matter of the context: an exchange that this process did not cancel was broken off by the target, whether its caller has left or not.

TestLeftCallerGetsNoFailure failed before: status 502, OutcomeUnknown.

--- a/internal/role/siteentry/callerleft_test.go
+++ b/internal/role/siteentry/callerleft_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"egretproxy/internal/exchange/dispatch"
+	"egretproxy/internal/kernel/decisionlog"
 )
 
 // lateListener accepts connections whose reads learn of nothing once late is set,
@@ -86,3 +88,43 @@
 		t.Errorf("the target got %d requests", n)
 	}
 }
+
+// TestLeftCallerGetsNoFailure checks that a request which its target breaks off ends
+// as one whose caller has left if that is so, though the process has not read it.
+func TestLeftCallerGetsNoFailure(t *testing.T) {
+	for _, host := range []string{"once", "cut"} {
+		t.Run(host, func(t *testing.T) {
+			left := make(chan struct{})
+			target, address := startTarget(t, func(w io.Writer, r *http.Request) {
+				<-left
+				truncates(w, r)
+			})
+			te := startEntry(t, address)
+			var logged logBuffer
+			te.entry.DecisionLog = decisionlog.New(&logged)
+			l := &lateListener{}
+			c := send(t, te.listenFor(t, func(inner net.Listener) net.Listener {
+				l.Listener = inner
+				return l
+			}), host)
+			defer l.late.Store(false)
+			for len(target.requests()) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			l.late.Store(true)
+			_ = c.Close()
+			time.Sleep(50 * time.Millisecond)
+			close(left)
+			for te.entry.active.Load() > 0 {
+				time.Sleep(time.Millisecond)
+			}
+			te.entry.DecisionLog.Close()
+			if line := logged.find("Request was not served"); line != nil {
+				t.Errorf("the caller that left got a response: %v", line)
+			}
+			if logged.find("Caller left") == nil {
+				t.Error("no line tells that the caller left")
+			}
+		})
+	}
+}
--- a/internal/role/siteentry/response.go
+++ b/internal/role/siteentry/response.go
@@ -115,7 +115,7 @@
 
 // abandonSent ends a request that a target may have run.
 func (j *job) abandonSent() {
-	if j.r.Context().Err() != nil {
+	if httpserver.CallerLeft(j.r) {
 		j.abortCallerLeft()
 		return
 	}
