siteentry: divide the time of a stop in the same way for every grace period

What callers would see: with a grace period below 2.4 s the last responses were due after the platform kills the process (2 s: connections were closed after 2.033 s), and responses in progress were ended before the last sixth of the period (2 s: after 1.633 s), in which alone a target may still be at work on a request that ends without its response.

Cause: the margin before the kill is a share of a short grace period, but the time for final responses was always 200 ms, before as well as after the close.

Change: both times are at most half of the margin. At 8 s: responses end after 7.133 s as before, connections after 7.333 s, and responses that come late may now take 333 ms instead of 200 ms more, since there is room before the kill.

| grace, s | responses end, s | connections, s | last ones, s | | --- | --- | --- | --- | | 2 | 1.750 (1.633) | 1.833 | 1.917 (2.033) | | 4 | 3.500 (3.467) | 3.667 | 3.833 (3.867) | | 8 | 7.133 | 7.333 | 7.667 (7.533) | | 30 | 29.100 | 29.300 | 29.650 (29.500) |

Former figures are in brackets. TestHoldsStopTimesFitGrace failed for 1 and 2 s on the former division and passes.

--- a/internal/role/siteentry/siteentry.go
+++ b/internal/role/siteentry/siteentry.go
@@ -40,13 +40,6 @@
 	// was requested, since the load balancer notices only after two health
 	// checks.
 	drainNotice = 2600 * time.Millisecond
-	// stopMargin is kept free before the platform kills the process. It is at
-	// most a twelfth of the time that the platform gives.
-	stopMargin      = 700 * time.Millisecond
-	stopMarginShare = 12
-	// answerMargin is the time for final responses before the connections are
-	// closed.
-	answerMargin = 200 * time.Millisecond
 	// lastAdmission is how long after a stop request the entry still accepts
 	// requests. A later one might not end within the grace period.
 	lastAdmission = 3 * time.Second
@@ -127,14 +120,14 @@
 }
 
 func (e *Entry) serveOn(ctx context.Context, l net.Listener) error {
-	grace := e.Settings.StopGrace - min(stopMargin, e.Settings.StopGrace/stopMarginShare)
+	times := newStopTimes(e.Settings.StopGrace)
 	s := &httpserver.Server{
 		HTTP: &http.Server{
 			Handler: http.HandlerFunc(e.serve), ReadHeaderTimeout: headerTimeout,
 			IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 			ErrorLog: discardLog(),
 		},
-		Name: "Callers", KeepAlive: keepAlive, Notice: drainNotice, Grace: grace,
+		Name: "Callers", KeepAlive: keepAlive, Notice: drainNotice, Grace: times.close, FinalPass: times.finalPass,
 	}
 	e.startup.starting()
 	if e.Keepers != nil {
@@ -145,7 +138,7 @@
 	go e.sweep(ctx)
 	unregister := context.AfterFunc(ctx, func() {
 		klog.InfoS("Entry is draining", "InProgress", e.active.Load())
-		e.stop.begin(max(grace-answerMargin, grace/2))
+		e.stop.begin(times.answers)
 	})
 	defer unregister()
 	if err := s.Serve(ctx, l); err != nil {
