siteentry: admit requests at a stop by what they need of the grace period

What callers would see: with a grace period below 4 s or so an entry that stops took requests until its end and passed them on; at the end they were cut off with 502, or their streams broke, also those that must not be repeated. With a long grace period it refused all requests after 3 s, although most could end.

Cause: requests were accepted for 3 s after the stop request, whatever the grace period and whatever the request.

Change: a request is accepted if its deadline or its route's time-out ends before responses must end, since its caller then gets a response in any case. Others may not end: they are accepted only early, those that must not be repeated for half of that time, and never when less is left than a target that works takes to send something.

Seconds after the stop request from which requests are refused (before: 3.0):

| grace, s | time-out 1.5 s | time-out 6 s, may be repeated | 6 s, must not | 30 s, may | 30 s, must not | | --- | --- | --- | --- | --- | --- | | 2 | 0.66, must not be repeated 0.33 | 0.66 | 0.33 | 0.66 | 0.33 | | 4 | 2.03 | 1.31 | 0.66 | 1.31 | 0.66 | | 8 | 5.66 | 2.67 | 1.34 | 2.67 | 1.34 | | 30 | 27.63 | 23.13 | 23.13 | 2.80 | 1.40 |

The figures follow from the constants, for objectives up to 0.4 s (1.09 s of the 2 s must be left for the first column). 2.8 s instead of 3 s, since a target may be at work at the end only on what was sent within 3 s, and the process may see the stop request late.

TestHoldsStoppingEntryRefusesLateRequests now has 16 cases; its former second half expected a refusal of a request that can end in time, so it became cases of a stop of 2, 4, 8 and 30 s.

--- a/internal/role/siteentry/attempt.go
+++ b/internal/role/siteentry/attempt.go
@@ -83,6 +83,11 @@
 	if !j.route.Repeatable() || j.sent+1 >= j.route.MaxAttempts {
 		return 0
 	}
+	return j.expectedTime()
+}
+
+// expectedTime is the time within which a target that works sends something.
+func (j *job) expectedTime() time.Duration {
 	return max(minSilence, time.Duration(silenceObjectives*float64(j.route.Objective)))
 }
 
--- a/internal/role/siteentry/run.go
+++ b/internal/role/siteentry/run.go
@@ -90,10 +90,6 @@
 	}
 }
 
-// comesTooLate reports whether the process stops and the request, which no target
-// has got yet, might not end in time.
-func (j *job) comesTooLate() bool { return j.sent == 0 && j.entry.stop.refusesNew() }
-
 // try makes one attempt and releases the target's slot. It also does so when
 // the caller leaves, which aborts the handler with a panic.
 func (j *job) try(ctx context.Context, grant *dispatch.Grant) (next decision, outcome dispatch.Outcome, sent bool) {
--- a/internal/role/siteentry/siteentry.go
+++ b/internal/role/siteentry/siteentry.go
@@ -40,9 +40,6 @@
 	// was requested, since the load balancer notices only after two health
 	// checks.
 	drainNotice = 2600 * time.Millisecond
-	// lastAdmission is how long after a stop request the entry still accepts
-	// requests. A later one might not end within the grace period.
-	lastAdmission = 3 * time.Second
 	// sweepInterval is the interval between checks of idle connections, a multiple
 	// of standstillTick.
 	sweepInterval = time.Second
--- a/internal/role/siteentry/stop.go
+++ b/internal/role/siteentry/stop.go
@@ -6,10 +6,25 @@
 	"time"
 )
 
+const (
+	// lastAdmission and admissionShare limit how long after a stop request the
+	// entry accepts requests whose time may reach beyond the stop: by then the load
+	// balancer has noticed, and most of the time that the platform gives is left. No
+	// target may still be at work at the end on a request that was sent later than
+	// 3 s after the stop request, which the process may see late.
+	lastAdmission  = 2800 * time.Millisecond
+	admissionShare = 3.0 / 8
+	// onceShare applies to those that must not be repeated, since their callers
+	// can't try again if the stop ends them.
+	onceShare = 0.5
+)
+
 // stopState records the request to stop. In its zero value there was none.
 type stopState struct {
 	mu      sync.Mutex
 	beganAt time.Time
+	// limit is how long after beganAt the responses in progress must end.
+	limit time.Duration
 	// end is cancelled when the responses in progress must end. It is nil until
 	// it is used.
 	end    context.Context
@@ -21,7 +36,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.init()
-	s.beganAt = time.Now()
+	s.beganAt, s.limit = time.Now(), limit
 	time.AfterFunc(limit, s.cancel)
 }
 
@@ -32,20 +47,34 @@
 	}
 }
 
-func (s *stopState) began() bool { return s.since() >= 0 }
+func (s *stopState) began() bool {
+	since, _ := s.times()
+	return since >= 0
+}
 
-// since returns the time since the request to stop, negative if there was none.
-func (s *stopState) since() time.Duration {
+// times returns the time since the request to stop, which is negative if there was
+// none, and the time until the responses in progress must end.
+func (s *stopState) times() (since, remaining time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.beganAt.IsZero() {
-		return -1
+		return -1, 0
 	}
-	return time.Since(s.beganAt)
+	since = time.Since(s.beganAt)
+	return since, s.limit - since
 }
 
-// refusesNew reports whether requests come too late to end in time.
-func (s *stopState) refusesNew() bool { return s.since() > lastAdmission }
+// admission returns how long after the request to stop requests are accepted whose
+// time reaches beyond the stop.
+func (s *stopState) admission(repeatable bool) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := min(lastAdmission, time.Duration(admissionShare*float64(s.limit)))
+	if !repeatable {
+		out = time.Duration(onceShare * float64(out))
+	}
+	return out
+}
 
 // ended reports whether the responses in progress must end.
 func (s *stopState) ended() bool {
@@ -65,3 +94,14 @@
 	unregister := context.AfterFunc(end, cancel)
 	return ctx, func() { unregister(); cancel() }
 }
+
+// comesTooLate reports whether the process stops and the request, which no target
+// has got yet, might not end in time. One whose caller gets a response by then in
+// any case, if only that its deadline has passed, never comes too late.
+func (j *job) comesTooLate() bool {
+	since, remaining := j.entry.stop.times()
+	if since < 0 || j.sent > 0 || time.Until(j.deadline) <= remaining {
+		return false
+	}
+	return since > j.entry.stop.admission(j.route.Repeatable()) || remaining < j.expectedTime()
+}
--- a/internal/role/siteentry/stop_test.go
+++ b/internal/role/siteentry/stop_test.go
@@ -10,27 +10,65 @@
 	"time"
 )
 
+// stopSince makes the entry one that was asked to stop some time ago, on a platform
+// that gives the grace period. Nothing ends the responses in progress.
+func (te *testEntry) stopSince(grace, ago time.Duration) {
+	s := &te.entry.stop
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	s.beganAt, s.limit = time.Now().Add(-ago), newStopTimes(grace).answers
+}
+
 // TestHoldsStoppingEntryRefusesLateRequests guards against a request that reaches
-// a stopping entry too late to end within the grace period, and is cut.
+// a stopping entry too late to end within the grace period, and is cut. Those that
+// end in time, if only by their time-out, are served.
 func TestHoldsStoppingEntryRefusesLateRequests(t *testing.T) {
-	target, address := startTarget(t, respondWith("ok"))
-	te := startEntry(t, address)
-	te.entry.stop.begin(time.Hour)
-	if res, _, err := te.call(t, "once"); err != nil || res.StatusCode != http.StatusOK {
-		t.Errorf("after the stop request: response %v, error %v", res, err)
-	}
-	te.entry.stop.mu.Lock()
-	te.entry.stop.beganAt = time.Now().Add(-lastAdmission)
-	te.entry.stop.mu.Unlock()
-	res, _, err := te.call(t, "once")
-	if err != nil || res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Retry-After") == "" {
-		t.Errorf("later: response %v, error %v", res, err)
-	}
-	if n := len(target.requests()); n != 1 {
-		t.Errorf("the target got %d requests", n)
+	for name, c := range map[string]struct {
+		host       string
+		grace, ago time.Duration
+		served     bool
+	}{
+		"2 s, soon":           {"read", 2 * time.Second, 0, true},
+		"2 s, later":          {"read", 2 * time.Second, time.Second, false},
+		"2 s, not repeatable": {"once", 2 * time.Second, 500 * time.Millisecond, false},
+		"2 s, short":          {"short", 2 * time.Second, time.Second, true},
+		"2 s, short and late": {"short", 2 * time.Second, 1600 * time.Millisecond, false},
+		"4 s, soon":           {"read", 4 * time.Second, 500 * time.Millisecond, true},
+		"4 s, later":          {"read", 4 * time.Second, 2 * time.Second, false},
+		"4 s, not repeatable": {"once", 4 * time.Second, time.Second, false},
+		"8 s, in its time":    {"once", 8 * time.Second, time.Second, true},
+		"8 s, soon":           {"read", 8 * time.Second, 2 * time.Second, true},
+		"8 s, later":          {"read", 8 * time.Second, 2800 * time.Millisecond, false},
+		"8 s, not repeatable": {"once", 8 * time.Second, 2500 * time.Millisecond, false},
+		"8 s, short":          {"short", 8 * time.Second, 6 * time.Second, true},
+		"8 s, at the end":     {"short", 8 * time.Second, 7 * time.Second, false},
+		"30 s, in its time":   {"once", 30 * time.Second, 23 * time.Second, true},
+		"30 s, later":         {"once", 30 * time.Second, 24400 * time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			target, address := startTarget(t, respondWith("ok"))
+			te := startEntry(t, address)
+			te.stopSince(c.grace, c.ago)
+			res, _, err := te.call(t, c.host)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if n := len(target.requests()); c.served && (res.StatusCode != http.StatusOK || n != 1) {
+				t.Errorf("status %d, %d requests at the target", res.StatusCode, n)
+			} else if !c.served && (res.StatusCode != http.StatusServiceUnavailable || n != 0 || !retriesAtOnce(res)) {
+				t.Errorf("status %d, Retry-After %q, %d requests at the target", res.StatusCode, res.Header.Get("Retry-After"), n)
+			}
+		})
 	}
 }
 
+// retriesAtOnce reports whether a response tells the caller to try again at once.
+func retriesAtOnce(res *http.Response) bool {
+	after, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
+	return err == nil && after <= stopRetryAfter.Seconds()
+}
+
 // TestHoldsStoppingEntryAnswersAtTheEnd guards against a request that is still in
 // progress at the end of the grace period and gets no response at all.
 func TestHoldsStoppingEntryAnswersAtTheEnd(t *testing.T) {
@@ -53,13 +91,11 @@
 func TestHoldsWaitingRequestIsRefusedByStop(t *testing.T) {
 	target, address := startTarget(t, respondWith("ok"))
 	te := startEntry(t, address)
-	te.entry.stop.begin(time.Hour)
+	te.stopSince(8*time.Second, 0)
 	body, sendBody := io.Pipe()
 	go func() {
 		_, _ = sendBody.Write([]byte("bo"))
-		te.entry.stop.mu.Lock()
-		te.entry.stop.beganAt = time.Now().Add(-lastAdmission)
-		te.entry.stop.mu.Unlock()
+		te.stopSince(8*time.Second, 3*time.Second)
 		_, _ = sendBody.Write([]byte("dy"))
 		_ = sendBody.Close()
 	}()
@@ -75,8 +111,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = res.Body.Close() }()
-	after, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
-	if err != nil || after > stopRetryAfter.Seconds() {
+	if !retriesAtOnce(res) {
 		t.Errorf("Retry-After is %q", res.Header.Get("Retry-After"))
 	}
 	if n := len(target.requests()); res.StatusCode != http.StatusServiceUnavailable || n != 0 {
@@ -89,7 +124,7 @@
 func TestEntryStopsThroughItsServer(t *testing.T) {
 	_, address := startTarget(t, respondWith("ok"))
 	te := startEntry(t, address)
-	te.entry.Settings.StopGrace = 2 * time.Second
+	te.entry.Settings.StopGrace = 4 * time.Second
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
