siteentry: refuse a request that was declined too late in a stop

What callers would see: a request that a target had declined as not run late in the grace period was sent to the next target, with 0.3 s left; unless that was quick it was cut with 502, also if it must not be repeated, though until then it could be refused as not run.

Cause: whether a request comes too late was asked only before its first target.

Change: it is asked before each attempt, as long as no target may have run the request: 503, not run, Retry-After 20 ms, once less is left than a target that works takes to send something (2.5 objectives, at least 1 s) and its deadline does not end before. One that may have run is still sent once more, if it may be repeated, since its caller gets a 502 otherwise.

--- a/internal/role/siteentry/stop.go
+++ b/internal/role/siteentry/stop.go
@@ -95,13 +95,17 @@
 	return ctx, func() { unregister(); cancel() }
 }
 
-// comesTooLate reports whether the process stops and the request, which no target
-// has got yet, might not end in time. One whose caller gets a response by then in
-// any case, if only that its deadline has passed, never comes too late.
+// comesTooLate reports whether the process stops and the request might not end in
+// time. One whose caller gets a response by then in any case, if only that its
+// deadline has passed, never comes too late, nor does one that may have run, since
+// its caller can't be told otherwise.
 func (j *job) comesTooLate() bool {
 	since, remaining := j.entry.stop.times()
-	if since < 0 || j.sent > 0 || time.Until(j.deadline) <= remaining {
+	if since < 0 || j.mayHaveRun || time.Until(j.deadline) <= remaining {
 		return false
 	}
-	return since > j.entry.stop.admission(j.route.Repeatable()) || remaining < j.expectedTime()
+	if remaining < j.expectedTime() {
+		return true
+	}
+	return j.sent == 0 && since > j.entry.stop.admission(j.route.Repeatable())
 }
--- a/internal/role/siteentry/stop_test.go
+++ b/internal/role/siteentry/stop_test.go
@@ -69,6 +69,43 @@
 	return err == nil && after <= stopRetryAfter.Seconds()
 }
 
+// TestHoldsDeclinedRequestIsRefusedLateInAStop guards against a request that a
+// target declined so late in a stop that no other one can be expected to answer it
+// in time: sent once more it is cut, though until then its caller could be told that
+// it has not run. One that may have run can only gain from another attempt.
+func TestHoldsDeclinedRequestIsRefusedLateInAStop(t *testing.T) {
+	for name, c := range map[string]struct {
+		host   string
+		script func(io.Writer, *http.Request)
+		// ago is the time since the stop request when the first target responds.
+		ago    time.Duration
+		status int
+	}{
+		"declined, late":      {"once", declines, 6700 * time.Millisecond, http.StatusServiceUnavailable},
+		"declined, in time":   {"once", declines, 3 * time.Second, http.StatusOK},
+		"declined, may rerun": {"read", declines, 6700 * time.Millisecond, http.StatusServiceUnavailable},
+		"may have run":        {"read", truncates, 6700 * time.Millisecond, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var te *testEntry
+			_, a1 := startTarget(t, func(w io.Writer, r *http.Request) {
+				te.stopSince(8*time.Second, c.ago)
+				c.script(w, r)
+			})
+			second, a2 := startTarget(t, respondWith("ok"))
+			te = startEntry(t, a1, a2)
+			res, _, err := te.call(t, c.host)
+			if err != nil {
+				t.Fatal(err)
+			}
+			refused := res.StatusCode == http.StatusServiceUnavailable
+			if n := len(second.requests()); res.StatusCode != c.status || refused != (n == 0) || refused && !retriesAtOnce(res) {
+				t.Errorf("status %d, want %d, Retry-After %q, %d requests at the second target", res.StatusCode, c.status, res.Header.Get("Retry-After"), n)
+			}
+		})
+	}
+}
+
 // TestHoldsStoppingEntryAnswersAtTheEnd guards against a request that is still in
 // progress at the end of the grace period and gets no response at all.
 func TestHoldsStoppingEntryAnswersAtTheEnd(t *testing.T) {
