siteentry: ask again whether a request comes too late after its connection is made

What callers would see: a request that was granted a target early enough in a stop, but whose connection to the target took up to 0.5 s, or whose process was not scheduled meanwhile, was sent although it could no longer end in time.

Cause: the time of the stop was checked before the connection only, unlike the other conditions of a send.

Change: it is checked with them, after the connection is made and before the first byte is sent; the request is refused as not run.

TestHoldsRequestIsRefusedAfterLongDial failed before (200 from the target) and passes.

--- a/internal/role/siteentry/attempt.go
+++ b/internal/role/siteentry/attempt.go
@@ -257,8 +257,8 @@
 
 // buildRequest returns the request for a target to which a connection has been
 // established. It returns errCallerLeft if the caller has left meanwhile, errOutlived if
-// it must have, and errStale, errShutOut, errLeft or errOutdated if the state on which
-// the target was chosen no longer holds.
+// it must have, and errStale, errShutOut, errStopping, errLeft or errOutdated if the
+// state on which the target was chosen no longer holds.
 func (j *job) buildRequest(grant *dispatch.Grant) (*connpool.Request, error) {
 	if !j.mayDispatch() {
 		return nil, errStale
@@ -270,6 +270,9 @@
 	if j.verdict() != nil {
 		return nil, errShutOut
 	}
+	if j.comesTooLate() {
+		return nil, errStopping
+	}
 	if !grant.Valid() {
 		return nil, errLeft
 	}
--- a/internal/role/siteentry/stop_test.go
+++ b/internal/role/siteentry/stop_test.go
@@ -106,6 +106,22 @@
 	}
 }
 
+// TestHoldsRequestIsRefusedAfterLongDial guards against a request that comes too
+// late in a stop because its connection to the target takes long, and is sent.
+func TestHoldsRequestIsRefusedAfterLongDial(t *testing.T) {
+	target, address := startTarget(t, respondWith("ok"))
+	te := startEntry(t, address)
+	te.stopSince(8*time.Second, 0)
+	te.entry.Pool.OnDial = func(string, time.Duration, error) { te.stopSince(8*time.Second, 6*time.Second) }
+	res, _, err := te.call(t, "once")
+	if err != nil || res.StatusCode != http.StatusServiceUnavailable || !retriesAtOnce(res) {
+		t.Errorf("response %v, error %v", res, err)
+	}
+	if n := len(target.requests()); n != 0 {
+		t.Errorf("the target got %d requests", n)
+	}
+}
+
 // TestHoldsStoppingEntryAnswersAtTheEnd guards against a request that is still in
 // progress at the end of the grace period and gets no response at all.
 func TestHoldsStoppingEntryAnswersAtTheEnd(t *testing.T) {
