siteentry: answer callers that are still sending at the end of a stop

What callers would see: a connection on which a request's body was still arriving at the end of the grace period was closed without a response.

Cause: reading the body was bound neither to the end of the stop nor to anything else, so the server closed the connection over the handler.

What has arrived by then is read first.

--- a/internal/role/siteentry/request.go
+++ b/internal/role/siteentry/request.go
@@ -214,7 +214,13 @@
 	if limit > 0 {
 		j.reply.LimitBody(j.r, limit)
 	}
+	expiring := j.expireBody()
 	body, err := io.ReadAll(j.r.Body)
+	if !expiring() {
+		// net/http also takes the caller for gone, and the request comes too late.
+		j.refuse("Stopping", errStopping.Error())
+		return false
+	}
 	if err == nil {
 		j.body = body
 		return true
--- a/internal/role/siteentry/stop.go
+++ b/internal/role/siteentry/stop.go
@@ -83,15 +83,19 @@
 	return s.end != nil && s.end.Err() != nil
 }
 
+// ending returns a context that ends when the responses in progress must end.
+func (s *stopState) ending() context.Context {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	return s.end
+}
+
 // bound returns a context that also ends when the responses in progress must
 // end, and a function that releases it.
 func (s *stopState) bound(ctx context.Context) (context.Context, context.CancelFunc) {
-	s.mu.Lock()
-	s.init()
-	end := s.end
-	s.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
-	unregister := context.AfterFunc(end, cancel)
+	unregister := context.AfterFunc(s.ending(), cancel)
 	return ctx, func() { unregister(); cancel() }
 }
 
@@ -109,3 +113,9 @@
 	}
 	return j.sent == 0 && since > j.entry.stop.admission(j.route.Repeatable())
 }
+
+// expireBody ends the reading of the body when the responses in progress must end.
+// The function that it returns prevents that, and reports false if it was too late.
+func (j *job) expireBody() func() bool {
+	return context.AfterFunc(j.entry.stop.ending(), j.reply.ExpireBody)
+}
--- a/internal/role/siteentry/stop_test.go
+++ b/internal/role/siteentry/stop_test.go
@@ -1,6 +1,7 @@
 package siteentry
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -208,3 +209,31 @@
 		<-te.entry.stop.end.Done()
 	}
 }
+
+// TestHoldsUnsentBodyIsRefusedAtTheEnd guards against a caller that is still sending
+// its request at the end of the grace period and gets no response at all.
+func TestHoldsUnsentBodyIsRefusedAtTheEnd(t *testing.T) {
+	target, address := startTarget(t, respondWith("ok"))
+	te := startEntry(t, address)
+	c, err := net.Dial("tcp", te.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(30 * time.Second))
+	if _, err := io.WriteString(c, "POST /x HTTP/1.1\r\nHost: once\r\nKey: secret\r\nAttempt: a1\r\nContent-Length: 4\r\n\r\nbo"); err != nil {
+		t.Fatal(err)
+	}
+	for te.entry.active.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	te.entry.stop.begin(0)
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	if n := len(target.requests()); res.StatusCode != http.StatusServiceUnavailable || !retriesAtOnce(res) || n != 0 {
+		t.Errorf("response %v, %d requests at the target", res, n)
+	}
+}
--- a/internal/wire/reply/reply.go
+++ b/internal/wire/reply/reply.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 )
 
 // progress is how much of its response a caller has.
@@ -125,3 +126,10 @@
 func (p *Reply) LimitBody(r *http.Request, limit int64) {
 	r.Body = http.MaxBytesReader(p.w, r.Body, limit)
 }
+
+// ExpireBody ends a read of the caller's body that waits, and all later ones. Unlike
+// the other methods it may be called by any goroutine.
+func (p *Reply) ExpireBody() {
+	// A connection that can't expire is closed by the server when its stop ends.
+	_ = http.NewResponseController(p.w).SetReadDeadline(time.Unix(1, 0))
+}
