siteentry: end the wait for a plan with the stop

What callers would see: an entry that was asked to stop soon after its start, or just after its plan was no longer confirmed, let requests wait up to 1.5 s or 0.7 s for it. With a grace period of 2 s the process could be killed meanwhile and their connections were closed without a response; with 8 s they were answered within the last moments, with a Retry-After of 1.4 to 2 s.

Cause: the wait was bound to the caller only. A request that was refused for want of a plan had the Retry-After of an outage, though other entries may have one.

Change: the wait ends when the responses in progress must end, and every refusal from then on is that of a stopping process, with a Retry-After of 20 ms.

TestHoldsWaitForPlanEndsWithTheStop failed before (responses after 0.7 and 1.5 s instead of 0.1 s, Retry-After above 1.5 s) and passes, 3 runs with -race.

--- a/internal/role/siteentry/response.go
+++ b/internal/role/siteentry/response.go
@@ -46,6 +46,9 @@
 // request has not run and never will.
 func (j *job) refuse(reason, text string) {
 	j.reply.RequireNothing()
+	if j.entry.stop.ended() {
+		reason = "Stopping"
+	}
 	after := minRetryAfter + rand.N(retryAfterJitter)
 	switch reason {
 	case "NoPlan", "Stale", "NoTarget":
@@ -97,7 +100,7 @@
 	}
 	reason := "NoTarget"
 	switch {
-	case err == errStopping, j.entry.stop.ended():
+	case err == errStopping:
 		reason = "Stopping"
 	case ctx.Err() != nil, j.outlived:
 		reason = "Deadline"
--- a/internal/role/siteentry/startup.go
+++ b/internal/role/siteentry/startup.go
@@ -67,6 +67,8 @@
 		switch {
 		case p != nil && (confirmed || !j.needsKey(p)):
 			return
+		case j.entry.stop.ended():
+			return
 		case j.entry.startup.starting() && waited < maxStartupWait:
 		case p != nil && stale < maxUnconfirmedWait && waited < maxUnconfirmedWait:
 		default:
--- a/internal/role/siteentry/stop_test.go
+++ b/internal/role/siteentry/stop_test.go
@@ -6,9 +6,15 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"egretproxy/internal/kernel/metrics"
+	"egretproxy/internal/site/plan"
+	"egretproxy/internal/site/siteclient"
 )
 
 // stopSince makes the entry one that was asked to stop some time ago, on a platform
@@ -237,3 +243,33 @@
 		t.Errorf("response %v, %d requests at the target", res, n)
 	}
 }
+
+// TestHoldsWaitForPlanEndsWithTheStop guards against a request that waits for the
+// plan, or its confirmation, beyond the end of a short grace period. Its caller is
+// told to try again at once, since other entries may have them.
+func TestHoldsWaitForPlanEndsWithTheStop(t *testing.T) {
+	const limit = 100 * time.Millisecond
+	for name, starting := range map[string]bool{"starting": true, "just unconfirmed": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := &Entry{Settings: Settings{Lease: time.Second, Headers: testHeaders}, Metrics: metrics.New("Test")}
+				views := &fakeViews{view: &siteclient.View{}, age: time.Hour}
+				if !starting {
+					views.view = &siteclient.View{Plan: &plan.Plan{}}
+					e.startup.startedAt = time.Now().Add(-startupPeriod)
+				}
+				e.Views = views
+				e.stop.begin(limit)
+				began := time.Now()
+				w := httptest.NewRecorder()
+				e.serve(w, httptest.NewRequest(http.MethodPost, "/x", nil))
+				if took := time.Since(began); took < limit || took > limit+pollInterval {
+					t.Errorf("the response comes after %s", took)
+				}
+				if res := w.Result(); res.StatusCode != http.StatusServiceUnavailable || !retriesAtOnce(res) {
+					t.Errorf("response %v", res)
+				}
+			})
+		})
+	}
+}
