siteentry: show that many requests are answered when a stop ends

200 requests of all kinds, at a target that does not respond, get a response once the responses in progress must end: 502, or 503 with a Retry-After of 20 ms.

--- a/internal/role/siteentry/stop_test.go
+++ b/internal/role/siteentry/stop_test.go
@@ -12,6 +12,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+
 	"egretproxy/internal/kernel/metrics"
 	"egretproxy/internal/site/plan"
 	"egretproxy/internal/site/siteclient"
@@ -273,3 +276,44 @@
 		})
 	}
 }
+
+// TestHoldsManyRequestsAreAnsweredAtTheEnd guards against a stop that ends while many
+// requests are at a target or wait for one, and leaves some without a response.
+func TestHoldsManyRequestsAreAnsweredAtTheEnd(t *testing.T) {
+	const perHost = 50
+	hosts := []string{"once", "read", "stream", "cut"}
+	release := make(chan struct{})
+	defer close(release)
+	target, address := startTarget(t, func(io.Writer, *http.Request) { <-release })
+	te := startEntry(t, address)
+	k := te.views.view.Targets["t0"]
+	k.Slots = perHost * len(hosts) / 2
+	te.views.view.Targets["t0"] = k
+	te.entry.OnView(te.views.view)
+	for i := range te.plan.Routes {
+		te.plan.Routes[i].Objective, te.plan.Routes[i].Timeout = 30*time.Second, time.Minute
+	}
+	var calls errgroup.Group
+	for i := range perHost * len(hosts) {
+		calls.Go(func() error {
+			host := hosts[i%len(hosts)]
+			res, _, err := te.call(t, host)
+			if err != nil {
+				return err
+			}
+			if res.StatusCode != http.StatusBadGateway && !(res.StatusCode == http.StatusServiceUnavailable && retriesAtOnce(res)) {
+				return errors.New(host + ": " + res.Status)
+			}
+			return nil
+		})
+	}
+	for te.entry.active.Load() < perHost*int64(len(hosts)) || len(target.requests()) < k.Slots/2 {
+		time.Sleep(time.Millisecond)
+	}
+	began := time.Now()
+	te.entry.stop.begin(0)
+	if err := calls.Wait(); err != nil {
+		t.Error(err)
+	}
+	t.Logf("%d requests, %d of them at the target, were answered within %s", perHost*len(hosts), len(target.requests()), time.Since(began))
+}
