entry: refuse requests that can not end before a shutdown does

What callers would see: a caller whose long response began before a shutdown and ended late in it knows nothing of the shutdown and may use its connection again. That request was sent to a target, and its connection was closed without a response at the end of the shutdown if it took longer, also if it must not be repeated.

Cause: the shutdown lasts as long as the requests of callers that noticed it may take, but nothing kept later requests from starting.

Change: a request is refused as not run (503, reason Stopping, Retry-After 1 s) if less than Entry.RequestTimeout and 200 ms is left, so that all that start also end with a response. Requests of callers that noticed the shutdown are never refused: the last one may start 15 s + Entry.ReadTimeout after the drain delay, and another Entry.RequestTimeout + 1 s is left then.

--- a/internal/request/refusal/refusal.go
+++ b/internal/request/refusal/refusal.go
@@ -39,6 +39,7 @@
 	UnknownRoute        Reason = "UnknownRoute"
 	MethodNotAllowed    Reason = "MethodNotAllowed"
 	OrganisationLimit   Reason = "OrganisationLimit"
+	Stopping            Reason = "Stopping"
 	QueueFull           Reason = "QueueFull"
 	QueueTimeout        Reason = "QueueTimeout"
 	NoTarget            Reason = "NoTarget"
--- a/internal/role/entry/admit.go
+++ b/internal/role/entry/admit.go
@@ -21,7 +21,7 @@
 }
 
 // admit finds the organisation, reads the body and applies the organisation's
-// concurrency limit. The returned function must be called when the request
+// concurrency limit and the end of a shutdown. The returned function must be called when the request
 // ends; it is nil with a refusal.
 func (e *Entry) admit(w http.ResponseWriter, r *http.Request) (*admittedRequest, func(), *refusal.Refusal) {
 	req := &admittedRequest{id: requestID(r)}
@@ -60,6 +60,9 @@
 func (e *Entry) startRequest(req *admittedRequest) (func(), *refusal.Refusal) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.comesTooLate() {
+		return nil, refusal.Unavailable(refusal.Stopping, "the process stops", minRetryAfter)
+	}
 	req.limits = e.view.Policy.Organisations[req.organisation]
 	if req.limits.Concurrent > 0 && e.active[req.organisation] >= req.limits.Concurrent {
 		ref := refusal.Unavailable(refusal.OrganisationLimit, "the organisation has too many requests in progress", time.Second)
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -46,9 +46,11 @@
 	// defaultKeepAlive is how long callers may leave a connection idle. A
 	// shutdown takes at least as long if a caller keeps one.
 	defaultKeepAlive = 5 * time.Second
-	// stopMargin covers the delays of timers within a shutdown.
-	stopMargin = time.Second
-	retryDelay = 50 * time.Millisecond
+	// stopMargin covers the delays of timers within a shutdown, answerMargin the
+	// time for the last responses.
+	stopMargin   = time.Second
+	answerMargin = 200 * time.Millisecond
+	retryDelay   = 50 * time.Millisecond
 	// maxDoublings limits the exponential backoff after failed renewals.
 	maxDoublings = 4
 	roleName     = "Entry"
@@ -81,8 +83,10 @@
 	confirmedAt time.Time
 	// active counts the requests in progress of each organisation.
 	active map[id.Organisation]int
-	// stopping is set during a graceful shutdown.
+	// stopping is set during a graceful shutdown, endsAt is when it ends at the
+	// latest.
 	stopping bool
+	endsAt   time.Time
 }
 
 // Run serves until the context ends, then waits for the requests in progress.
@@ -189,7 +193,7 @@
 // until the last of these requests has ended and its claim is recorded.
 func (e *Entry) shutdown(stopServing context.CancelFunc, served <-chan struct{}) {
 	e.mu.Lock()
-	e.stopping = true
+	e.stopping, e.endsAt = true, time.Now().Add(e.grace())
 	e.mu.Unlock()
 	stopServing()
 	<-served
@@ -199,17 +203,28 @@
 	e.background.Wait()
 }
 
-// callerServer returns the server for callers. Its grace period exceeds the time
-// that a request of a caller that noticed the shutdown last may take.
+// callerServer returns the server for callers.
 func (e *Entry) callerServer() *httpserver.Server {
-	c := e.cfg.Entry
-	lastRequest := c.DrainDelay.Std() + e.keepAlive + headerTimeout
 	return &httpserver.Server{
-		HTTP: e.server(), Name: "Callers", KeepAlive: e.keepAlive, Notice: c.DrainDelay.Std(),
-		Grace: lastRequest + c.ReadTimeout.Std() + c.RequestTimeout.Std() + stopMargin,
+		HTTP: e.server(), Name: "Callers", KeepAlive: e.keepAlive, Notice: e.cfg.Entry.DrainDelay.Std(), Grace: e.grace(),
 	}
 }
 
+// grace returns the time of a shutdown. It exceeds the time that a request of a
+// caller that noticed the shutdown last may take.
+func (e *Entry) grace() time.Duration {
+	c := e.cfg.Entry
+	lastRequest := c.DrainDelay.Std() + e.keepAlive + headerTimeout
+	return lastRequest + c.ReadTimeout.Std() + c.RequestTimeout.Std() + stopMargin
+}
+
+// comesTooLate reports whether a request that starts now might not end before the
+// shutdown does. A caller that had a long response meanwhile may not have noticed
+// the shutdown. It requires mu.
+func (e *Entry) comesTooLate() bool {
+	return e.stopping && time.Until(e.endsAt) < e.cfg.Entry.RequestTimeout.Std()+answerMargin
+}
+
 func (e *Entry) inProgress() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/role/entry/shutdown_test.go
+++ b/internal/role/entry/shutdown_test.go
@@ -18,6 +18,7 @@
 	"egretproxy/internal/control/view"
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/kernel/metrics"
+	"egretproxy/internal/request/refusal"
 	_ "egretproxy/internal/routing/affinity" // registers DefaultPolicy
 	"egretproxy/internal/settings/config"
 	"egretproxy/internal/settings/unit"
@@ -220,3 +221,31 @@
 		t.Errorf("%d outcomes were recorded", re.keeper.settled)
 	}
 }
+
+// TestHoldsStopRefusesWhatCannotEnd guards against a request that begins so late in
+// a shutdown, on a connection whose long response began before it, that it may be cut
+// at the end: it was sent to a target, also if it must not be repeated.
+func TestHoldsStopRefusesWhatCannotEnd(t *testing.T) {
+	re := startEntry(t)
+	inTime, late := re.connect(t), re.connect(t)
+	for _, c := range []*caller{inTime, late} {
+		c.send(t, testHeader+"hi")
+		c.receive(t)
+	}
+	re.beginStop(t)
+	inTime.send(t, testHeader+"hi")
+	inTime.receive(t)
+	re.mu.Lock()
+	re.endsAt = time.Now().Add(re.cfg.Entry.RequestTimeout.Std())
+	re.mu.Unlock()
+	late.send(t, testHeader+"hi")
+	_ = late.SetReadDeadline(time.Now().Add(hangTimeout))
+	r, err := http.ReadResponse(late.br, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ref, ok := refusal.FromHeader(r.Header, r.StatusCode)
+	if !ok || ref.Status != http.StatusServiceUnavailable || ref.Outcome != refusal.NotRun || ref.RetryAfter == 0 {
+		t.Errorf("status %d, header %v", r.StatusCode, r.Header)
+	}
+}
