siteentry: leave time for a stop if the platform names no grace period

What callers would see: on a platform whose settings have no gracePeriodS all requests in progress were ended with 502, and streams aborted, as soon as the entry was asked to stop.

Cause: the zero value of StopGrace was taken for no time at all.

Change: 0 means 8 s.

TestHoldsStopWithoutGraceGivesTime fails without the default (all times 0) and passes.

--- a/internal/role/siteentry/siteentry.go
+++ b/internal/role/siteentry/siteentry.go
@@ -66,7 +66,8 @@
 	// KeeperSettleTime is how long after a change in the connections to keepers
 	// that time starts to count.
 	KeeperSettleTime time.Duration
-	// StopGrace is the time from the stop request until the process is killed.
+	// StopGrace is the time from the stop request until the process is killed. 0 means
+	// 8 s.
 	StopGrace time.Duration
 	Headers   headernames.Names
 }
--- a/internal/role/siteentry/stoptimes.go
+++ b/internal/role/siteentry/stoptimes.go
@@ -3,6 +3,8 @@
 import "time"
 
 const (
+	// defaultStopGrace applies if the platform names no time.
+	defaultStopGrace = 8 * time.Second
 	// stopMargin is kept free before the platform kills the process, since the
 	// process may see the stop request late. It is at most a twelfth of the time
 	// that the platform gives.
@@ -27,6 +29,9 @@
 
 // newStopTimes divides the time from the stop request until the process is killed.
 func newStopTimes(grace time.Duration) stopTimes {
+	if grace <= 0 {
+		grace = defaultStopGrace
+	}
 	margin := min(stopMargin, grace/stopMarginShare)
 	end := grace - margin
 	return stopTimes{answers: end - min(answerMargin, margin/2), close: end, finalPass: margin / 2}
--- a/internal/role/siteentry/stoptimes_test.go
+++ b/internal/role/siteentry/stoptimes_test.go
@@ -22,3 +22,13 @@
 		})
 	}
 }
+
+// TestHoldsStopWithoutGraceGivesTime guards against a stop that ends all responses in
+// progress at once because the platform names no grace period.
+func TestHoldsStopWithoutGraceGivesTime(t *testing.T) {
+	for _, grace := range []time.Duration{0, -time.Second} {
+		if got, want := newStopTimes(grace), newStopTimes(defaultStopGrace); got != want {
+			t.Errorf("times of a stop with a grace period of %s are %+v, want %+v", grace, got, want)
+		}
+	}
+}
