entry: never put another answer into a stream that has begun

A caller had events of a stream when its target broke off. What the next target answered instead of the rest reached the caller in the stream, which then ended: the body of a failure, of another response or nothing, a stream that came with status 500, and events of another bundle. Such a response also settled the claim of the request, if it had one.

As in the site's entry, each exit wrote to the caller and decided for itself what the caller had. Now all of them go through the owner of the response. Only a 2xx stream of the same bundle continues a stream; any other answer is a failed attempt, another target follows if an attempt is left, else the event with an error that the protocol defines, without the end marker. Since that marker shows a complete stream, the marker alone completes a resumed one.

--- a/internal/role/entry/claim.go
+++ b/internal/role/entry/claim.go
@@ -125,12 +125,14 @@
 			Message: "the request ran once with status " + http.StatusText(answer.Outcome.Status) + "; its answer was too long to keep",
 		}, false
 	}
-	h := x.w.Header()
-	h.Set("Content-Type", answer.Outcome.ContentType)
-	h.Set(header.Replayed, "true")
-	h.Set(header.RequestID, string(x.admitted.id))
-	x.w.WriteHeader(answer.Outcome.Status)
-	_, _ = x.w.Write(answer.Outcome.Body)
+	x.reply.Respond(func(w http.ResponseWriter) {
+		h := w.Header()
+		h.Set("Content-Type", answer.Outcome.ContentType)
+		h.Set(header.Replayed, "true")
+		h.Set(header.RequestID, string(x.admitted.id))
+		w.WriteHeader(answer.Outcome.Status)
+		_, _ = w.Write(answer.Outcome.Body)
+	})
 	x.metrics.Count("Replayed")
 	return nil, true
 }
--- a/internal/role/entry/dispatch.go
+++ b/internal/role/entry/dispatch.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -57,7 +58,11 @@
 		g.Failed()
 		return x.outcomeUnknown(refusal.AnswerCrossed, "agent answered another request")
 	}
-	if strings.HasPrefix(response.Header.Get("Content-Type"), eventsType) {
+	stream := strings.HasPrefix(response.Header.Get("Content-Type"), eventsType)
+	if x.reply.Begun() && (!stream || response.StatusCode >= http.StatusMultipleChoices || response.Header.Get(header.Bundle) != string(x.poolRequest.Bundle)) {
+		return x.notContinued(g, response)
+	}
+	if stream {
 		return x.forwardStream(ctx, g, response, watch)
 	}
 	return x.forwardBuffered(ctx, g, response)
@@ -132,6 +137,19 @@
 	return x.outcomeUnknown(ref.Reason, ref.Message)
 }
 
+// notContinued handles an answer that does not continue the stream of which the
+// caller has part. The answer says nothing about the health of the target unless
+// it is a failure.
+func (x *exchange) notContinued(g *targetpool.Grant, response *http.Response) attemptResult {
+	if response.StatusCode >= http.StatusInternalServerError {
+		g.Failed()
+	} else {
+		g.Cancelled()
+	}
+	x.exclude(g.Target.ID)
+	return x.outcomeUnknown(refusal.AnswerBroken, "target did not continue the stream: answered "+strconv.Itoa(response.StatusCode))
+}
+
 // forwardBuffered buffers a response until it is complete and forwards it.
 // Responses longer than maxBufferedBytes are streamed from there on.
 func (x *exchange) forwardBuffered(ctx context.Context, g *targetpool.Grant, response *http.Response) attemptResult {
@@ -142,15 +160,9 @@
 	}
 	g.Answered()
 	x.settleClaim(response, body)
-	x.writeHeader(response)
-	if _, err := x.w.Write(body); err != nil {
-		return attemptResult{}
-	}
-	if len(body) <= maxBufferedBytes {
-		return attemptResult{}
-	}
-	if _, err := io.Copy(x.w, response.Body); err != nil {
-		panic(http.ErrAbortHandler)
+	x.reply.Begin(response.StatusCode, func(h http.Header) { x.copyHeader(h, response) })
+	if x.reply.SendRest(io.MultiReader(bytes.NewReader(body), response.Body)) != nil {
+		x.reply.Abort()
 	}
 	return attemptResult{}
 }
@@ -199,6 +211,7 @@
 		return x.responseFailed(ctx, g, io.ErrUnexpectedEOF)
 	}
 	g.Answered()
+	x.reply.End()
 	return attemptResult{}
 }
 
@@ -208,15 +221,10 @@
 	if len(complete) == 0 {
 		return true
 	}
-	if !x.headerSent {
-		x.writeHeader(response)
-		x.headerSent = true
-	}
-	if _, err := x.w.Write(complete); err != nil {
-		return false
+	if !x.reply.Begun() {
+		x.reply.Begin(response.StatusCode, func(h http.Header) { x.copyHeader(h, response) })
 	}
-	_ = http.NewResponseController(x.w).Flush()
-	return true
+	return x.reply.Send(complete) == nil
 }
 
 func encode(v any) []byte {
--- a/internal/role/entry/exchange.go
+++ b/internal/role/entry/exchange.go
@@ -11,6 +11,7 @@
 	"egretproxy/internal/request/refusal"
 	"egretproxy/internal/target/stream"
 	"egretproxy/internal/wire/header"
+	"egretproxy/internal/wire/reply"
 )
 
 const (
@@ -24,7 +25,7 @@
 // exchange is the state of an admitted request.
 type exchange struct {
 	*Entry
-	w           http.ResponseWriter
+	reply       reply.Reply
 	r           *http.Request
 	admitted    *admittedRequest
 	poolRequest targetpool.Request
@@ -35,9 +36,6 @@
 	attemptCount int
 	// mayHaveRun is set once an earlier attempt may have reached its target.
 	mayHaveRun bool
-	// headerSent is set once a part of a stream from poolRequest.Bundle was
-	// sent to the caller.
-	headerSent bool
 	// events counts the stream events that earlier attempts delivered to the
 	// caller.
 	events int
@@ -52,7 +50,9 @@
 }
 
 func (e *Entry) newExchange(w http.ResponseWriter, r *http.Request, req *admittedRequest) *exchange {
-	return &exchange{Entry: e, w: w, r: r, admitted: req}
+	x := &exchange{Entry: e, r: r, admitted: req}
+	x.reply = reply.New(w, func() { e.metrics.CountReason("StreamCutOff", string(refusal.AnswerBroken)) })
+	return x
 }
 
 // run completes the request with a response or a refusal.
@@ -60,20 +60,24 @@
 	x.budget.RecordRequest()
 	ctx, cancel := context.WithTimeout(x.context(), x.cfg.Entry.RequestTimeout.Std())
 	defer cancel()
-	ref := x.attempts(ctx)
-	if ref == nil {
-		return
+	if ref := x.attempts(ctx); ref != nil {
+		x.fail(ref)
 	}
+	x.reply.Close()
+}
+
+// fail ends a request without a response from a target.
+func (x *exchange) fail(ref *refusal.Refusal) {
 	x.releaseUnrun(ref)
 	if x.r.Context().Err() != nil {
 		x.metrics.Count("CallerGone")
-		panic(http.ErrAbortHandler)
+		x.reply.Abort()
 	}
-	if x.headerSent {
+	if x.reply.Begun() {
 		x.abortStream(ref)
 		return
 	}
-	x.refuse(x.w, x.admitted.id, ref)
+	x.reply.Respond(func(w http.ResponseWriter) { x.refuse(w, x.admitted.id, ref) })
 }
 
 // context returns a context that ends when the caller leaves. At-most-once
@@ -147,8 +151,10 @@
 func (x *exchange) abortStream(ref *refusal.Refusal) {
 	x.metrics.CountReason("StreamCutOff", string(ref.Reason))
 	body := ref.Body(x.admitted.id)
-	_, _ = x.w.Write(append(append([]byte("data: "), encode(body)...), '\n', '\n'))
-	_ = http.NewResponseController(x.w).Flush()
+	if x.reply.Send(append(append([]byte("data: "), encode(body)...), '\n', '\n')) != nil {
+		x.reply.Abort()
+	}
+	x.reply.End()
 }
 
 // exclude excludes a target from further attempts.
@@ -159,16 +165,14 @@
 	x.poolRequest.Exclude[t] = true
 }
 
-// writeHeader sends the response header to the caller.
-func (x *exchange) writeHeader(response *http.Response) {
-	h := x.w.Header()
+// copyHeader copies the response header for the caller.
+func (x *exchange) copyHeader(h http.Header, response *http.Response) {
 	for k, v := range response.Header {
 		if !internalHeaders[k] {
 			h[k] = v
 		}
 	}
 	h.Set(header.RequestID, string(x.admitted.id))
-	x.w.WriteHeader(response.StatusCode)
 }
 
 // internalHeaders are the headers between agents and entries that are not
--- a/internal/role/entry/shutdown_test.go
+++ b/internal/role/entry/shutdown_test.go
@@ -77,7 +77,7 @@
 	return l
 }
 
-// runningEntry is an entry with one service behind it.
+// runningEntry is an entry with targets behind it.
 type runningEntry struct {
 	*Entry
 	keeper  *fakeKeeper
@@ -86,17 +86,27 @@
 	stopped chan struct{}
 }
 
+// startEntry starts an entry with one service, which returns the body of a request.
 func startEntry(t *testing.T) *runningEntry {
 	t.Helper()
-	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	agent := func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(header.RequestID, r.Header.Get(header.RequestID))
 		_, _ = io.Copy(w, r.Body)
-	}))
-	t.Cleanup(agent.Close)
-	keeper := &fakeKeeper{view: view.View{Version: 1, Newest: 1, Floor: 1, Targets: map[id.Target]view.Target{"t": {
-		ID: "t", Kind: view.TargetService, Service: "inventory", Address: agent.Listener.Addr().String(),
-		Start: "1", Slots: 16, Phase: view.PhaseServing, Changed: 1,
-	}}}}
+	}
+	return startEntryTo(t, agent, view.Target{ID: "t", Kind: view.TargetService, Service: "inventory"})
+}
+
+// startEntryTo starts an entry with the given targets, all at one agent.
+func startEntryTo(t *testing.T, agent http.HandlerFunc, targets ...view.Target) *runningEntry {
+	t.Helper()
+	server := httptest.NewServer(agent)
+	t.Cleanup(server.Close)
+	keeper := &fakeKeeper{view: view.View{Version: 1, Newest: 1, Floor: 1, Targets: map[id.Target]view.Target{}}}
+	for _, target := range targets {
+		target.Address = server.Listener.Addr().String()
+		target.Start, target.Slots, target.Phase, target.Changed = "1", 16, view.PhaseServing, 1
+		keeper.view.Targets[target.ID] = target
+	}
 	keys := filepath.Join(t.TempDir(), "keys.json")
 	if err := os.WriteFile(keys, []byte(`{"Organisations": [{"ID": "huts", "Key": "key-of-huts"}]}`), 0o600); err != nil {
 		t.Fatal(err)
@@ -106,6 +116,7 @@
 	cfg.Entry.Listen = "127.0.0.1:0"
 	cfg.Entry.OrganisationKeys = keys
 	cfg.Entry.DrainDelay = unit.Duration(time.Millisecond)
+	cfg.Entry.MaxWait = unit.Duration(200 * time.Millisecond)
 	cfg.Entry.Routes = []config.Route{{Prefix: "/inventory", Service: "inventory"}}
 	e, err := newEntry(cfg, metrics.New("Entry"))
 	if err != nil {
