entry: do not repeat the stream of a plain service

A stream of a plain service that may be repeated broke off after events, and the request went to another target, which began from the start: the caller got the events twice in one response. Only engines can leave out what the caller has already. Such a stream now ends with the event with an error; one of which the caller has nothing is still repeated.

--- a/internal/role/entry/exchange.go
+++ b/internal/role/entry/exchange.go
@@ -113,7 +113,7 @@
 		if result.refusal == nil {
 			return nil
 		}
-		if result.final || ctx.Err() != nil {
+		if result.final || ctx.Err() != nil || !x.mayContinue() {
 			return x.withOutcome(result.refusal)
 		}
 		last = result.refusal
@@ -123,6 +123,10 @@
 	return x.withOutcome(last)
 }
 
+// mayContinue reports whether another target can continue what the caller has. A
+// plain service can't leave out events that the caller has already.
+func (x *exchange) mayContinue() bool { return !x.reply.Begun() || x.poolRequest.Model != "" }
+
 // mayRetry takes a retry from the budget. A request that certainly did not run
 // waits for one.
 func (x *exchange) mayRetry(ctx context.Context, last *refusal.Refusal, deadline time.Time) bool {
--- a/internal/role/entry/resume_test.go
+++ b/internal/role/entry/resume_test.go
@@ -164,3 +164,33 @@
 		})
 	}
 }
+
+// TestHoldsServiceStreamIsNotRepeated guards against a stream of a plain service,
+// which can't go on at a given event, whose events come twice because the request
+// goes to another target after it broke off.
+func TestHoldsServiceStreamIsNotRepeated(t *testing.T) {
+	for name, first := range map[string]answer{
+		"cut":           {200, eventsType, "", eventsBegun, true},
+		"without event": {200, eventsType, "", "", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &script{answers: []answer{first, {200, eventsType, "", eventsBegun + eventsRest + endMarker, false}}}
+			re := startEntryTo(t, s.serve,
+				view.Target{ID: "0", Kind: view.TargetService, Service: "inventory"},
+				view.Target{ID: "1", Kind: view.TargetService, Service: "inventory"})
+			res, body, err := re.call(t, http.MethodGet, "/inventory/ropes", "")
+			if first.body == "" {
+				if err != nil || res.StatusCode != http.StatusOK || body != eventsBegun+eventsRest+endMarker {
+					t.Errorf("got response %v, body %q, error %v", res, body, err)
+				}
+				return
+			}
+			if err != nil || !strings.HasPrefix(body, eventsBegun+`data: {"error":`) || strings.Contains(body, endMarker) || strings.Count(body, "data:") != 3 {
+				t.Errorf("got response %v, body %q, error %v", res, body, err)
+			}
+			if got := s.requests(); len(got) != 1 {
+				t.Errorf("%d requests were sent", len(got))
+			}
+		})
+	}
+}
