proxy: take the end of a target for no end of its answer

A target of an agent stopped within an answer that has neither a length nor chunks, or before its body, and its connection was closed in the usual way. The entry, and its caller, got a 200 with the short or empty body and a length that said that it was whole. As the site's entry does, the agent now asks whether anything accepts connections at the target any more, and refuses such an answer or, after 8 MiB, aborts it.

--- a/internal/target/proxy/proxy.go
+++ b/internal/target/proxy/proxy.go
@@ -6,10 +6,12 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -33,7 +35,9 @@
 	maxBufferedBytes      = 8 << 20
 	readBufferBytes       = 32 << 10
 	unreachableRetryAfter = 1 * time.Second
-	eventStreamType       = "text/event-stream"
+	// dialTimeout limits the connection that shows whether the target has ended.
+	dialTimeout     = time.Second
+	eventStreamType = "text/event-stream"
 )
 
 // Proxy is the HTTP handler for the requests of entries to one target.
@@ -202,6 +206,9 @@
 // maxBufferedBytes, and then forwards it.
 func (x *exchange) relayBuffered(response *http.Response) {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
+	if err == nil && len(body) <= maxBufferedBytes && x.endedWithTarget(response) {
+		err = errTargetEnded
+	}
 	if err != nil {
 		x.refuseFailure(err)
 		return
@@ -224,11 +231,30 @@
 	if len(body) <= maxBufferedBytes {
 		return
 	}
-	if _, err := io.Copy(x.w, response.Body); err != nil {
+	if _, err := io.Copy(x.w, response.Body); err != nil || x.endedWithTarget(response) {
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// errTargetEnded means that a response without a length ended with its target.
+var errTargetEnded = errors.Wrap(io.ErrUnexpectedEOF, "target ended")
+
+// endedWithTarget reports whether the end of a response may be that of its target:
+// the response has neither a length nor chunks, and nothing accepts connections at
+// the target any more.
+func (x *exchange) endedWithTarget(response *http.Response) bool {
+	if response.ContentLength >= 0 || len(response.TransferEncoding) > 0 {
+		return false
+	}
+	d := net.Dialer{Timeout: dialTimeout}
+	c, err := d.DialContext(x.r.Context(), "tcp", x.BaseURL.Host)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	}
+	_ = c.Close()
+	return false
+}
+
 // recordResult reports the end of a response to OnFailure or to the ramp.
 func (x *exchange) recordResult(status int) {
 	if status >= http.StatusInternalServerError {
--- a/internal/target/proxy/proxy_test.go
+++ b/internal/target/proxy/proxy_test.go
@@ -25,7 +25,13 @@
 	t.Helper()
 	backend := httptest.NewServer(target)
 	t.Cleanup(backend.Close)
-	base, err := url.Parse(backend.URL)
+	return newProxyTo(t, kind, backend.URL)
+}
+
+// newProxyTo starts a proxy to the target at a URL, whose gate admits all requests.
+func newProxyTo(t *testing.T, kind view.TargetKind, target string) *httptest.Server {
+	t.Helper()
+	base, err := url.Parse(target)
 	if err != nil {
 		t.Fatal(err)
 	}
