entry: end a stream at its end marker

A caller had a whole stream, with its end marker, when the connection to the agent broke before the last chunk, or other bytes came after the marker. The stream was taken for broken: the caller got an event with an error after the end marker, or the events of a further run. What the caller has decides now: a stream whose end marker was forwarded is complete, and bytes after the marker, which belong to no stream, are dropped.

--- a/internal/role/entry/dispatch.go
+++ b/internal/role/entry/dispatch.go
@@ -198,7 +198,11 @@
 				return attemptResult{refusal: refusal.UnknownOutcome(refusal.CallerGone, "caller has gone"), final: true}
 			}
 		}
-		if err == io.EOF {
+		if err == io.EOF && !inspector.Complete() {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil && inspector.Complete() {
+			// The caller has the end marker, however the connection ended.
 			break
 		}
 		if err != nil {
@@ -206,10 +210,6 @@
 			return x.responseFailed(ctx, g, err)
 		}
 	}
-	if !inspector.Complete() {
-		x.events += inspector.Events()
-		return x.responseFailed(ctx, g, io.ErrUnexpectedEOF)
-	}
 	g.Answered()
 	x.reply.End()
 	return attemptResult{}
--- a/internal/target/stream/stream.go
+++ b/internal/target/stream/stream.go
@@ -36,8 +36,12 @@
 }
 
 // Inspect checks the next bytes of the stream and returns the events that they
-// complete, which may be forwarded. It buffers an incomplete event.
+// complete, which may be forwarded. It buffers an incomplete event. Bytes after the
+// end marker belong to no stream and are dropped.
 func (i *Inspector) Inspect(part []byte) ([]byte, error) {
+	if i.done {
+		return nil, nil
+	}
 	i.incomplete = append(i.incomplete, part...)
 	end := bytes.LastIndex(i.incomplete, []byte("\n\n"))
 	if end < 0 {
@@ -47,10 +51,15 @@
 		return nil, nil
 	}
 	complete := i.incomplete[: end+2 : end+2]
+	inspected := 0
 	for event := range bytes.SplitSeq(complete, []byte("\n\n")) {
 		if err := i.inspectEvent(event); err != nil {
 			return nil, err
 		}
+		if inspected += len(event) + 2; i.done {
+			i.incomplete = nil
+			return complete[:inspected], nil
+		}
 	}
 	i.incomplete = bytes.Clone(i.incomplete[end+2:])
 	return complete, nil
@@ -68,8 +77,8 @@
 	return CheckVersion(e, i.Version)
 }
 
-// Complete reports whether the stream has ended with its end marker.
-func (i *Inspector) Complete() bool { return i.done && len(i.incomplete) == 0 }
+// Complete reports whether the end marker has been returned.
+func (i *Inspector) Complete() bool { return i.done }
 
 // Events returns the number of data events, without the end marker.
 func (i *Inspector) Events() int { return i.events }
