forward: do not follow a target's redirect

The agent and the entry followed redirects: a request ran, with its headers, wherever its target's answer pointed to, and the caller got the answer of that place, or a 502 where the body could not be sent again. The redirect is the target's answer now and reaches the caller as it is.

TestHoldsRedirectIsNotFollowed failed in all 10 cases before, with 10 requests elsewhere, and passes now; the proof fails without its mechanism.

--- a/internal/wire/forward/forward.go
+++ b/internal/wire/forward/forward.go
@@ -84,10 +84,11 @@
 // Client returns an HTTP client with a timeout for dialling and for the TLS
 // handshake, and a limit on response headers. It closes connections that are
 // idle for the given time. A single-use client opens a new connection for each
-// request.
+// request. It follows no redirect, which is an answer for the caller.
 func Client(tlsConfig *tls.Config, idle time.Duration, singleUse bool) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Transport: &http.Transport{
+	keep := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &http.Client{CheckRedirect: keep, Transport: &http.Transport{
 		DialContext: dialer.DialContext, TLSClientConfig: tlsConfig,
 		TLSHandshakeTimeout: dialTimeout, IdleConnTimeout: idle,
 		MaxResponseHeaderBytes: header.MaxResponseBytes,
