entry: dispatch no request whose caller has left

A request that waited for a target, or for a retry from the budget, was sent to an agent although its caller had closed the connection, if the process had not read that: only the context was asked.

The socket is asked before each dispatch and while a retry waits. Requests that may run at most once still run to their end, so that a repeated one finds the outcome.

--- a/internal/role/entry/broken_test.go
+++ b/internal/role/entry/broken_test.go
@@ -8,7 +8,6 @@
 	"strings"
 	"testing"
 
-	"egretproxy/internal/control/view"
 	"egretproxy/internal/request/refusal"
 	"egretproxy/internal/wire/header"
 )
@@ -68,7 +67,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			for cut := 0; cut < len(c.whole); cut += 1 + cut/12 {
-				re := startEntryAt(t, startRawAgent(t, c.whole, cut), view.Target{ID: "t", Kind: view.TargetService, Service: "inventory"})
+				re := startEntryOn(t, listen(t), startRawAgent(t, c.whole, cut), service)
 				res, body, err := re.call(t, http.MethodPost, "/inventory/ropes", "hi")
 				complete := err == nil && res.StatusCode == http.StatusOK && body == c.body
 				refused := err == nil && res.StatusCode == http.StatusBadGateway && res.Header.Get(header.Outcome) == string(refusal.Unknown)
--- a/internal/role/entry/exchange.go
+++ b/internal/role/entry/exchange.go
@@ -8,6 +8,7 @@
 
 	"egretproxy/internal/admission/targetpool"
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/httpserver"
 	"egretproxy/internal/request/refusal"
 	"egretproxy/internal/target/stream"
 	"egretproxy/internal/wire/header"
@@ -69,7 +70,7 @@
 // fail ends a request without a response from a target.
 func (x *exchange) fail(ref *refusal.Refusal) {
 	x.releaseUnrun(ref)
-	if x.r.Context().Err() != nil {
+	if httpserver.CallerLeft(x.r) {
 		x.metrics.Count("CallerGone")
 		x.reply.Abort()
 	}
@@ -90,6 +91,11 @@
 	return x.r.Context()
 }
 
+// callerLeft reports whether the caller of a request that ends with it has left, as
+// far as this instance has learnt. The context ends later in a process that lacks
+// processor time.
+func (x *exchange) callerLeft() bool { return !x.atMostOnce && httpserver.CallerLeft(x.r) }
+
 func (x *exchange) attempts(ctx context.Context) *refusal.Refusal {
 	if ref, replayed := x.acquireClaim(ctx); ref != nil || replayed {
 		return ref
@@ -108,6 +114,10 @@
 			grant.Cancelled()
 			return x.withOutcome(ref)
 		}
+		if x.callerLeft() {
+			grant.Cancelled()
+			return x.withOutcome(refusal.UnknownOutcome(refusal.CallerGone, "caller has gone"))
+		}
 		x.attemptCount++
 		result := x.dispatch(ctx, grant)
 		if result.refusal == nil {
@@ -131,7 +141,7 @@
 // waits for one.
 func (x *exchange) mayRetry(ctx context.Context, last *refusal.Refusal, deadline time.Time) bool {
 	for !x.budget.TakeRetry() {
-		if last.Outcome != refusal.NotRun || time.Now().After(deadline) || ctx.Err() != nil {
+		if last.Outcome != refusal.NotRun || time.Now().After(deadline) || ctx.Err() != nil || x.callerLeft() {
 			return false
 		}
 		time.Sleep(budgetPollInterval)
--- a/internal/role/entry/shutdown_test.go
+++ b/internal/role/entry/shutdown_test.go
@@ -86,30 +86,42 @@
 	stopped chan struct{}
 }
 
+// service is a plain service behind the entry.
+var service = view.Target{ID: "t", Kind: view.TargetService, Service: "inventory"}
+
+// echo is an agent that returns the body of a request.
+func echo(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(header.RequestID, r.Header.Get(header.RequestID))
+	_, _ = io.Copy(w, r.Body)
+}
+
+// startAgent starts an agent and returns its address.
+func startAgent(t *testing.T, respond http.HandlerFunc) string {
+	t.Helper()
+	server := httptest.NewServer(respond)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
 // startEntry starts an entry with one service, which returns the body of a request.
 func startEntry(t *testing.T) *runningEntry {
 	t.Helper()
-	agent := func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set(header.RequestID, r.Header.Get(header.RequestID))
-		_, _ = io.Copy(w, r.Body)
-	}
-	return startEntryTo(t, agent, view.Target{ID: "t", Kind: view.TargetService, Service: "inventory"})
+	return startEntryTo(t, echo, service)
 }
 
 // startEntryTo starts an entry with the given targets, all at one agent.
-func startEntryTo(t *testing.T, agent http.HandlerFunc, targets ...view.Target) *runningEntry {
+func startEntryTo(t *testing.T, respond http.HandlerFunc, targets ...view.Target) *runningEntry {
 	t.Helper()
-	server := httptest.NewServer(agent)
-	t.Cleanup(server.Close)
-	return startEntryAt(t, server.Listener.Addr().String(), targets...)
+	return startEntryOn(t, listen(t), startAgent(t, respond), targets...)
 }
 
-// startEntryAt starts an entry with the given targets, whose agent is at an address.
-func startEntryAt(t *testing.T, address string, targets ...view.Target) *runningEntry {
+// startEntryOn starts an entry that serves the listener, with the given targets,
+// whose agent is at an address.
+func startEntryOn(t *testing.T, l net.Listener, agent string, targets ...view.Target) *runningEntry {
 	t.Helper()
 	keeper := &fakeKeeper{view: view.View{Version: 1, Newest: 1, Floor: 1, Targets: map[id.Target]view.Target{}}}
 	for _, target := range targets {
-		target.Address = address
+		target.Address = agent
 		target.Start, target.Slots, target.Phase, target.Changed = "1", 16, view.PhaseServing, 1
 		keeper.view.Targets[target.ID] = target
 	}
@@ -129,7 +141,6 @@
 		t.Fatal(err)
 	}
 	e.keepAlive = hangTimeout
-	l := listen(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	re := &runningEntry{Entry: e, keeper: keeper, address: l.Addr().String(), stop: cancel, stopped: make(chan struct{})}
 	go func() {
