soak, suspicion: show that a request that ends its engines is sent on without end

Requests that come again with the same path, body and prompt, and end each engine that runs them: after the header of the response, after four events, and on a plain route that may run once.

--- a/internal/site/suspicion/load_test.go
+++ b/internal/site/suspicion/load_test.go
@@ -32,6 +32,9 @@
 	// soundVerdicts are the verdicts on parts that end nothing.
 	soundVerdicts []quarantine.Verdict
 	steps         int
+	// sends and crashes are the times at which each deadly request was sent to an
+	// engine, and at which engines ended with it.
+	sends, crashes map[id.PromptPart][]time.Time
 }
 
 // engine is one incarnation of an engine.
@@ -48,6 +51,9 @@
 	beginsAt time.Time
 	begun    bool
 	again    bool
+	// name tells requests apart. A deadly one ends each engine that runs it.
+	name   id.PromptPart
+	deadly bool
 }
 
 const (
@@ -61,6 +67,7 @@
 
 func newLoad(seed uint64, guilty ...id.PromptPart) *load {
 	l := &load{random: rand.New(rand.NewPCG(seed, 1)), guilty: guilty, ends: map[id.PromptPart]int{}}
+	l.sends, l.crashes = map[id.PromptPart][]time.Time{}, map[id.PromptPart][]time.Time{}
 	for range loadEntries {
 		l.witnesses = append(l.witnesses, &witness.Witness{})
 	}
@@ -82,7 +89,7 @@
 func (l *load) send(r *promptRequest) {
 	for _, v := range l.verdicts {
 		if v.Matches(r.parts) {
-			if l.guiltyPart(r.parts) == "" {
+			if l.guiltyPart(r.parts) == "" && !r.deadly {
 				l.refusedSound++
 			}
 			return
@@ -101,6 +108,9 @@
 	e := up[l.random.IntN(len(up))]
 	r.beginsAt = now.Add(50*time.Millisecond + time.Duration(l.random.Int64N(int64(loadMaxBegin))))
 	e.running = append(e.running, r)
+	if r.deadly {
+		l.sends[r.name] = append(l.sends[r.name], now)
+	}
 }
 
 func (l *load) guiltyPart(parts []id.PromptPart) id.PromptPart {
@@ -144,6 +154,11 @@
 				l.end(e)
 				break
 			}
+			if r.deadly {
+				l.crashes[r.name] = append(l.crashes[r.name], now)
+				l.end(e)
+				break
+			}
 			r.begun = true
 			l.witnesses[r.entry].Begun(r.parts)
 		}
