site: shut out single requests that end each engine which runs them

Callers saw: a request that ends the engine which begins to run it comes again, with the same path, caller and body, at any entry; engine after engine ended, and the requests beside it were cut off.

Cause: nothing identified the request. Keepers counted ends by parts of prompts; the part that it shared with sound requests was suspected, dropped as responses began on it, and convicted at last, which shut out sound requests. Requests on plain routes, and ends after the second event, were not watched.

Change: a digest of method, host, path, query, organisation, prompt and body is reported, judged, agreed, tested and lifted like a part. Ends count for it until a response comes to its end, on plain routes and after events too; connections of callers that are cut off no longer hide an end. Three moments convict, four if it was served before. The request with most ends explains the ends of its engines: they count against no other request, and once against a part, since a part is to blame only if different requests end engines with it. An entry sends a request on after the first end at once, and to no further target after the second one that it knows of.

--- a/internal/command/explain/explain.go
+++ b/internal/command/explain/explain.go
@@ -41,10 +41,10 @@
 	"Process did not run": true,
 }
 
-// verdictLines are the messages that lead to a verdict on parts of prompts, or end
-// it. They may be much older than the request, and of any process.
+// verdictLines are the messages that lead to a verdict on parts of prompts, or on a
+// request, or end it. They may be much older than the request, and of any process.
 var verdictLines = map[string]bool{
-	"Target ended before the response began": true, "Parts of prompts are shut out": true,
+	"Target ended before the response began": true, "Target ended under the request": true, "Parts of prompts are shut out": true,
 	"Response began on a part of prompts that is shut out": true, "Verdicts are lifted by an operator": true,
 	"Request tests whether its parts still end targets": true,
 }
@@ -138,9 +138,9 @@
 	return out, s.Err()
 }
 
-// concerns reports whether the line names one of the parts.
+// concerns reports whether the line names one of the parts or digests.
 func (l logLine) concerns(parts map[string]bool) bool {
-	for _, name := range []string{"Parts", "Part", "Verdict"} {
+	for _, name := range []string{"Parts", "Part", "Digest", "Verdict"} {
 		for _, p := range l.list(name) {
 			if parts[p] {
 				return true
--- a/internal/command/explain/explain_test.go
+++ b/internal/command/explain/explain_test.go
@@ -24,6 +24,31 @@
 {"time":"2026-01-01T10:00:03.0Z","level":"INFO","msg":"Verdicts are lifted by an operator","Process":"k/Keeper","Part":"bad"}
 `
 
+const requestVerdictLogs = `{"time":"2026-01-01T09:00:00.0Z","level":"INFO","msg":"Target ended under the request","Process":"a/Entry","Request":"r1","Target":"t1","Digest":"request:1","Events":4}
+{"time":"2026-01-01T09:00:00.1Z","level":"INFO","msg":"Target ended under the request","Process":"b/Entry","Request":"r2","Target":"t1","Digest":"request:2","Events":4}
+{"time":"2026-01-01T09:00:01.0Z","level":"INFO","msg":"Target ended before the response began","Process":"b/Entry","Request":"r3","Target":"t1","Parts":["x"],"Digest":"request:1"}
+{"time":"2026-01-01T09:00:02.0Z","level":"INFO","msg":"Parts of prompts are shut out","Process":"k/Keeper","Parts":["request:1"],"Ends":3}
+{"time":"2026-01-01T10:00:02.0Z","level":"INFO","msg":"Request was not served","Process":"a/Entry","Request":"r9","Reason":"ShutOut","Verdict":["request:1"],"Parts":["x"]}
+`
+
+// TestFindLinesAddsEvidenceOnRequest checks the same of a verdict on one request.
+func TestFindLinesAddsEvidenceOnRequest(t *testing.T) {
+	lines, err := readLines(strings.NewReader(requestVerdictLogs))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, l := range findLines(lines, "r9") {
+		got = append(got, l.msg)
+	}
+	want := []string{
+		"Target ended under the request", "Target ended before the response began", "Parts of prompts are shut out", "Request was not served",
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // TestFindLinesAddsEvidence guards against a refusal by a verdict whose reason
 // lies too far back, or in another process, to be shown.
 func TestFindLinesAddsEvidence(t *testing.T) {
--- a/internal/measure/capacity/prompt_test.go
+++ b/internal/measure/capacity/prompt_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/request/digest"
 	"egretproxy/internal/request/prompt"
 	"egretproxy/internal/site/evidence"
 	"egretproxy/internal/site/quarantine"
@@ -38,6 +39,39 @@
 	}
 }
 
+// BenchmarkRequestDigest measures what the digest of a request adds at an entry:
+// computing it, matching verdicts and remembering the response.
+func BenchmarkRequestDigest(b *testing.B) {
+	for _, size := range []int{0, 1 << 10, 64 << 10, 4 << 20} {
+		b.Run(fmt.Sprintf("%d bytes", size), func(b *testing.B) {
+			var all []quarantine.Verdict
+			for i := range 64 {
+				all = append(all, quarantine.Verdict{Parts: []id.PromptPart{id.PromptPart(fmt.Sprintf("request:%032x", i))}})
+			}
+			var w witness.Witness
+			w.SetVerdicts(all)
+			r := digest.Request{
+				Method: "POST", Host: "host.example", URI: "/path/of/a/request?a=1", Organisation: "organisation",
+				Prompt: "5c1e07a2:800,91bd3f06:410,e4402b7d:250", Body: make([]byte, size),
+			}
+			n := byte(0)
+			for b.Loop() {
+				n++
+				if size > 0 {
+					r.Body[0] = n
+				}
+				marks := []id.PromptPart{"a", "b", r.Digest()}
+				for i := range all {
+					if all[i].Matches(marks) {
+						b.Fatal("matched")
+					}
+				}
+				w.RequestServed(marks[2])
+			}
+		})
+	}
+}
+
 // BenchmarkJudgeReport measures a keeper that gets a report of one end with the
 // parts of eight requests, and holds many ends.
 func BenchmarkJudgeReport(b *testing.B) {
--- a/internal/role/siteentry/quarantine.go
+++ b/internal/role/siteentry/quarantine.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -36,11 +37,11 @@
 	minVerdictRetryAfter = time.Second
 )
 
-// errShutOut means that the parts of the request's prompt end targets.
-var errShutOut = errors.New("requests with these parts of the prompt are shut out, since targets ended with them")
+// errShutOut means that the request, or parts of its prompt, end targets.
+var errShutOut = errors.New("the request, or parts of its prompt, are shut out, since targets ended with them")
 
 // errSuspect means that the request may have ended its target.
-var errSuspect = errors.New("parts of the prompt are suspected to have ended the target")
+var errSuspect = errors.New("the request, or parts of its prompt, are suspected to have ended the target")
 
 // Keepers passes evidence on to the keepers.
 type Keepers interface {
@@ -86,27 +87,26 @@
 	return out
 }
 
-// verdict returns the newest verdict that shuts the request out, or nil. A request
-// whose response began is not concerned, nor is the test of a verdict.
+// verdict returns the newest verdict that shuts the request out, or nil. A verdict on
+// parts does not concern a request whose response began, and none concerns its test.
 func (j *job) verdict() *siteclient.Verdict {
-	if j.tests || j.events() >= beginEvents {
+	if j.tests {
 		return nil
 	}
-	if all := j.matchingVerdicts(); len(all) > 0 {
-		return all[len(all)-1]
+	for _, v := range slices.Backward(j.matchingVerdicts()) {
+		if v.OnRequest() || j.events() < beginEvents {
+			return v
+		}
 	}
 	return nil
 }
 
 // matchingVerdicts returns all verdicts that match the request, oldest first.
 func (j *job) matchingVerdicts() []*siteclient.Verdict {
-	if len(j.parts) == 0 {
-		return nil
-	}
 	var out []*siteclient.Verdict
 	all := j.entry.Views.View().Quarantine
 	for i := range all {
-		if all[i].Matches(j.parts) {
+		if all[i].Matches(j.marks) {
 			out = append(out, &all[i])
 		}
 	}
@@ -149,13 +149,21 @@
 	return j.brokenBy != nil && !j.begun && len(j.parts) > 0 && endsExchange(j.brokenBy)
 }
 
-// recordBreak tells the witness that the target ended before the response began.
+// recordBreak tells the witness that the target ended under the request, if it did,
+// and with which parts before the response began.
 func (j *job) recordBreak(grant *dispatch.Grant) {
+	if j.brokenBy == nil || !endsExchange(j.brokenBy) {
+		return
+	}
+	j.entry.witness.RequestEnded(grant.Target, grant.Born, j.digest)
 	if !j.mayHaveEndedTarget() {
+		j.entry.DecisionLog.Record(notableKind, "Target ended under the request", "Request", j.id, "Target", grant.Target,
+			"Digest", j.digest, "Events", j.events())
 		return
 	}
 	j.entry.Metrics.Count("TargetEndedBeforeResponse")
-	j.entry.DecisionLog.Record(notableKind, "Target ended before the response began", "Request", j.id, "Target", grant.Target, "Parts", j.parts)
+	j.entry.DecisionLog.Record(notableKind, "Target ended before the response began", "Request", j.id, "Target", grant.Target,
+		"Parts", j.parts, "Digest", j.digest)
 	j.entry.witness.Ended(grant.Target, grant.Born, j.parts)
 }
 
@@ -187,8 +195,8 @@
 // awaitClearance waits until it is known whether the request may have ended its
 // target, and returns an error if it must not go to another one.
 func (j *job) awaitClearance(ctx context.Context) error {
-	if !j.mayHaveEndedTarget() {
-		return nil
+	if err := j.suspectRequest(); err != nil || !j.mayHaveEndedTarget() {
+		return err
 	}
 	if j.tests {
 		return errSuspect
--- a/internal/role/siteentry/request.go
+++ b/internal/role/siteentry/request.go
@@ -59,8 +59,12 @@
 	outlived bool
 	// parts are the parts of the prompt that other requests may share.
 	parts []id.PromptPart
-	// tests is set if the request tests a verdict on its parts, shutOutBy is the
-	// verdict that shuts it out.
+	// digest identifies the request among attempts. marks are the parts and the
+	// digest, which verdicts match.
+	digest id.PromptPart
+	marks  []id.PromptPart
+	// tests is set if the request tests a verdict that matches it, shutOutBy is
+	// the verdict that shuts it out.
 	tests     bool
 	shutOutBy *siteclient.Verdict
 	// begun is set once the response of the latest attempt has begun. brokenBy is
@@ -136,7 +140,11 @@
 		return false
 	}
 	j.schedule()
-	return j.readBody(p.Limits.BodyBytes)
+	if !j.readBody(p.Limits.BodyBytes) {
+		return false
+	}
+	j.identifyRequest()
+	return true
 }
 
 // confirmed reports whether a quorum has confirmed the plan recently enough
--- /dev/null
+++ b/internal/role/siteentry/requestdigest.go
@@ -0,0 +1,43 @@
+package siteentry
+
+import (
+	"slices"
+
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/request/digest"
+)
+
+// suspectEnds is the number of moments at which targets ended under a request, as far
+// as this entry knows, from which the request goes to no further target by itself. At
+// one end, most requests were only beside the one to blame.
+const suspectEnds = 2
+
+// identifyRequest computes the digest of the request.
+func (j *job) identifyRequest() {
+	r := digest.Request{
+		Method: j.r.Method, Host: hostOf(j.r.Host), URI: j.r.RequestURI, Prompt: j.r.Header.Get(j.entry.Settings.Headers.Prompt), Body: j.body,
+	}
+	if j.tenant != nil {
+		r.Organisation = j.tenant.Name
+	}
+	j.digest = r.Digest()
+	j.marks = append(slices.Clip(j.parts), j.digest)
+}
+
+// suspectRequest returns an error if the target of the latest attempt ended under the
+// request and others did before, so that it must not go to another one.
+func (j *job) suspectRequest() error {
+	if j.brokenBy == nil || !endsExchange(j.brokenBy) {
+		return nil
+	}
+	for _, v := range j.matchingVerdicts() {
+		if v.OnRequest() {
+			j.shutOutBy = v
+			return errShutOut
+		}
+	}
+	if w := &j.entry.witness; w.RequestEnds(j.digest) >= suspectEnds || w.Suspected([]id.PromptPart{j.digest}) {
+		return errSuspect
+	}
+	return nil
+}
--- a/internal/role/siteentry/run.go
+++ b/internal/role/siteentry/run.go
@@ -96,6 +96,7 @@
 	outcome = dispatch.Cancelled
 	returned := false
 	defer func() {
+		j.recordBreak(grant)
 		if grant.End(outcome) {
 			j.entry.Metrics.CountReason("TargetEjected", outcomeNames[outcome])
 			j.entry.DecisionLog.Record(failureKind, "Target is left out for a while", "Target", grant.Target, "Reason", outcomeNames[outcome])
@@ -108,7 +109,9 @@
 	j.begun, j.brokenBy = false, nil
 	next, outcome, sent = j.attempt(ctx, grant)
 	returned = true
-	j.recordBreak(grant)
+	if outcome == dispatch.Served {
+		j.entry.witness.RequestServed(j.digest)
+	}
 	return next, outcome, sent
 }
 
--- a/internal/site/evidence/evidence.go
+++ b/internal/site/evidence/evidence.go
@@ -1,5 +1,5 @@
-// Package evidence defines the messages about parts of prompts between entries,
-// which see engines end, and keepers.
+// Package evidence defines the messages about parts of prompts, and about whole
+// requests, between entries, which see engines end, and keepers.
 package evidence
 
 import "egretproxy/internal/fleet/id"
@@ -23,25 +23,31 @@
 // Empty reports whether the report says nothing.
 func (r *Report) Empty() bool { return len(r.Ends) == 0 && len(r.Begun) == 0 }
 
-// End says that exchanges with a target broke off before their responses began.
+// End says that exchanges with a target broke off.
 type End struct {
 	Target id.Target
 	// Born is the start time of the incarnation in Unix milliseconds.
 	Born int64
-	// Fresh are the parts of these requests on which the entry has seen no
-	// response begin yet, Known the others.
+	// Fresh are the parts of the requests whose responses had not begun, on which
+	// the entry has seen no response begin yet, Known the others.
 	Fresh []id.PromptPart `json:",omitempty"`
 	Known []id.PromptPart `json:",omitempty"`
+	// Requests are the digests of the requests at the target whose responses had
+	// not come to their end, whether they had begun or not. Served are those of them
+	// to which the entry has seen a whole response before.
+	Requests []id.PromptPart `json:",omitempty"`
+	Served   []id.PromptPart `json:",omitempty"`
 }
 
-// Begun says that a response began on a part some time ago.
+// Begun says that a response began on a part some time ago, or that the response to
+// the request with this digest came to its end.
 type Begun struct {
 	Part  id.PromptPart
 	AgeMs int64
 }
 
-// Suspect is a part with which targets have ended, and no response has begun
-// since the first of them.
+// Suspect is a part with which targets have ended, and no response has begun since
+// the first of them; or the digest of a request, and no response has come to its end.
 type Suspect struct {
 	Part id.PromptPart
 	// AgeMs is the time since the first of these ends in milliseconds.
--- a/internal/site/quarantine/quarantine.go
+++ b/internal/site/quarantine/quarantine.go
@@ -1,5 +1,6 @@
-// Package quarantine holds the verdicts on parts of prompts that end engines. The
-// keepers agree on them, and entries refuse the requests that they match.
+// Package quarantine holds the verdicts on parts of prompts, and on single requests,
+// that end engines. The keepers agree on them, and entries refuse the requests that
+// they match.
 package quarantine
 
 import (
@@ -8,6 +9,7 @@
 	"time"
 
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/request/digest"
 )
 
 // testIntervals is the time from a verdict to its first test, and between
@@ -15,10 +17,19 @@
 // become rare while the part keeps ending engines.
 var testIntervals = [...]time.Duration{2 * time.Second, 10 * time.Second, time.Minute, time.Hour}
 
+// requestTestIntervals are those for a verdict on one request. Such a request is not
+// missed, and may cost three engines once it is known, so that it gets two tests in
+// the first day.
+var requestTestIntervals = [...]time.Duration{time.Minute, 10 * time.Minute, RequestLifetime}
+
+// RequestLifetime is how long after its last change a verdict on one request may be
+// dropped.
+const RequestLifetime = 24 * time.Hour
+
 // Verdict shuts out the requests whose prompts have all of its parts. There is
 // more than one part only if they came together each time, so that nothing tells
 // which of them ends engines. Requests that have only some of them go on, and
-// show it.
+// show it. A verdict on one request has its digest as the only part.
 type Verdict struct {
 	// Parts is sorted and not empty.
 	Parts []id.PromptPart
@@ -57,6 +68,9 @@
 	return true
 }
 
+// OnRequest reports whether the verdict is on one request.
+func (v *Verdict) OnRequest() bool { return len(v.Parts) == 1 && digest.IsDigest(v.Parts[0]) }
+
 // Without returns the verdict without a part that was found to be harmless.
 func (v *Verdict) Without(p id.PromptPart) Verdict {
 	out := *v
@@ -66,6 +80,9 @@
 
 // TestInterval returns how long after ChangedMs the next test is due.
 func (v *Verdict) TestInterval() time.Duration {
+	if v.OnRequest() {
+		return requestTestIntervals[min(v.Tests, len(requestTestIntervals)-1)]
+	}
 	return testIntervals[min(v.Tests, len(testIntervals)-1)]
 }
 
--- a/internal/site/sitestate/quarantine.go
+++ b/internal/site/sitestate/quarantine.go
@@ -8,8 +8,10 @@
 	"egretproxy/internal/site/quarantine"
 )
 
-// maxVerdicts limits the verdicts. A further one replaces the oldest.
-const maxVerdicts = 64
+// maxVerdicts limits the verdicts on parts of prompts, and maxRequestVerdicts those on
+// single requests. A further one replaces the oldest of its kind, so that requests
+// that come in numbers can't push out the verdicts on parts.
+const maxVerdicts, maxRequestVerdicts = 64, 64
 
 // QuarantineChange changes the verdicts. Exactly one of its fields is set.
 type QuarantineChange struct {
@@ -50,11 +52,34 @@
 		return false
 	}
 	out := slices.DeleteFunc(slices.Clone(s.Quarantine), func(old quarantine.Verdict) bool { return v.Matches(old.Parts) })
-	out = append(out, v)
-	s.Quarantine = out[max(0, len(out)-maxVerdicts):]
+	out = dropExpired(out, v.ChangedMs)
+	limit := maxVerdicts
+	if v.OnRequest() {
+		limit = maxRequestVerdicts
+	}
+	sameKind := func(old quarantine.Verdict) bool { return old.OnRequest() == v.OnRequest() }
+	n := 0
+	for _, old := range out {
+		if sameKind(old) {
+			n++
+		}
+	}
+	for ; n >= limit; n-- {
+		i := slices.IndexFunc(out, sameKind)
+		out = slices.Delete(out, i, i+1)
+	}
+	s.Quarantine = append(out, v)
 	return true
 }
 
+// dropExpired drops the verdicts on requests that have long not been tested: the
+// request would have been the test if it had come. It may change the slice.
+func dropExpired(verdicts []quarantine.Verdict, nowMs int64) []quarantine.Verdict {
+	return slices.DeleteFunc(verdicts, func(v quarantine.Verdict) bool {
+		return v.OnRequest() && nowMs-v.ChangedMs > quarantine.RequestLifetime.Milliseconds()
+	})
+}
+
 func (s *State) removePart(p id.PromptPart) bool {
 	var out []quarantine.Verdict
 	changed := false
--- a/internal/site/suspicion/suspicion.go
+++ b/internal/site/suspicion/suspicion.go
@@ -1,10 +1,11 @@
-// Package suspicion finds the parts of prompts that end engines from what all
-// entries report.
+// Package suspicion finds the parts of prompts, and the requests, that end engines from
+// what all entries report.
 //
 // When an engine ends, every request at it whose response had not begun is a
 // suspect, and so is each part of their prompts. Engines also end for other
 // reasons. What tells a guilty part is that engines end with it again and again
-// while no response ever begins on it.
+// while no response ever begins on it. What tells a guilty request that comes again is
+// that engines end under it while no response to it comes to its end.
 package suspicion
 
 import (
@@ -15,9 +16,8 @@
 	"sync"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/request/digest"
 	"egretproxy/internal/site/evidence"
 	"egretproxy/internal/site/quarantine"
 )
@@ -59,8 +59,8 @@
 	// moments numbers the moments; momentAt is the start of the last one.
 	moments  int
 	momentAt time.Time
-	// suspects holds the time since which each part is a suspect, announced those
-	// of which entries are told, the gravest first.
+	// suspects holds the time since which each part or request is a suspect,
+	// announced those of which entries are told, requests first, the gravest first.
 	suspects  map[id.PromptPart]time.Time
 	announced []*suspicion
 	// accused holds the parts of the verdicts in force at the last look.
@@ -71,11 +71,12 @@
 	loggedAt          time.Time
 }
 
-// part is what is known of one part.
+// part is what is known of one part, or of one request.
 type part struct {
 	// ends is sorted by time and never empty.
 	ends []*end
-	// begunAt is when a response last began on the part.
+	// begunAt is when a response last began on the part, or one to the request came
+	// to its end.
 	begunAt time.Time
 	// known is set if a response was seen to begin on the part before an end.
 	known bool
@@ -90,8 +91,10 @@
 	parts  map[id.PromptPart]bool
 	// number tells ends apart.
 	number int
-	// explained holds the verdicts that explain the end, at the last look.
+	// explained holds the verdicts on parts that explain the end, cause the request
+	// that does, at the last look.
 	explained []quarantine.Verdict
+	cause     id.PromptPart
 }
 
 // suspicion is what counts against one part.
@@ -99,7 +102,7 @@
 	part id.PromptPart
 	// moments is the number of moments at which engines ended with the part, of
 	// that at which engines ended since the first of them. Ends that verdicts on
-	// other parts explain do not count.
+	// other parts explain do not count, those that a request explains count once.
 	moments, of int
 	// ends is the number of these engines, since the time of the first end.
 	ends  int
@@ -180,6 +183,11 @@
 			p.known = true
 		}
 	}
+	for _, k := range in.Requests {
+		if p := j.addPart(j.ends[i], k); p != nil && slices.Contains(in.Served, k) {
+			p.known = true
+		}
+	}
 }
 
 // addPart adds a part to an end and returns what is known of it, or nil if the end
@@ -224,20 +232,17 @@
 	j.ends = slices.Delete(j.ends, 0, n)
 }
 
-// suspicions returns what counts against each part with which targets ended at
-// several moments, the gravest first. Ends that a verdict on other parts explains
-// do not count. The caller holds mu.
+// suspicions returns what counts against each request and each part with which targets
+// ended at several moments, requests first, and the gravest first. The caller holds mu.
 func (j *Judge) suspicions(inForce []quarantine.Verdict) []*suspicion {
-	var unexplained []int
 	for _, e := range j.ends {
-		e.explained = explanations(e, inForce)
-		if n := len(unexplained); len(e.explained) == 0 && (n == 0 || unexplained[n-1] != e.moment) {
-			unexplained = append(unexplained, e.moment)
-		}
+		e.explain(inForce)
 	}
-	var out []*suspicion
+	out := j.suspectRequests(inForce)
+	unexplained := j.unexplained()
+	var parts []*suspicion
 	for k, p := range j.parts {
-		if len(p.ends) < suspectMoments {
+		if len(p.ends) < suspectMoments || digest.IsDigest(k) {
 			continue
 		}
 		s := p.suspicion(k)
@@ -246,22 +251,53 @@
 		}
 		from, _ := slices.BinarySearch(unexplained, s.first)
 		s.of = max(len(unexplained)-from, s.moments)
-		out = append(out, s)
+		parts = append(parts, s)
+	}
+	slices.SortFunc(parts, byGravity)
+	return append(out, parts...)
+}
+
+// byGravity sorts the gravest first, and those with the same ends together.
+func byGravity(a, b *suspicion) int {
+	return cmp.Or(cmp.Compare(b.moments, a.moments), cmp.Compare(b.ends, a.ends), bytes.Compare(a.members, b.members), cmp.Compare(a.part, b.part))
+}
+
+// unexplained returns the moments of the ends that no verdict on parts explains. Those
+// that a request explains count once. The caller holds mu.
+func (j *Judge) unexplained() []int {
+	var out []int
+	seen := map[id.PromptPart]bool{}
+	for _, e := range j.ends {
+		if len(e.explained) > 0 || seen[e.cause] {
+			continue
+		}
+		if e.cause != "" {
+			seen[e.cause] = true
+		}
+		if n := len(out); n == 0 || out[n-1] != e.moment {
+			out = append(out, e.moment)
+		}
 	}
-	slices.SortFunc(out, func(a, b *suspicion) int {
-		return cmp.Or(cmp.Compare(b.moments, a.moments), cmp.Compare(b.ends, a.ends), cmp.Compare(a.part, b.part))
-	})
 	return out
 }
 
-// suspicion returns what counts against the part.
+// suspicion returns what counts against the part, or the request. A part is to blame
+// only if several requests end engines with it, so that the ends which one request
+// explains count once.
 func (p *part) suspicion(k id.PromptPart) *suspicion {
 	s := &suspicion{part: k, known: p.known}
 	last := -1
+	seen := map[id.PromptPart]bool{}
 	for _, e := range p.ends {
 		if !e.at.After(p.begunAt) || explainedByOthers(k, e.explained) {
 			continue
 		}
+		if e.cause != "" && e.cause != k {
+			if seen[e.cause] || digest.IsDigest(k) {
+				continue
+			}
+			seen[e.cause] = true
+		}
 		if s.ends++; s.ends == 1 {
 			s.since, s.first = e.at, e.moment
 		}
@@ -274,15 +310,18 @@
 	return s
 }
 
-// explanations returns the verdicts that explain an end.
-func explanations(e *end, inForce []quarantine.Verdict) []quarantine.Verdict {
-	var out []quarantine.Verdict
+// explain finds the verdicts that explain the end.
+func (e *end) explain(inForce []quarantine.Verdict) {
+	e.explained, e.cause = nil, ""
 	for _, v := range inForce {
-		if !slices.ContainsFunc(v.Parts, func(p id.PromptPart) bool { return !e.parts[p] }) {
-			out = append(out, v)
+		switch {
+		case slices.ContainsFunc(v.Parts, func(p id.PromptPart) bool { return !e.parts[p] }):
+		case v.OnRequest():
+			e.cause = v.Parts[0]
+		default:
+			e.explained = append(e.explained, v)
 		}
 	}
-	return out
 }
 
 // explainedByOthers reports whether one of the verdicts does not concern p.
@@ -290,66 +329,9 @@
 	return slices.ContainsFunc(explaining, func(v quarantine.Verdict) bool { return !slices.Contains(v.Parts, p) })
 }
 
-// updateSuspects takes over the suspects and wakes waiters if there are others than
-// before. The caller holds mu.
-func (j *Judge) updateSuspects(now time.Time, found []*suspicion) {
-	old := j.suspects
-	j.suspects = map[id.PromptPart]time.Time{}
-	changed := len(found) != len(old)
-	for _, s := range found {
-		since, known := old[s.part]
-		if !known {
-			since, changed = now, true
-		}
-		j.suspects[s.part] = since
-	}
-	if !changed {
-		return
-	}
-	j.announced = found[:min(len(found), maxSuspects)]
-	if now.Sub(j.loggedAt) >= logInterval {
-		j.loggedAt = now
-		klog.InfoS("Parts of prompts that are suspected to end targets have changed", "Suspects", len(found), "Ends", len(j.ends))
-	}
-	j.position++
-	if j.changed != nil {
-		close(j.changed)
-		j.changed = nil
-	}
-}
-
-// Suspects returns the suspects, those with most ends first, and the position of
-// this answer.
-func (j *Judge) Suspects() ([]evidence.Suspect, uint64) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	var out []evidence.Suspect
-	for _, s := range j.announced {
-		out = append(out, evidence.Suspect{Part: s.part, AgeMs: time.Since(s.since).Milliseconds()})
-	}
-	return out, j.position
-}
-
-// Position returns the position of the suspects.
-func (j *Judge) Position() uint64 {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return j.position
-}
-
-// Changed returns a channel that is closed when the suspects change.
-func (j *Judge) Changed() <-chan struct{} {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if j.changed == nil {
-		j.changed = make(chan struct{})
-	}
-	return j.changed
-}
-
 // Verdict returns the verdict that is due beside those in force, if any, and
 // otherwise whether one may become due without further reports. Parts that came
-// together each time are convicted together.
+// together each time are convicted together, requests alone.
 func (j *Judge) Verdict(inForce []quarantine.Verdict) (due *quarantine.Verdict, pending bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -362,7 +344,7 @@
 			continue
 		}
 		v := quarantine.Verdict{Ends: s.ends, ChangedMs: now.UnixMilli()}
-		for _, other := range all {
+		for _, other := range s.candidates(all) {
 			if bytes.Equal(other.members, s.members) && other.convicts() {
 				v.Parts = append(v.Parts, other.part)
 			}
@@ -382,6 +364,9 @@
 
 // convicts reports whether the suspicion suffices for a verdict.
 func (s *suspicion) convicts() bool {
+	if digest.IsDigest(s.part) {
+		return s.moments >= servedMoments || !s.known && s.moments >= requestMoments
+	}
 	quick := !s.known && float64(s.moments) >= quickShare*float64(s.of)
 	return s.moments >= enoughMoments || quick && s.moments >= quickMoments
 }
--- a/internal/site/witness/witness.go
+++ b/internal/site/witness/witness.go
@@ -1,14 +1,14 @@
-// Package witness collects what an entry learns about the parts of prompts: the
-// responses that began on them, and the targets that ended before.
+// Package witness collects what an entry learns about the parts of prompts, and about
+// whole requests: the responses that began on them, and the targets that ended before.
 package witness
 
 import (
-	"container/list"
 	"slices"
 	"sync"
 	"time"
 
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/request/digest"
 	"egretproxy/internal/site/evidence"
 	"egretproxy/internal/site/quarantine"
 )
@@ -24,10 +24,10 @@
 // value is empty.
 type Witness struct {
 	mu sync.Mutex
-	// begun holds the parts on which responses began, in recent, which is sorted
-	// by use, the latest first.
-	begun  map[id.PromptPart]*list.Element
-	recent list.List
+	// parts holds the parts on which responses began, requests the digests of the
+	// requests whose responses came to their end, ended those of the requests under
+	// which targets ended since.
+	parts, requests, ended memory
 	// suspects holds the time of the first end with each suspect.
 	suspects map[id.PromptPart]time.Time
 	accused  map[id.PromptPart]bool
@@ -37,12 +37,6 @@
 	changed chan struct{}
 }
 
-// memory is when a response last began on a part.
-type memory struct {
-	part id.PromptPart
-	at   time.Time
-}
-
 // Begun records that a response began on the parts.
 func (w *Witness) Begun(parts []id.PromptPart) {
 	if len(parts) == 0 {
@@ -52,29 +46,18 @@
 	defer w.mu.Unlock()
 	now := time.Now()
 	for _, p := range parts {
-		w.remember(p, now)
-		since, suspect := w.suspects[p]
-		if suspect && now.After(since) || w.accused[p] {
+		w.parts.use(p, maxParts).at = now
+		if w.isOfInterest(p, now) {
 			w.addBegun(p, 0)
 		}
 	}
 }
 
-func (w *Witness) remember(p id.PromptPart, now time.Time) {
-	if w.begun == nil {
-		w.begun = map[id.PromptPart]*list.Element{}
-	}
-	if e, ok := w.begun[p]; ok {
-		e.Value = memory{p, now}
-		w.recent.MoveToFront(e)
-		return
-	}
-	w.begun[p] = w.recent.PushFront(memory{p, now})
-	if len(w.begun) > maxParts {
-		oldest := w.recent.Back()
-		delete(w.begun, oldest.Value.(memory).part)
-		w.recent.Remove(oldest)
-	}
+// isOfInterest reports whether keepers want to know of a response on p. The caller
+// holds mu.
+func (w *Witness) isOfInterest(p id.PromptPart, now time.Time) bool {
+	since, suspect := w.suspects[p]
+	return suspect && now.After(since) || w.accused[p]
 }
 
 // addBegun adds to the report. The caller holds mu.
@@ -91,7 +74,7 @@
 func (w *Witness) Known(parts []id.PromptPart) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return !slices.ContainsFunc(parts, func(p id.PromptPart) bool { return w.begun[p] == nil })
+	return !slices.ContainsFunc(parts, func(p id.PromptPart) bool { return w.parts.get(p) == nil })
 }
 
 // Suspected reports whether one of the parts is a suspect on which no response
@@ -106,8 +89,16 @@
 }
 
 func (w *Witness) begunSince(p id.PromptPart, since time.Time) bool {
-	e := w.begun[p]
-	return e != nil && e.Value.(memory).at.After(since)
+	r := w.begun(p)
+	return r != nil && r.at.After(since)
+}
+
+// begun returns the record of the last response on p, or nil.
+func (w *Witness) begun(p id.PromptPart) *record {
+	if digest.IsDigest(p) {
+		return w.requests.get(p)
+	}
+	return w.parts.get(p)
 }
 
 // Ended records that a target ended before the response to a request with the
@@ -118,19 +109,16 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	same := func(e evidence.End) bool { return e.Target == target && e.Born == born }
-	i := slices.IndexFunc(w.pending.Ends, same)
-	if i < 0 {
-		i = len(w.pending.Ends)
-		w.pending.Ends = append(w.pending.Ends, evidence.End{Target: target, Born: born})
+	e := w.pendingEnd(target, born)
+	if e == nil {
+		return
 	}
-	e := &w.pending.Ends[i]
 	for _, p := range parts {
 		if w.size >= maxPartsPerReport || slices.Contains(e.Fresh, p) || slices.Contains(e.Known, p) {
 			continue
 		}
 		w.size++
-		if w.begun[p] == nil {
+		if w.parts.get(p) == nil {
 			e.Fresh = append(e.Fresh, p)
 		} else {
 			e.Known = append(e.Known, p)
@@ -139,6 +127,21 @@
 	w.notify()
 }
 
+// pendingEnd returns the end of the incarnation in the report, or nil if the report is
+// full. The caller holds mu.
+func (w *Witness) pendingEnd(target id.Target, born int64) *evidence.End {
+	same := func(e evidence.End) bool { return e.Target == target && e.Born == born }
+	i := slices.IndexFunc(w.pending.Ends, same)
+	if i < 0 && w.size >= maxPartsPerReport {
+		return nil
+	}
+	if i < 0 {
+		i = len(w.pending.Ends)
+		w.pending.Ends = append(w.pending.Ends, evidence.End{Target: target, Born: born})
+	}
+	return &w.pending.Ends[i]
+}
+
 // SetSuspects replaces the suspects and reports the responses that began on them
 // after the first end.
 func (w *Witness) SetSuspects(suspects map[id.PromptPart]time.Time) {
@@ -146,7 +149,7 @@
 	defer w.mu.Unlock()
 	for p, since := range suspects {
 		if w.begunSince(p, since) {
-			w.addBegun(p, time.Since(w.begun[p].Value.(memory).at))
+			w.addBegun(p, time.Since(w.begun(p).at))
 		}
 	}
 	w.suspects = suspects
