siteentry: let two tests of ages bear a busy machine

A test that waits for the line about a suspension hung if the entry had not made its first check by then; one compared a time by the system's clock ticks with a bound without their precision. Neither failed in a run; both were seen in review. The bounds are otherwise as before.

--- a/internal/role/siteentry/age_test.go
+++ b/internal/role/siteentry/age_test.go
@@ -119,7 +119,7 @@
 	if age, took, sent := ms("AgeMs"), ms("TookMs"), ms("SentMsAgo"); age < suspended || took >= suspended || sent < suspended {
 		t.Errorf("age %v, took %v, sent %v ago, suspended %v", age, took, sent, suspended)
 	}
-	if arrived, ended := ms("ArrivedMsAgo"), ms("EndedMsAgo"); arrived < apart || arrived-ended < apart/2 {
+	if arrived, ended := ms("ArrivedMsAgo"), ms("EndedMsAgo"); arrived < apart-arrivalResolution || arrived-ended < apart/2 {
 		t.Errorf("arrived %v ago, ended %v ago, sent %v apart", arrived, ended, apart)
 	}
 	ms("Unread")
--- a/internal/role/siteentry/standstill_test.go
+++ b/internal/role/siteentry/standstill_test.go
@@ -35,11 +35,10 @@
 	clock := bootClock{began: time.Now()}
 	te.entry.bootNow = clock.now
 	te.listenFor(t, unwrapped)
-	time.Sleep(2 * standstillTick)
-	clock.suspend(time.Hour)
 	var line map[string]any
 	for line == nil {
-		time.Sleep(time.Millisecond)
+		clock.suspend(time.Hour)
+		time.Sleep(standstillTick)
 		line = logged.find("Process did not run")
 	}
 	if ms, ok := line["SuspendedMs"].(float64); !ok || ms < float64(time.Hour.Milliseconds())/2 {
