entry: hold back requests under which targets end

Callers saw: a request to the product's own entry that ends each target which runs it was sent to one target after the other, up to 6 times, and again each time that it came: 15 targets in five calls.

Cause: the entry remembers nothing of a request once it is over.

Change: the memory of ends that the site's entries have moves to internal/request/ends, and the product's entry keeps one, by the same digest. After two ends a request goes to no further target; after three, one is sent in a minute, then in ten, until 30 minutes pass without one. A whole response clears it. The entry refuses with 503 EndsTargets, not run. Entries don't tell each other.

An end counts as another moment also if the request was sent to the target after the one before had ended.

--- /dev/null
+++ b/internal/request/ends/ends_test.go
@@ -0,0 +1,88 @@
+package ends
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"egretproxy/internal/fleet/id"
+)
+
+// TestMomentsCountOnce checks that the targets which a failure domain loses count as
+// one end of a request that was at several, and that ends are forgotten.
+func TestMomentsCountOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var m Memory
+		const request = "request:1"
+		sentAt := time.Now()
+		for n := range 20 {
+			m.Ended(request, id.Target(fmt.Sprint("t", n)), 1, sentAt)
+			if got := m.Count(request); got != 1 {
+				t.Errorf("%d moments after %d ends at once", got, n+1)
+			}
+		}
+		time.Sleep(momentLength)
+		m.Ended(request, "t20", 1, sentAt)
+		time.Sleep(momentLength)
+		m.Ended(request, "t20", 1, sentAt)
+		if got := m.Count(request); got != 2 {
+			t.Errorf("%d moments", got)
+		}
+		time.Sleep(time.Millisecond)
+		sentAt = time.Now()
+		time.Sleep(time.Millisecond)
+		m.Ended(request, "t21", 1, sentAt)
+		if got := m.Count(request); got != 3 {
+			t.Errorf("%d moments after an end of a repeat", got)
+		}
+		time.Sleep(retention + time.Second)
+		if got := m.Count(request); got != 0 {
+			t.Errorf("%d moments after a long time", got)
+		}
+		m.Ended(request, "t4", 1, sentAt)
+		if got := m.Count(request); got != 1 {
+			t.Errorf("%d moments after the next", got)
+		}
+	})
+}
+
+// TestGuiltyRequestPauses checks that one request in each pause is sent, and that a
+// whole response ends the pauses.
+func TestGuiltyRequestPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var m Memory
+		const request = "request:1"
+		sent := 0
+		var at []time.Duration
+		for began := time.Now(); time.Since(began) < time.Hour; time.Sleep(time.Second) {
+			if m.Pause(request) > 0 {
+				continue
+			}
+			sent++
+			at = append(at, time.Since(began))
+			m.Ended(request, id.Target(fmt.Sprint("t", sent)), 1, time.Now())
+		}
+		if sent != 3+1+5 || at[3]-at[2] != firstPause || at[4]-at[3] != laterPause {
+			t.Errorf("sent %d times: %v", sent, at)
+		}
+		time.Sleep(laterPause)
+		if m.Pause(request) > 0 || m.Pause(request) == 0 {
+			t.Error("not exactly one of two was sent")
+		}
+		if !m.Served(request) || m.Pause(request) > 0 || m.Served(request) {
+			t.Error("a whole response does not clear the request")
+		}
+	})
+}
+
+// TestMemoryIsBounded guards against requests without end.
+func TestMemoryIsBounded(t *testing.T) {
+	var m Memory
+	for n := range 3 * maxRequests {
+		m.Ended(id.PromptPart(fmt.Sprint(n)), "t", 1, time.Now())
+	}
+	if m.recent.Len() != maxRequests {
+		t.Errorf("%d requests", m.recent.Len())
+	}
+}
--- a/internal/request/refusal/refusal.go
+++ b/internal/request/refusal/refusal.go
@@ -53,6 +53,7 @@
 	AnswerCrossed       Reason = "AnswerCrossed"
 	VersionChanged      Reason = "VersionChanged"
 	CallerGone          Reason = "CallerGone"
+	EndsTargets         Reason = "EndsTargets"
 )
 
 // Reasons given by agents.
--- a/internal/role/entry/dispatch.go
+++ b/internal/role/entry/dispatch.go
@@ -116,7 +116,9 @@
 		return attemptResult{refusal: refusal.Unavailable(refusal.AgentUnreachable, "target can't be reached", minRetryAfter)}
 	}
 	x.mayHaveRun = true
-	return x.outcomeUnknown(refusal.AgentUnreachable, "target's agent gave no answer: "+err.Error())
+	result := x.outcomeUnknown(refusal.AgentUnreachable, "target's agent gave no answer: "+err.Error())
+	result.ended = !unresponsive
+	return result
 }
 
 // outcomeUnknown ends an attempt whose outcome is unknown. Only requests that
@@ -134,7 +136,9 @@
 	g.Failed()
 	x.exclude(g.Target.ID)
 	x.mayHaveRun = true
-	return x.outcomeUnknown(ref.Reason, ref.Message)
+	result := x.outcomeUnknown(ref.Reason, ref.Message)
+	result.ended = ref.Reason == refusal.TargetFailed
+	return result
 }
 
 // notContinued handles an answer that does not continue the stream of which the
@@ -167,6 +171,10 @@
 	return attemptResult{}
 }
 
+// errNoEndMarker means that a stream ended, with its connection in order, before its
+// end marker. That is no sign that the target ended.
+var errNoEndMarker = errors.Wrap(io.ErrUnexpectedEOF, "no end marker")
+
 func (x *exchange) responseFailed(ctx context.Context, g *targetpool.Grant, err error) attemptResult {
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errAgentUnresponsive) {
 		g.Cancelled()
@@ -174,7 +182,9 @@
 	}
 	g.Failed()
 	x.exclude(g.Target.ID)
-	return x.outcomeUnknown(refusal.AnswerBroken, "answer broke off: "+err.Error())
+	result := x.outcomeUnknown(refusal.AnswerBroken, "answer broke off: "+err.Error())
+	result.ended = err != errNoEndMarker && !errors.Is(context.Cause(ctx), errAgentUnresponsive)
+	return result
 }
 
 // forwardStream forwards events as they arrive. An interrupted stream is
@@ -199,7 +209,7 @@
 			}
 		}
 		if err == io.EOF && !inspector.Complete() {
-			err = io.ErrUnexpectedEOF
+			err = errNoEndMarker
 		}
 		if err != nil && inspector.Complete() {
 			// The caller has the end marker, however the connection ended.
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -24,6 +24,7 @@
 	"egretproxy/internal/kernel/httpserver"
 	"egretproxy/internal/kernel/metrics"
 	"egretproxy/internal/kernel/process"
+	"egretproxy/internal/request/ends"
 	"egretproxy/internal/request/organisation"
 	"egretproxy/internal/request/refusal"
 	"egretproxy/internal/request/retrybudget"
@@ -74,6 +75,8 @@
 	watchdog  *watchdog
 	// keepAlive is announced to callers.
 	keepAlive time.Duration
+	// ends remembers the requests under which targets ended.
+	ends ends.Memory
 	// background counts claims that are settled or released after the response.
 	background sync.WaitGroup
 
--- a/internal/role/entry/exchange.go
+++ b/internal/role/entry/exchange.go
@@ -9,6 +9,7 @@
 	"egretproxy/internal/admission/targetpool"
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/kernel/httpserver"
+	"egretproxy/internal/request/digest"
 	"egretproxy/internal/request/refusal"
 	"egretproxy/internal/target/stream"
 	"egretproxy/internal/wire/header"
@@ -33,6 +34,8 @@
 	// atMostOnce is set if the request must not be repeated.
 	atMostOnce bool
 	claim      *claim
+	// digest identifies the request among attempts of callers.
+	digest id.PromptPart
 
 	attemptCount int
 	// mayHaveRun is set once an earlier attempt may have reached its target.
@@ -48,10 +51,13 @@
 	refusal *refusal.Refusal
 	// final is set if no further attempt can help.
 	final bool
+	// ended is set if the target, or its agent, ended under the request.
+	ended bool
 }
 
 func (e *Entry) newExchange(w http.ResponseWriter, r *http.Request, req *admittedRequest) *exchange {
-	x := &exchange{Entry: e, r: r, admitted: req}
+	d := digest.Request{Method: r.Method, Host: r.Host, URI: r.URL.RequestURI(), Organisation: req.organisation, Body: req.body}
+	x := &exchange{Entry: e, r: r, admitted: req, digest: d.Digest()}
 	x.reply = reply.New(w, func() { e.metrics.CountReason("StreamCutOff", string(refusal.AnswerBroken)) })
 	return x
 }
@@ -97,6 +103,9 @@
 func (x *exchange) callerLeft() bool { return !x.atMostOnce && httpserver.CallerLeft(x.r) }
 
 func (x *exchange) attempts(ctx context.Context) *refusal.Refusal {
+	if ref := x.holdBack(); ref != nil {
+		return ref
+	}
 	if ref, replayed := x.acquireClaim(ctx); ref != nil || replayed {
 		return ref
 	}
@@ -119,11 +128,13 @@
 			return x.withOutcome(refusal.UnknownOutcome(refusal.CallerGone, "caller has gone"))
 		}
 		x.attemptCount++
+		sentAt := time.Now()
 		result := x.dispatch(ctx, grant)
 		if result.refusal == nil {
+			x.ends.Served(x.digest)
 			return nil
 		}
-		if result.final || ctx.Err() != nil || !x.mayContinue() {
+		if x.recordEnd(grant, result, sentAt) || result.final || ctx.Err() != nil || !x.mayContinue() {
 			return x.withOutcome(result.refusal)
 		}
 		last = result.refusal
--- a/internal/role/siteentry/quarantine.go
+++ b/internal/role/siteentry/quarantine.go
@@ -155,7 +155,7 @@
 	if j.brokenBy == nil || !endsExchange(j.brokenBy) {
 		return
 	}
-	j.entry.witness.RequestEnded(grant.Target, grant.Born, j.digest)
+	j.entry.witness.RequestEnded(grant.Target, grant.Born, j.digest, j.attemptAt)
 	if !j.mayHaveEndedTarget() {
 		j.entry.DecisionLog.Record(notableKind, "Target ended under the request", "Request", j.id, "Target", grant.Target,
 			"Digest", j.digest, "Events", j.events())
--- a/internal/role/siteentry/request.go
+++ b/internal/role/siteentry/request.go
@@ -71,6 +71,8 @@
 	// the error with which the target broke that attempt off, if it did.
 	begun    bool
 	brokenBy error
+	// attemptAt is when the latest attempt began.
+	attemptAt time.Time
 	// deadline is when the caller must have the complete response.
 	deadline time.Time
 	// target is the target of the latest attempt.
--- a/internal/role/siteentry/requestdigest.go
+++ b/internal/role/siteentry/requestdigest.go
@@ -5,13 +5,9 @@
 
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/request/digest"
+	"egretproxy/internal/request/ends"
 )
 
-// suspectEnds is the number of moments at which targets ended under a request, as far
-// as this entry knows, from which the request goes to no further target by itself. At
-// one end, most requests were only beside the one to blame.
-const suspectEnds = 2
-
 // identifyRequest computes the digest of the request.
 func (j *job) identifyRequest() {
 	r := digest.Request{
@@ -36,7 +32,7 @@
 			return errShutOut
 		}
 	}
-	if w := &j.entry.witness; w.RequestEnds(j.digest) >= suspectEnds || w.Suspected([]id.PromptPart{j.digest}) {
+	if w := &j.entry.witness; w.RequestEnds(j.digest) >= ends.Suspicious || w.Suspected([]id.PromptPart{j.digest}) {
 		return errSuspect
 	}
 	return nil
--- a/internal/role/siteentry/requestdigest_test.go
+++ b/internal/role/siteentry/requestdigest_test.go
@@ -109,9 +109,8 @@
 					te.entry.witness.RequestServed(digestOf("stream"))
 					continue
 				}
-				te.entry.witness.RequestEnded(id.Target(target), 1, digestOf("stream"))
+				te.entry.witness.RequestEnded(id.Target(target), 1, digestOf("stream"), time.Now())
 			}
-			time.Sleep(60 * time.Millisecond)
 			res, body, err := te.call(t, "stream")
 			served := err == nil && res.StatusCode == http.StatusOK && strings.HasSuffix(body, event(5))
 			if served != c.served || len(second.requests()) > 0 != c.served {
--- a/internal/role/siteentry/run.go
+++ b/internal/role/siteentry/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -106,7 +107,7 @@
 			j.releaseNext()
 		}
 	}()
-	j.begun, j.brokenBy = false, nil
+	j.begun, j.brokenBy, j.attemptAt = false, nil, time.Now()
 	next, outcome, sent = j.attempt(ctx, grant)
 	returned = true
 	if outcome == dispatch.Served {
--- a/internal/site/suspicion/load_test.go
+++ b/internal/site/suspicion/load_test.go
@@ -47,6 +47,7 @@
 type promptRequest struct {
 	entry    int
 	parts    []id.PromptPart
+	sentAt   time.Time
 	beginsAt time.Time
 	begun    bool
 	again    bool
@@ -105,6 +106,7 @@
 		return
 	}
 	e := up[l.random.IntN(len(up))]
+	r.sentAt = now
 	r.beginsAt = now.Add(50*time.Millisecond + time.Duration(l.random.Int64N(int64(loadMaxBegin))))
 	e.running = append(e.running, r)
 	if r.deadly {
@@ -130,7 +132,7 @@
 	for _, r := range running {
 		w := l.witnesses[r.entry]
 		if r.name != "" {
-			w.RequestEnded(e.id, e.upAt.UnixMilli(), r.name)
+			w.RequestEnded(e.id, e.upAt.UnixMilli(), r.name, r.sentAt)
 		}
 		if r.begun {
 			l.resume(r)
--- a/internal/site/witness/witness.go
+++ b/internal/site/witness/witness.go
@@ -9,6 +9,8 @@
 
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/request/digest"
+	"egretproxy/internal/request/ends"
+	"egretproxy/internal/request/recent"
 	"egretproxy/internal/site/evidence"
 	"egretproxy/internal/site/quarantine"
 )
@@ -23,11 +25,13 @@
 // Witness is the memory of one entry. It is safe for concurrent use. The zero
 // value is empty.
 type Witness struct {
+	// mu is locked before the mutex of ended.
 	mu sync.Mutex
 	// parts holds the parts on which responses began, requests the digests of the
 	// requests whose responses came to their end, ended those of the requests under
 	// which targets ended since.
-	parts, requests, ended memory
+	parts, requests recent.Memory
+	ended           ends.Memory
 	// suspects holds the time of the first end with each suspect.
 	suspects map[id.PromptPart]time.Time
 	accused  map[id.PromptPart]bool
@@ -46,7 +50,7 @@
 	defer w.mu.Unlock()
 	now := time.Now()
 	for _, p := range parts {
-		w.parts.use(p, maxParts).at = now
+		w.parts.Use(p, maxParts).At = now
 		if w.isOfInterest(p, now) {
 			w.addBegun(p, 0)
 		}
@@ -74,7 +78,7 @@
 func (w *Witness) Known(parts []id.PromptPart) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return !slices.ContainsFunc(parts, func(p id.PromptPart) bool { return w.parts.get(p) == nil })
+	return !slices.ContainsFunc(parts, func(p id.PromptPart) bool { return w.parts.Get(p) == nil })
 }
 
 // Suspected reports whether one of the parts is a suspect on which no response
@@ -90,15 +94,15 @@
 
 func (w *Witness) begunSince(p id.PromptPart, since time.Time) bool {
 	r := w.begun(p)
-	return r != nil && r.at.After(since)
+	return r != nil && r.At.After(since)
 }
 
 // begun returns the record of the last response on p, or nil.
-func (w *Witness) begun(p id.PromptPart) *record {
+func (w *Witness) begun(p id.PromptPart) *recent.Record {
 	if digest.IsDigest(p) {
-		return w.requests.get(p)
+		return w.requests.Get(p)
 	}
-	return w.parts.get(p)
+	return w.parts.Get(p)
 }
 
 // Ended records that a target ended before the response to a request with the
@@ -118,7 +122,7 @@
 			continue
 		}
 		w.size++
-		if w.parts.get(p) == nil {
+		if w.parts.Get(p) == nil {
 			e.Fresh = append(e.Fresh, p)
 		} else {
 			e.Known = append(e.Known, p)
@@ -149,7 +153,7 @@
 	defer w.mu.Unlock()
 	for p, since := range suspects {
 		if w.begunSince(p, since) {
-			w.addBegun(p, time.Since(w.begun(p).at))
+			w.addBegun(p, time.Since(w.begun(p).At))
 		}
 	}
 	w.suspects = suspects
