--- a/internal/measure/capacity/prompt_test.go
+++ b/internal/measure/capacity/prompt_test.go
@@ -73,7 +73,8 @@
 }
 
 // BenchmarkJudgeReport measures a keeper that gets a report of one end with the
-// parts of eight requests, and holds many ends.
+// parts and the digests of eight requests, and holds many ends. One of the requests is
+// at all of them.
 func BenchmarkJudgeReport(b *testing.B) {
 	for _, held := range []int{10, 100, 512} {
 		b.Run(fmt.Sprintf("%d ends", held), func(b *testing.B) {
@@ -85,6 +86,10 @@
 				for k := range 16 {
 					e.Fresh = append(e.Fresh, id.PromptPart(fmt.Sprintf("%08x", n%held*16+k)))
 				}
+				for k := range 7 {
+					e.Requests = append(e.Requests, id.PromptPart(fmt.Sprintf("request:%032x", n%held*8+k)))
+				}
+				e.Requests = append(e.Requests, "request:all")
 				j.Add(evidence.Report{Ends: []evidence.End{e}})
 			}
 			for range held {
--- a/internal/site/suspicion/request.go
+++ b/internal/site/suspicion/request.go
@@ -25,7 +25,7 @@
 // and finds the request that explains each end. At each end of an engine there are
 // others beside the guilty one, so that the request with most ends explains all its
 // ends, and only what is left counts against the next. The caller holds mu.
-func (j *Judge) suspectRequests(inForce []quarantine.Verdict) []*suspicion {
+func (j *Judge) suspectRequests(inForce []quarantine.Verdict, requests []id.PromptPart) []*suspicion {
 	shutOut := map[id.PromptPart]bool{}
 	for _, v := range inForce {
 		if v.OnRequest() {
@@ -33,11 +33,11 @@
 		}
 	}
 	var all []*suspicion
-	for k, p := range j.parts {
-		if len(p.ends) < suspectMoments || !digest.IsDigest(k) || shutOut[k] {
+	for _, k := range requests {
+		if shutOut[k] {
 			continue
 		}
-		if s := p.suspicion(k); s.moments >= suspectMoments {
+		if s := j.parts[k].suspicion(k); s.moments >= suspectMoments {
 			all = append(all, s)
 		}
 	}
--- a/internal/site/suspicion/suspicion.go
+++ b/internal/site/suspicion/suspicion.go
@@ -238,14 +238,12 @@
 	for _, e := range j.ends {
 		e.explain(inForce)
 	}
-	out := j.suspectRequests(inForce)
+	requests, repeated := j.repeated()
+	out := j.suspectRequests(inForce, requests)
 	unexplained := j.unexplained()
 	var parts []*suspicion
-	for k, p := range j.parts {
-		if len(p.ends) < suspectMoments || digest.IsDigest(k) {
-			continue
-		}
-		s := p.suspicion(k)
+	for _, k := range repeated {
+		s := j.parts[k].suspicion(k)
 		if s.moments < suspectMoments {
 			continue
 		}
@@ -257,6 +255,21 @@
 	return append(out, parts...)
 }
 
+// repeated returns the requests and the parts with which several targets ended. The
+// caller holds mu.
+func (j *Judge) repeated() (requests, parts []id.PromptPart) {
+	for k, p := range j.parts {
+		switch {
+		case len(p.ends) < suspectMoments:
+		case digest.IsDigest(k):
+			requests = append(requests, k)
+		default:
+			parts = append(parts, k)
+		}
+	}
+	return requests, parts
+}
+
 // byGravity sorts the gravest first, and those with the same ends together.
 func byGravity(a, b *suspicion) int {
 	return cmp.Or(cmp.Compare(b.moments, a.moments), cmp.Compare(b.ends, a.ends), bytes.Compare(a.members, b.members), cmp.Compare(a.part, b.part))
