siteentry: let a stream after a mere comment begin as a first one

A caller had a comment of a stream and no event when its target broke off. The rest came from another target, whose events have no id, or which had none: it was cut, and that target was blamed, since the run counted as resumed. What matters is whether the caller has events.

A resumed run without an event was also reported to the keepers as one that had begun; it is not any more.

TestStreamAfterACommentNeedsNoIDs failed before in both cases.

--- a/internal/role/siteentry/eventid_test.go
+++ b/internal/role/siteentry/eventid_test.go
@@ -89,3 +89,28 @@
 		t.Errorf("got body %q, error %v, %d requests at the second target", strings.TrimSpace(body), err, len(second.requests()))
 	}
 }
+
+// TestStreamAfterACommentNeedsNoIDs guards against a sound stream that is cut, or whose
+// target is blamed, because its caller has a comment of an earlier run and no event:
+// there is nothing that an id would have to follow.
+func TestStreamAfterACommentNeedsNoIDs(t *testing.T) {
+	for name, rest := range map[string]string{"event": "data: x\n\n", "nothing": ""} {
+		t.Run(name, func(t *testing.T) {
+			_, a1 := startTarget(t, func(w io.Writer, r *http.Request) {
+				_, _ = io.WriteString(w, head(r, "200 OK", "Transfer-Encoding: chunked")+chunk(": ok\n\n"))
+			})
+			_, a2 := startTarget(t, func(w io.Writer, r *http.Request) {
+				body := ""
+				if rest != "" {
+					body = chunk(rest)
+				}
+				_, _ = io.WriteString(w, head(r, "200 OK", "Transfer-Encoding: chunked")+body+"0\r\n\r\n")
+			})
+			te := startEntry(t, a1, a2)
+			res, body, err := te.call(t, "stream")
+			if err != nil || res.StatusCode != http.StatusOK || body != ": ok\n\n"+rest {
+				t.Errorf("got response %v, body %q, error %v", res, body, err)
+			}
+		})
+	}
+}
--- a/internal/role/siteentry/resume_test.go
+++ b/internal/role/siteentry/resume_test.go
@@ -6,14 +6,14 @@
 	"testing"
 )
 
-// breaksAfter sends two events of a stream and breaks off.
+// breaksAfterTwo sends two events of a stream and breaks off.
 func breaksAfterTwo(w io.Writer, r *http.Request) {
 	_, _ = io.WriteString(w, head(r, "200 OK", "Transfer-Encoding: chunked")+chunk(event(1))+chunk(event(2)))
 }
 
 // TestHoldsResumedStreamEndsOnlyWhole guards against a stream that broke off and
 // reaches its caller as if it were complete, with or without the body of a failure,
-// because the target that should continue it answers with something else than the
+// because the target that should continue it answers with something other than the
 // events that follow.
 func TestHoldsResumedStreamEndsOnlyWhole(t *testing.T) {
 	begun := event(1) + event(2)
--- a/internal/role/siteentry/stream.go
+++ b/internal/role/siteentry/stream.go
@@ -95,7 +95,7 @@
 
 func (j *job) copyEvents(response *connpool.Response, timer *silenceTimer, grant *dispatch.Grant) error {
 	events := sse.New(response.Body)
-	resumed := j.reply.Begun()
+	resumed := j.stream.events > 0
 	received := 0
 	for {
 		event, err := events.Next()
@@ -104,10 +104,10 @@
 			return errTargetEnded
 		}
 		if err == io.EOF {
-			j.recordBegin()
 			if resumed && received == 0 {
 				return errNotContinued
 			}
+			j.recordBegin()
 			if !j.reply.Begun() {
 				j.beginStream(response)
 			}
--- a/internal/wire/reply/reply.go
+++ b/internal/wire/reply/reply.go
@@ -33,7 +33,7 @@
 }
 
 // New returns a Reply of which the caller has nothing. lost is called before a
-// begun response is aborted because something else than its rest comes, or
+// begun response is aborted because something other than its rest comes, or
 // nothing.
 func New(w http.ResponseWriter, lost func()) Reply { return Reply{w: w, lost: lost} }
 
