siteentry: release a reserved target however its request ends

A slot at a target stayed taken for good, so that this entry sent that target less: it was reserved for a silent attempt, and the request ended since a verdict had come or the process stopped. Each exit of the loop had to give it back, and two did not. It is given back when the loop ends now.

--- a/internal/role/siteentry/run.go
+++ b/internal/role/siteentry/run.go
@@ -26,6 +26,7 @@
 
 // run sends the request to targets until one responds.
 func (j *job) run(ctx context.Context) {
+	defer j.releaseNext()
 	j.entry.RetryBudget.RecordRequest(j.service.Name)
 	dialFailures := 0
 	for {
@@ -65,7 +66,6 @@
 		j.target = grant.Target
 		next, outcome, sent := j.try(ctx, grant)
 		if next == done {
-			j.releaseNext()
 			return
 		}
 		j.tried = append(j.tried, grant.Target)
@@ -76,13 +76,11 @@
 			return
 		}
 		if err := j.awaitClearance(ctx); err != nil {
-			j.releaseNext()
 			j.lastError += ", and " + err.Error()
 			j.abandon(ctx, err)
 			return
 		}
 		if !j.mayRetry(ctx, sent) {
-			j.releaseNext()
 			j.abandon(ctx, errors.New(j.lastError))
 			return
 		}
@@ -95,7 +93,6 @@
 // the caller leaves, which aborts the handler with a panic.
 func (j *job) try(ctx context.Context, grant *dispatch.Grant) (next decision, outcome dispatch.Outcome, sent bool) {
 	outcome = dispatch.Cancelled
-	returned := false
 	defer func() {
 		j.recordBreak(grant)
 		if grant.End(outcome) {
@@ -103,13 +100,9 @@
 			j.entry.DecisionLog.Record(failureKind, "Target is left out for a while", "Target", grant.Target, "Reason", outcomeNames[outcome])
 			j.entry.Pool.CloseIdle(grant.Address)
 		}
-		if !returned {
-			j.releaseNext()
-		}
 	}()
 	j.begun, j.brokenBy, j.attemptAt = false, nil, time.Now()
 	next, outcome, sent = j.attempt(ctx, grant)
-	returned = true
 	if outcome == dispatch.Served {
 		j.entry.witness.RequestServed(j.digest)
 	}
--- a/internal/role/siteentry/silence_test.go
+++ b/internal/role/siteentry/silence_test.go
@@ -11,6 +11,9 @@
 
 	"egretproxy/internal/exchange/dispatch"
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/boottime"
+	"egretproxy/internal/site/quarantine"
+	"egretproxy/internal/site/siteclient"
 )
 
 func hangs(io.Writer, *http.Request) { select {} }
@@ -86,3 +89,31 @@
 		t.Errorf("requests at the two targets: %s", n)
 	}
 }
+
+// TestHoldsReservedTargetIsReleasedByAVerdict guards against a slot that stays occupied
+// for good: another target was reserved for a silent attempt, and a verdict that came
+// meanwhile keeps the request from going there.
+func TestHoldsReservedTargetIsReleasedByAVerdict(t *testing.T) {
+	_, a1 := startTarget(t, hangs)
+	second, a2 := startTarget(t, respondWith("ok"))
+	te := startEntry(t, a1, a2)
+	inFlight := func() float64 {
+		g, err := te.entry.Dispatcher.Acquire(t.Context(), &dispatch.Request{Service: "s", Exclude: []id.Target{"t0"}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer g.End(dispatch.Cancelled)
+		return g.InFlight
+	}
+	before := inFlight()
+	v := *te.views.view
+	v.Quarantine = []siteclient.Verdict{{Verdict: quarantine.Verdict{Parts: []id.PromptPart{digestOf("read")}, Ends: 3}, ChangedAt: boottime.Now()}}
+	te.views.next, te.views.nextAt = &fakeViews{view: &v}, time.Now().Add(minSilence/2)
+	res, _, err := te.call(t, "read")
+	if err != nil || res.StatusCode != http.StatusBadGateway || len(second.requests()) != 0 {
+		t.Errorf("got response %v, error %v, %d requests at the second target", res, err, len(second.requests()))
+	}
+	if after := inFlight(); after != before {
+		t.Errorf("%v requests in flight at the second target before, %v after", before, after)
+	}
+}
