siteentry: show that the end of a target under a long response is not reported

A response over 1 MB with a length is forwarded as it arrives. If its target ends under it, the caller is cut off and nothing counts against the request.

--- a/internal/role/siteentry/requestdigest_test.go
+++ b/internal/role/siteentry/requestdigest_test.go
@@ -1,6 +1,7 @@
 package siteentry
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"slices"
@@ -179,3 +180,59 @@
 		t.Errorf("the targets got %d and %d requests, %d tests were requested", len(first.requests()), len(second.requests()), keepers.granted)
 	}
 }
+
+// TestHoldsBrokenLongResponseIsReported guards against the end of a target under a
+// response that is forwarded as it arrives, which nobody reports, and against the end of
+// its caller being taken for one.
+func TestHoldsBrokenLongResponseIsReported(t *testing.T) {
+	const length = maxBufferedBytes * 2
+	for name, c := range map[string]struct {
+		callerLeaves bool
+		want         []id.PromptPart
+	}{"target ends": {false, []id.PromptPart{digestOf("read")}}, "caller leaves": {true, nil}} {
+		t.Run(name, func(t *testing.T) {
+			left := make(chan struct{})
+			_, address := startTarget(t, func(w io.Writer, r *http.Request) {
+				_, _ = io.WriteString(w, head(r, "200 OK", "Content-Length: "+strconv.Itoa(length)))
+				_, _ = w.Write(make([]byte, length/2))
+				if c.callerLeaves {
+					<-left
+					_, _ = w.Write(make([]byte, length/2))
+				}
+			})
+			te := startEntry(t, address)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			r, err := http.NewRequestWithContext(ctx, http.MethodPost, te.URL+"/x?q=1", strings.NewReader("body"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.Host = "read"
+			r.Header.Set("Attempt", "a1")
+			r.Header.Set("Key", "secret")
+			res, err := te.Client().Do(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if c.callerLeaves {
+				cancel()
+				close(left)
+			}
+			if _, err := io.ReadAll(res.Body); err == nil {
+				t.Error("the response looks complete")
+			}
+			_ = res.Body.Close()
+			for te.entry.active.Load() > 0 {
+				time.Sleep(time.Millisecond)
+			}
+			report, _ := te.entry.witness.Take()
+			var got []id.PromptPart
+			for _, e := range report.Ends {
+				got = append(got, e.Requests...)
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
