siteentry: count the end of a target under a long response

Callers of a request that ends its targets under a response over 1 MB were cut off, and the request was never shut out: the error ended the handler without a word to the witness. The error of the target's body is kept apart from one of the caller's connection, and counts like that of other responses.

--- a/internal/role/siteentry/attempt.go
+++ b/internal/role/siteentry/attempt.go
@@ -180,7 +180,11 @@
 		copyHeader(h, response)
 		h.Set("Content-Length", strconv.FormatInt(response.Length, 10))
 	})
-	if err := j.reply.SendRest(response.Body); err != nil {
+	body := sourceReader{Reader: response.Body}
+	if err := j.reply.SendRest(&body); err != nil {
+		if j.r.Context().Err() == nil {
+			j.brokenBy = body.err
+		}
 		j.logEnd("Response was aborted", "ResponseLost", "Cause", err.Error())
 		j.entry.Metrics.CountReason("Failed", "ResponseLost")
 		j.reply.Abort()
