suspicion: let crashing requests of the load have digests too

Requests with a guilty part had none in the tests without a network, so that only the soak showed that ends which a request explains don't hide a guilty part.

--- a/internal/site/suspicion/load_test.go
+++ b/internal/site/suspicion/load_test.go
@@ -34,6 +34,8 @@
 	sends, crashes map[id.PromptPart][]time.Time
 	// popular is the number of sound requests that come again and again.
 	popular int
+	// crashing counts the requests with a guilty part.
+	crashing int
 }
 
 // engine is one incarnation of an engine.
@@ -229,7 +231,8 @@
 		if l.random.Float64() < crashing*loadStep.Seconds() {
 			parts := l.drawParts()
 			parts[place] = l.guilty[l.random.IntN(len(l.guilty))]
-			l.send(&promptRequest{entry: l.random.IntN(loadEntries), parts: parts})
+			l.crashing++
+			l.send(&promptRequest{entry: l.random.IntN(loadEntries), parts: parts, name: id.PromptPart(fmt.Sprintf("request:crashing-%d", l.crashing))})
 		}
 		if other != nil {
 			other()
