system: wait until the origin of a test listens

TestHoldsBadVersionHaltsRollout failed once in six runs: the upload to the origin got «connection refused» 0.2 s into the test, since its process had just been started and nothing waited for it.

--- a/internal/system/fleet_test.go
+++ b/internal/system/fleet_test.go
@@ -223,8 +223,18 @@
 	f.start(agent, "egretproxy", "agent", "-c", file)
 }
 
+// addOrigin starts the origin and waits until it accepts connections, since uploads to
+// it are not repeated.
 func (f *fleet) addOrigin() {
-	f.start("origin", "standin", "depot", "--listen", f.reserveAddress("origin"))
+	address := f.reserveAddress("origin")
+	f.start("origin", "standin", "depot", "--listen", address)
+	f.waitUntil("the origin listens", func() bool {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			return false
+		}
+		return c.Close() == nil
+	})
 }
 
 // sumMetric returns the sum of the samples on the metrics page of a process
