entry: let whole failures and streams given up clear a request

Callers of a public feed that never ends, which all send the same request, got 503 from all entries once three of its engines had been replaced, a minute apart. Requests that fail were shut out the same way.

Only responses with the outcome Served cleared a digest. A whole 500, or a stream that its caller or its deadline ended, never did.

Any whole response with a marked end clears the request, whatever its status, unless the target says that it has not run it.

--- a/internal/exchange/connpool/exchange.go
+++ b/internal/exchange/connpool/exchange.go
@@ -259,6 +259,9 @@
 	_ = response.conn.conn.SetReadDeadline(time.Time{})
 }
 
+// Whole reports whether the response was read to an end that is marked.
+func (response *Response) Whole() bool { return response.complete && response.Framed }
+
 // Close ends the exchange. The connection is kept if the response was read
 // completely and the target keeps the connection open, and reset if the
 // response is incomplete.
--- a/internal/role/siteentry/attempt.go
+++ b/internal/role/siteentry/attempt.go
@@ -66,6 +66,7 @@
 	}
 	if response.Status >= 500 && j.route.Repeatable() && j.canRetryElsewhere() {
 		response.Discard()
+		j.whole = response.Whole()
 		j.mayHaveRun = true
 		j.lastError = "target failed with " + strconv.Itoa(response.Status)
 		return tryNext, dispatch.Failed, true
@@ -216,6 +217,7 @@
 }
 
 func (j *job) responseEnded(response *connpool.Response, grant *dispatch.Grant) (decision, dispatch.Outcome, bool) {
+	j.whole = true
 	j.recordResponse(response.Status, grant)
 	if response.Status >= 500 {
 		return done, dispatch.Failed, true
@@ -230,6 +232,7 @@
 // caller has part.
 func (j *job) notContinued(response *connpool.Response) (decision, dispatch.Outcome, bool) {
 	response.Discard()
+	j.whole = response.Whole()
 	j.mayHaveRun = true
 	j.lastError = "target did not continue the stream: answered " + strconv.Itoa(response.Status)
 	if response.Status >= 500 {
--- a/internal/role/siteentry/request.go
+++ b/internal/role/siteentry/request.go
@@ -67,9 +67,13 @@
 	// the verdict that shuts it out.
 	tests     bool
 	shutOutBy *siteclient.Verdict
-	// begun is set once the response of the latest attempt has begun. brokenBy is
-	// the error with which the target broke that attempt off, if it did.
+	// begun is set once the response of the latest attempt has begun, whole once it
+	// has come to its end, whatever its status. givenUp is set if its caller or its
+	// deadline ended it while the target still worked. brokenBy is the error with
+	// which the target broke that attempt off, if it did.
 	begun    bool
+	whole    bool
+	givenUp  bool
 	brokenBy error
 	// attemptAt is when the latest attempt began.
 	attemptAt time.Time
--- a/internal/role/siteentry/requestdigest.go
+++ b/internal/role/siteentry/requestdigest.go
@@ -3,12 +3,18 @@
 import (
 	"io"
 	"slices"
+	"time"
 
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/request/digest"
 	"egretproxy/internal/request/ends"
 )
 
+// harmlessTime is how long a request must have been at a target that still works to
+// show that it ends none. A request that ends targets does so soon after it begins to
+// run.
+const harmlessTime = 2 * time.Second
+
 // identifyRequest computes the digest of the request.
 func (j *job) identifyRequest() {
 	r := digest.Request{
@@ -53,3 +59,10 @@
 	}
 	return nil
 }
+
+// showedHarmless reports whether the latest attempt shows that the request ends no
+// target: the response came to its end, or it had begun and gone on for some time when
+// it was given up. A run that has sent nothing yet may still end its target.
+func (j *job) showedHarmless() bool {
+	return j.whole || j.givenUp && j.begun && time.Since(j.sentAt.steady) >= harmlessTime
+}
--- a/internal/role/siteentry/run.go
+++ b/internal/role/siteentry/run.go
@@ -95,17 +95,17 @@
 	outcome = dispatch.Cancelled
 	defer func() {
 		j.recordBreak(grant)
+		if j.showedHarmless() {
+			j.entry.witness.RequestServed(j.digest)
+		}
 		if grant.End(outcome) {
 			j.entry.Metrics.CountReason("TargetEjected", outcomeNames[outcome])
 			j.entry.DecisionLog.Record(failureKind, "Target is left out for a while", "Target", grant.Target, "Reason", outcomeNames[outcome])
 			j.entry.Pool.CloseIdle(grant.Address)
 		}
 	}()
-	j.begun, j.brokenBy, j.attemptAt = false, nil, time.Now()
+	j.begun, j.whole, j.givenUp, j.brokenBy, j.attemptAt = false, false, false, nil, time.Now()
 	next, outcome, sent = j.attempt(ctx, grant)
-	if outcome == dispatch.Served {
-		j.entry.witness.RequestServed(j.digest)
-	}
 	return next, outcome, sent
 }
 
--- a/internal/role/siteentry/stream.go
+++ b/internal/role/siteentry/stream.go
@@ -66,6 +66,7 @@
 	}
 	err := j.copyEvents(response, timer, grant)
 	if err == nil {
+		j.whole = true
 		j.recordResponse(response.Status, grant)
 		return done, dispatch.Served, true
 	}
@@ -75,12 +76,17 @@
 	switch {
 	case j.r.Context().Err() != nil, errors.Is(err, errCallerLeft):
 		outcome = dispatch.Cancelled
+		j.givenUp = !endsExchange(err)
 		j.abortCallerLeft()
 		return done, outcome, true
 	case timer.expired():
 		j.lastError = "stream fell silent"
-	case ctx.Err() != nil, errors.Is(err, errNotContinued):
+	case errors.Is(err, errNotContinued):
 		outcome = dispatch.Cancelled
+		j.whole = true
+	case ctx.Err() != nil:
+		outcome = dispatch.Cancelled
+		j.givenUp = !endsExchange(err)
 	default:
 		j.brokenBy = err
 	}
