entry: refuse a request under which targets end also without a verdict

Out of touch with the keepers, each attempt of a caller of a request that ends its engines ended one more: 12 calls made 13 arrivals at targets.

An entry looked at the ends that it knows only after an attempt, to decide on the next one; before the first it looked at verdicts alone.

Before the first send of a request the entry asks its own memory, at the dispatch and again once the connection is established. From the third moment on it refuses the request with 503 EndsTargets, not run, and what is left of the pause as Retry-After; one request is let through after each pause, and takes it only when it is about to be sent. A test of a verdict on the request is not held back. The end of a verdict on the request clears the memory, so that a lifted request is sent.

--- a/internal/request/ends/ends.go
+++ b/internal/request/ends/ends.go
@@ -94,6 +94,16 @@
 	return nil
 }
 
+// Held returns how long the request must still be held back, and begins no pause.
+func (m *Memory) Held(request id.PromptPart) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r := m.get(request); r != nil && r.Ends >= guiltyEnds {
+		return max(time.Until(r.HeldUntil), 0)
+	}
+	return 0
+}
+
 // Pause returns how long the request must still be held back, or 0 if it may be sent.
 // Then a pause begins, so that only one in each is sent.
 func (m *Memory) Pause(request id.PromptPart) time.Duration {
--- a/internal/request/ends/ends_test.go
+++ b/internal/request/ends/ends_test.go
@@ -56,7 +56,11 @@
 		sent := 0
 		var at []time.Duration
 		for began := time.Now(); time.Since(began) < time.Hour; time.Sleep(time.Second) {
-			if m.Pause(request) > 0 {
+			held := m.Held(request)
+			if left := m.Pause(request); left != held || left > 0 {
+				if left != held {
+					t.Errorf("held for %s, paused for %s", held, left)
+				}
 				continue
 			}
 			sent++
@@ -70,7 +74,7 @@
 		if m.Pause(request) > 0 || m.Pause(request) == 0 {
 			t.Error("not exactly one of two was sent")
 		}
-		if !m.Served(request) || m.Pause(request) > 0 || m.Served(request) {
+		if !m.Served(request) || m.Held(request) > 0 || m.Pause(request) > 0 || m.Served(request) {
 			t.Error("a whole response does not clear the request")
 		}
 	})
--- a/internal/role/siteentry/attempt.go
+++ b/internal/role/siteentry/attempt.go
@@ -264,8 +264,9 @@
 
 // buildRequest returns the request for a target to which a connection has been
 // established. It returns errCallerLeft if the caller has left meanwhile, errOutlived if
-// it must have, and errStale, errShutOut, errStopping, errLeft or errOutdated if the
-// state on which the target was chosen no longer holds.
+// it must have, errHeld if targets have ended under the request, and errStale,
+// errShutOut, errStopping, errLeft or errOutdated if the state on which the target was
+// chosen no longer holds.
 func (j *job) buildRequest(grant *dispatch.Grant) (*connpool.Request, error) {
 	if !j.mayDispatch() {
 		return nil, errStale
@@ -290,6 +291,9 @@
 	if err := j.stamp(out, grant); err != nil {
 		return nil, err
 	}
+	if !j.passesPause() {
+		return nil, errHeld
+	}
 	return out, nil
 }
 
--- a/internal/role/siteentry/quarantine.go
+++ b/internal/role/siteentry/quarantine.go
@@ -128,8 +128,12 @@
 }
 
 // takeTest reports whether the request was chosen to test the verdict. A request
-// that another verdict matches as well would show nothing about this one.
+// that another verdict matches as well, or that ends targets by itself, would show
+// nothing about this one.
 func (j *job) takeTest(ctx context.Context, v *siteclient.Verdict) bool {
+	if !v.OnRequest() && j.entry.witness.RequestHeld(j.digest) > 0 {
+		return false
+	}
 	if len(j.matchingVerdicts()) > 1 || v.Age() < v.TestInterval() || j.entry.Keepers == nil || !j.entry.testing.CompareAndSwap(false, true) {
 		return false
 	}
--- a/internal/role/siteentry/request.go
+++ b/internal/role/siteentry/request.go
@@ -67,6 +67,10 @@
 	// the verdict that shuts it out.
 	tests     bool
 	shutOutBy *siteclient.Verdict
+	// passed is set once the request was let through in spite of the ends that this
+	// entry knows, heldFor is how long it must still be held back for them.
+	passed  bool
+	heldFor time.Duration
 	// begun is set once the response of the latest attempt has begun, whole once it
 	// has come to its end, whatever its status. givenUp is set if its caller or its
 	// deadline ended it while the target still worked. brokenBy is the error with
--- a/internal/role/siteentry/requestdigest.go
+++ b/internal/role/siteentry/requestdigest.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/request/digest"
 	"egretproxy/internal/request/ends"
@@ -15,6 +17,26 @@
 // run.
 const harmlessTime = 2 * time.Second
 
+// errHeld means that targets ended under the request at several moments.
+var errHeld = errors.New("targets ended under this request")
+
+// heldBack reports whether the request must be refused, since targets ended under it as
+// far as this entry knows. The keepers may not know, or be out of reach.
+func (j *job) heldBack() bool {
+	if j.passed || j.tests {
+		return false
+	}
+	j.heldFor = j.entry.witness.RequestHeld(j.digest)
+	return j.heldFor > 0
+}
+
+// passesPause reports whether the request may be sent now. If it was held back before,
+// others are from then on, to see whether targets still end under it.
+func (j *job) passesPause() bool {
+	j.passed = j.passed || j.tests || j.entry.witness.RequestPause(j.digest) == 0
+	return j.passed
+}
+
 // identifyRequest computes the digest of the request.
 func (j *job) identifyRequest() {
 	r := digest.Request{
--- a/internal/role/siteentry/requestdigest_test.go
+++ b/internal/role/siteentry/requestdigest_test.go
@@ -20,9 +20,14 @@
 	"egretproxy/internal/site/siteclient"
 )
 
-// digestOf returns the digest of the request that call sends to a host.
-func digestOf(host string) id.PromptPart {
-	r := digest.Request{Method: http.MethodPost, Host: host, URI: "/x?q=1", Organisation: "org", Body: []byte("body")}
+// digestOf returns the digest of the request that call sends to a host with fields, of
+// which it counts a prompt that comes first.
+func digestOf(host string, fields ...string) id.PromptPart {
+	prompt := ""
+	if len(fields) > 1 && fields[0] == "Prompt" {
+		prompt = fields[1]
+	}
+	r := digest.Request{Method: http.MethodPost, Host: host, URI: "/x?q=1", Organisation: "org", Prompt: prompt, Body: []byte("body")}
 	return r.Digest()
 }
 
--- a/internal/role/siteentry/response.go
+++ b/internal/role/siteentry/response.go
@@ -55,6 +55,8 @@
 		after = minOutageRetryAfter + rand.N(outageRetryAfterJitter)
 	case "Stopping":
 		after = stopRetryAfter
+	case "EndsTargets":
+		after = j.heldFor
 	case "ShutOut":
 		after = verdictRetryAfter(j.shutOutBy)
 	}
@@ -108,6 +110,8 @@
 		reason = "Stale"
 	case err == errShutOut && j.shutOutBy != nil:
 		reason = "ShutOut"
+	case err == errHeld:
+		reason = "EndsTargets"
 	case err == dispatch.ErrFull:
 		reason = "Full"
 	case j.sent > 0:
--- a/internal/role/siteentry/run.go
+++ b/internal/role/siteentry/run.go
@@ -38,6 +38,10 @@
 			j.abandon(ctx, errShutOut)
 			return
 		}
+		if j.heldBack() {
+			j.abandon(ctx, errHeld)
+			return
+		}
 		req := j.dispatchRequest()
 		grant, err := j.acquire(ctx, req)
 		if err == dispatch.ErrNoTarget && j.sent == 0 && j.awaitTargets(ctx) {
--- a/internal/site/witness/request.go
+++ b/internal/site/witness/request.go
@@ -40,6 +40,14 @@
 	}
 }
 
+// RequestHeld returns how long the request must still be held back, since targets ended
+// under it, as far as this entry knows.
+func (w *Witness) RequestHeld(request id.PromptPart) time.Duration { return w.ended.Held(request) }
+
+// RequestPause is RequestHeld for a request that is sent at once if the result is 0. Of
+// those that come in a pause, one is let through at its end.
+func (w *Witness) RequestPause(request id.PromptPart) time.Duration { return w.ended.Pause(request) }
+
 // RequestEnds returns at how many moments targets ended under the request, as far as
 // this entry knows, since a response to it came to its end.
 func (w *Witness) RequestEnds(request id.PromptPart) int { return w.ended.Count(request) }
--- a/internal/site/witness/witness.go
+++ b/internal/site/witness/witness.go
@@ -159,11 +159,18 @@
 	w.suspects = suspects
 }
 
-// SetVerdicts replaces the verdicts in force.
+// SetVerdicts replaces the verdicts in force. It clears the requests that are in none
+// any more: a response to them came to its end elsewhere, or an operator lifted it.
 func (w *Witness) SetVerdicts(verdicts []quarantine.Verdict) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.accused = quarantine.Parts(verdicts)
+	accused := quarantine.Parts(verdicts)
+	for p := range w.accused {
+		if digest.IsDigest(p) && !accused[p] {
+			w.ended.Served(p)
+		}
+	}
+	w.accused = accused
 }
 
 // Take returns what was not reported yet, and a channel that is closed when
