suspicion: date ends by the clock of the entry that reports them

The loss of a failure domain, reported by several entries 100 ms apart, shut out a request that was at its engines: callers got 503 from all entries.

Reports of ends had no age, so that the judge dated each by the arrival of its report and counted one event as several moments. A whole response whose report came before that of older ends was forgotten, since the judge did not know its digest yet.

evidence.End has an AgeMs, from the first exchange that broke off to the report; it is 0 from earlier versions. The judge sorts ends by time and numbers the moments again when one comes late. Responses in a report are dated the same way, so that they keep their order with the ends beside them.

--- a/internal/role/siteentry/quarantine_test.go
+++ b/internal/role/siteentry/quarantine_test.go
@@ -163,7 +163,7 @@
 	if n := len(target.requests()); n != 1 || keepers.granted != 2 {
 		t.Errorf("%d requests were sent, %d tests requested", n, keepers.granted)
 	}
-	report, _ := te.entry.witness.Take()
+	report := te.takeReport(t)
 	want := evidence.Report{Begun: []evidence.Begun{{Part: "bad"}}}
 	if diff := cmp.Diff(want, report); diff != "" {
 		t.Error(diff)
--- a/internal/role/siteentry/requestdigest_test.go
+++ b/internal/role/siteentry/requestdigest_test.go
@@ -31,6 +31,26 @@
 	return r.Digest()
 }
 
+// takeReport returns the evidence of the entry without its ages, which it checks.
+func (te *testEntry) takeReport(t *testing.T) evidence.Report {
+	t.Helper()
+	report, _ := te.entry.witness.Take()
+	var ages []*int64
+	for i := range report.Ends {
+		ages = append(ages, &report.Ends[i].AgeMs)
+	}
+	for i := range report.Begun {
+		ages = append(ages, &report.Begun[i].AgeMs)
+	}
+	for _, age := range ages {
+		if *age < 0 || *age > 10_000 {
+			t.Errorf("age of %d ms in report %+v", *age, report)
+		}
+		*age = 0
+	}
+	return report
+}
+
 // endsAfter sends events of a stream and a part of the next.
 func endsAfter(events int) func(io.Writer, *http.Request) {
 	return func(w io.Writer, r *http.Request) {
@@ -139,7 +159,7 @@
 	if _, _, err := te.call(t, "stream"); err != nil {
 		t.Fatal(err)
 	}
-	report, _ := te.entry.witness.Take()
+	report := te.takeReport(t)
 	want := evidence.Report{
 		Ends:  []evidence.End{{Target: "t0", Born: 1, Requests: []id.PromptPart{digestOf("stream")}}},
 		Begun: []evidence.Begun{{Part: digestOf("stream")}},
--- a/internal/site/evidence/evidence.go
+++ b/internal/site/evidence/evidence.go
@@ -37,12 +37,17 @@
 	// to which the entry has seen a whole response before.
 	Requests []id.PromptPart `json:",omitempty"`
 	Served   []id.PromptPart `json:",omitempty"`
+	// AgeMs is the time in milliseconds from the first of these exchanges breaking off
+	// to the report, by the clock of the entry. Entries of earlier versions leave it
+	// out.
+	AgeMs int64 `json:",omitempty"`
 }
 
 // Begun says that a response began on a part some time ago, or that the response to
 // the request with this digest came to its end.
 type Begun struct {
-	Part  id.PromptPart
+	Part id.PromptPart
+	// AgeMs is the time since then in milliseconds.
 	AgeMs int64
 }
 
--- a/internal/site/suspicion/suspicion.go
+++ b/internal/site/suspicion/suspicion.go
@@ -18,7 +18,6 @@
 
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/request/digest"
-	"egretproxy/internal/site/evidence"
 	"egretproxy/internal/site/quarantine"
 )
 
@@ -52,13 +51,14 @@
 // none.
 type Judge struct {
 	mu sync.Mutex
-	// ends is sorted by time.
+	// ends is sorted as by compareEnds.
 	ends []*end
 	// parts holds what is known of each part of the ends.
 	parts map[id.PromptPart]*part
-	// moments numbers the moments; momentAt is the start of the last one.
-	moments  int
-	momentAt time.Time
+	// added is the number of ends so far.
+	added int
+	// early holds the responses on parts of which no end is known.
+	early map[id.PromptPart]early
 	// suspects holds the time since which each part or request is a suspect,
 	// announced those of which entries are told, requests first, the gravest first.
 	suspects  map[id.PromptPart]time.Time
@@ -73,7 +73,7 @@
 
 // part is what is known of one part, or of one request.
 type part struct {
-	// ends is sorted by time and never empty.
+	// ends is sorted as by compareEnds and never empty.
 	ends []*end
 	// begunAt is when a response last began on the part, or one to the request came
 	// to its end.
@@ -86,6 +86,8 @@
 type end struct {
 	target id.Target
 	born   int64
+	// at is by the clock of the entry that first reported it, moment numbers the
+	// moments in order of time.
 	at     time.Time
 	moment int
 	parts  map[id.PromptPart]bool
@@ -114,27 +116,6 @@
 	known   bool
 }
 
-// Add records a report.
-func (j *Judge) Add(r evidence.Report) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	now := time.Now()
-	for _, e := range r.Ends {
-		j.addEnd(now, e)
-	}
-	for _, b := range r.Begun {
-		at := now.Add(-time.Duration(max(b.AgeMs, 0)) * time.Millisecond)
-		if p := j.parts[b.Part]; p != nil && at.After(p.begunAt) {
-			p.begunAt = at
-		}
-	}
-	j.forget(now)
-	if j.reported != nil {
-		close(j.reported)
-		j.reported = nil
-	}
-}
-
 // Reported returns a channel that is closed at the next report.
 func (j *Judge) Reported() <-chan struct{} {
 	j.mu.Lock()
@@ -158,80 +139,6 @@
 	j.accused = accused
 }
 
-// addEnd requires mu.
-func (j *Judge) addEnd(now time.Time, in evidence.End) {
-	i := slices.IndexFunc(j.ends, func(e *end) bool { return e.target == in.Target && e.born == in.Born })
-	if i < 0 {
-		if now.Sub(j.momentAt) >= momentLength {
-			j.moments++
-			j.momentAt = now
-		}
-		i = len(j.ends)
-		number := 0
-		if i > 0 {
-			number = j.ends[i-1].number + 1
-		}
-		j.ends = append(j.ends, &end{
-			target: in.Target, born: in.Born, at: now, moment: j.moments, number: number, parts: map[id.PromptPart]bool{},
-		})
-	}
-	for _, k := range in.Fresh {
-		j.addPart(j.ends[i], k)
-	}
-	for _, k := range in.Known {
-		if p := j.addPart(j.ends[i], k); p != nil {
-			p.known = true
-		}
-	}
-	for _, k := range in.Requests {
-		if p := j.addPart(j.ends[i], k); p != nil && slices.Contains(in.Served, k) {
-			p.known = true
-		}
-	}
-}
-
-// addPart adds a part to an end and returns what is known of it, or nil if the end
-// has too many. The caller holds mu.
-func (j *Judge) addPart(e *end, k id.PromptPart) *part {
-	p := j.parts[k]
-	if e.parts[k] {
-		return p
-	}
-	if len(e.parts) >= maxPartsPerEnd {
-		return nil
-	}
-	if p == nil {
-		p = &part{}
-		if j.parts == nil {
-			j.parts = map[id.PromptPart]*part{}
-		}
-		j.parts[k] = p
-	}
-	e.parts[k] = true
-	at, _ := slices.BinarySearchFunc(p.ends, e.number, func(x *end, n int) int { return cmp.Compare(x.number, n) })
-	p.ends = slices.Insert(p.ends, at, e)
-	return p
-}
-
-// forget drops ends that are too old or too many, and the parts that only they
-// had. The caller holds mu.
-func (j *Judge) forget(now time.Time) {
-	n := max(len(j.ends)-maxEnds, 0)
-	for n < len(j.ends) && now.Sub(j.ends[n].at) > retention {
-		n++
-	}
-	for _, e := range j.ends[:n] {
-		for k := range e.parts {
-			p := j.parts[k]
-			p.ends = p.ends[1:]
-			if len(p.ends) == 0 {
-				delete(j.parts, k)
-			}
-		}
-	}
-	j.ends = slices.Delete(j.ends, 0, n)
-}
-
 // suspicions returns what counts against each request and each part with which targets
 // ended at several moments, requests first, and the gravest first. The caller holds mu.
 func (j *Judge) suspicions(inForce []quarantine.Verdict) []*suspicion {
--- a/internal/site/witness/witness.go
+++ b/internal/site/witness/witness.go
@@ -36,7 +36,9 @@
 	suspects map[id.PromptPart]time.Time
 	accused  map[id.PromptPart]bool
 	pending  evidence.Report
-	size     int
+	// endedAt and begunAt are the times of the ends and the responses in pending.
+	endedAt, begunAt []time.Time
+	size             int
 	// changed is closed when there is something to report.
 	changed chan struct{}
 }
@@ -52,7 +54,7 @@
 	for _, p := range parts {
 		w.parts.Use(p, maxParts).At = now
 		if w.isOfInterest(p, now) {
-			w.addBegun(p, 0)
+			w.addBegun(p, now)
 		}
 	}
 }
@@ -65,11 +67,16 @@
 }
 
 // addBegun adds to the report. The caller holds mu.
-func (w *Witness) addBegun(p id.PromptPart, age time.Duration) {
+func (w *Witness) addBegun(p id.PromptPart, at time.Time) {
 	same := func(b evidence.Begun) bool { return b.Part == p }
-	if w.size < maxPartsPerReport && !slices.ContainsFunc(w.pending.Begun, same) {
+	if i := slices.IndexFunc(w.pending.Begun, same); i >= 0 {
+		w.begunAt[i] = at
+		return
+	}
+	if w.size < maxPartsPerReport {
 		w.size++
-		w.pending.Begun = append(w.pending.Begun, evidence.Begun{Part: p, AgeMs: age.Milliseconds()})
+		w.pending.Begun = append(w.pending.Begun, evidence.Begun{Part: p})
+		w.begunAt = append(w.begunAt, at)
 		w.notify()
 	}
 }
@@ -142,6 +149,7 @@
 	if i < 0 {
 		i = len(w.pending.Ends)
 		w.pending.Ends = append(w.pending.Ends, evidence.End{Target: target, Born: born})
+		w.endedAt = append(w.endedAt, time.Now())
 	}
 	return &w.pending.Ends[i]
 }
@@ -153,7 +161,7 @@
 	defer w.mu.Unlock()
 	for p, since := range suspects {
 		if w.begunSince(p, since) {
-			w.addBegun(p, time.Since(w.begun(p).At))
+			w.addBegun(p, w.begun(p).At)
 		}
 	}
 	w.suspects = suspects
@@ -179,7 +187,13 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	out := w.pending
-	w.pending, w.size = evidence.Report{}, 0
+	for i, at := range w.endedAt {
+		out.Ends[i].AgeMs = time.Since(at).Milliseconds()
+	}
+	for i, at := range w.begunAt {
+		out.Begun[i].AgeMs = time.Since(at).Milliseconds()
+	}
+	w.pending, w.endedAt, w.begunAt, w.size = evidence.Report{}, nil, nil, 0
 	if w.changed == nil {
 		w.changed = make(chan struct{})
 	}
