entry: take the test of a verdict once a target is granted

The entry asked the keepers for the test before it looked for a target.

One request at a time looks for a target for the test, and takes the test once that is granted, before the dial. The place is released if the keepers refuse the test. Places that were reserved in a silence are released on all ways out: a verdict that came meanwhile left one taken for good.

--- a/internal/role/siteentry/quarantine.go
+++ b/internal/role/siteentry/quarantine.go
@@ -114,37 +114,60 @@
 }
 
 // shutOut reports whether the request must not be sent to a target. If a test of
-// the verdict is due, the request may become that test.
-func (j *job) shutOut(ctx context.Context) bool {
+// the verdict is due, one request at a time looks for a target, to become that test.
+func (j *job) shutOut() bool {
 	v := j.verdict()
 	if v == nil {
+		j.leaveTest()
 		return false
 	}
-	if j.sent == 0 && j.takeTest(ctx, v) {
+	if j.mayTest(v) && (j.testing || j.entry.testing.CompareAndSwap(false, true)) {
+		j.testing = true
 		return false
 	}
 	j.shutOutBy = v
 	return true
 }
 
-// takeTest reports whether the request was chosen to test the verdict. A request
-// that another verdict matches as well, or that ends targets by itself, would show
-// nothing about this one.
-func (j *job) takeTest(ctx context.Context, v *siteclient.Verdict) bool {
+// mayTest reports whether the request may test the verdict now. One that another verdict
+// matches as well, or that ends targets by itself, would show nothing about this one.
+func (j *job) mayTest(v *siteclient.Verdict) bool {
 	if !v.OnRequest() && j.entry.witness.RequestHeld(j.digest) > 0 {
 		return false
 	}
-	if len(j.matchingVerdicts()) > 1 || v.Age() < v.TestInterval() || j.entry.Keepers == nil || !j.entry.testing.CompareAndSwap(false, true) {
+	if len(j.matchingVerdicts()) > 1 || v.Age() < v.TestInterval() || j.entry.Keepers == nil {
 		return false
 	}
-	defer j.entry.testing.Store(false)
-	j.tests = j.entry.Keepers.TakeTest(ctx, v, j.entry.Settings.Name+" "+j.id)
-	if j.tests {
-		j.entry.Metrics.Count("VerdictTested")
-		j.entry.DecisionLog.Record(failureKind, "Request tests whether its parts still end targets", "Request", j.id,
-			"Verdict", v.Parts, "Number", v.Tests+1)
+	return j.sent == 0
+}
+
+// takeTest takes the test of a verdict that matches the request, if any, once a target is
+// granted: a test that is counted is sent. It reports whether the request may be sent.
+func (j *job) takeTest(ctx context.Context) bool {
+	defer j.leaveTest()
+	v := j.verdict()
+	if v == nil {
+		return true
+	}
+	if j.testing && j.mayTest(v) {
+		j.tests = j.entry.Keepers.TakeTest(ctx, v, j.entry.Settings.Name+" "+j.id)
+	}
+	if !j.tests {
+		j.shutOutBy = v
+		return false
+	}
+	j.entry.Metrics.Count("VerdictTested")
+	j.entry.DecisionLog.Record(failureKind, "Request tests whether its parts still end targets", "Request", j.id,
+		"Verdict", v.Parts, "Number", v.Tests+1)
+	return true
+}
+
+// leaveTest lets other requests test verdicts.
+func (j *job) leaveTest() {
+	if j.testing {
+		j.testing = false
+		j.entry.testing.Store(false)
 	}
-	return j.tests
 }
 
 // mayHaveEndedTarget reports whether the target of the latest attempt ended before
--- a/internal/role/siteentry/request.go
+++ b/internal/role/siteentry/request.go
@@ -63,8 +63,10 @@
 	// digest, which verdicts match.
 	digest id.PromptPart
 	marks  []id.PromptPart
-	// tests is set if the request tests a verdict that matches it, shutOutBy is
-	// the verdict that shuts it out.
+	// testing is set while no other request of the entry may test a verdict, tests if
+	// this one tests a verdict that matches it. shutOutBy is the verdict that shuts it
+	// out.
+	testing   bool
 	tests     bool
 	shutOutBy *siteclient.Verdict
 	// passed is set once the request was let through in spite of the ends that this
--- a/internal/role/siteentry/requestdigest.go
+++ b/internal/role/siteentry/requestdigest.go
@@ -23,7 +23,7 @@
 // heldBack reports whether the request must be refused, since targets ended under it as
 // far as this entry knows. The keepers may not know, or be out of reach.
 func (j *job) heldBack() bool {
-	if j.passed || j.tests {
+	if j.passed || j.tests || j.testing {
 		return false
 	}
 	j.heldFor = j.entry.witness.RequestHeld(j.digest)
--- a/internal/role/siteentry/run.go
+++ b/internal/role/siteentry/run.go
@@ -28,13 +28,15 @@
 func (j *job) run(ctx context.Context) {
 	defer j.releaseNext()
 	j.entry.RetryBudget.RecordRequest(j.service.Name)
+	defer j.releaseNext()
+	defer j.leaveTest()
 	dialFailures := 0
 	for {
 		if j.comesTooLate() {
 			j.abandon(ctx, errStopping)
 			return
 		}
-		if j.shutOut(ctx) {
+		if j.shutOut() {
 			j.abandon(ctx, errShutOut)
 			return
 		}
@@ -67,6 +69,11 @@
 			grant.End(dispatch.Cancelled)
 			continue
 		}
+		if !j.takeTest(ctx) {
+			grant.End(dispatch.Cancelled)
+			j.abandon(ctx, errShutOut)
+			return
+		}
 		j.target = grant.Target
 		next, outcome, sent := j.try(ctx, grant)
 		if next == done {
--- a/internal/role/siteentry/siteentry.go
+++ b/internal/role/siteentry/siteentry.go
@@ -101,7 +101,7 @@
 	retryDetector retrydetector.Detector
 	startup       startupState
 	witness       witness.Witness
-	// testing is set while a request asks for the test of a verdict.
+	// testing is set while a request looks for a target to test a verdict.
 	testing atomic.Bool
 	// bootNow replaces boottime.Now in tests.
 	bootNow func() time.Duration
