--- a/internal/request/ends/ends.go
+++ b/internal/request/ends/ends.go
@@ -16,12 +16,14 @@
 	Suspicious = 2
 	// maxRequests limits the requests that are remembered.
 	maxRequests = 1024
-	// momentLength is the time in which targets that end count once, unless the
+	// MomentLength is the time in which targets that end count once, unless the
 	// request was sent to the later one after the earlier one had ended: the loss of
-	// a failure domain ends all targets of a request that comes often.
-	momentLength = 50 * time.Millisecond
-	// retention is how long an end counts.
-	retention = 30 * time.Minute
+	// a failure domain, or of the links of an entry, ends all targets of a request
+	// that comes often.
+	MomentLength = 50 * time.Millisecond
+	// Retention is how long an end counts. Requests, and parts of prompts, may come
+	// rarely.
+	Retention = 30 * time.Minute
 	// guiltyEnds is the number of moments from which a request is held back, for
 	// firstPause, and for laterPause after each further one.
 	guiltyEnds = 3
@@ -43,11 +45,11 @@
 	defer m.mu.Unlock()
 	now := time.Now()
 	r := m.recent.Use(request, maxRequests)
-	if now.Sub(r.At) > retention {
+	if now.Sub(r.At) > Retention {
 		r.Ends = 0
 	}
 	same := r.Target == target && r.Born == born
-	later := now.Sub(r.At) >= momentLength || sentAt.After(r.At)
+	later := now.Sub(r.At) >= MomentLength || sentAt.After(r.At)
 	if r.Ends > 0 && (same || !later) {
 		return
 	}
@@ -88,7 +90,7 @@
 
 // get returns the record of the request if it still counts. The caller holds mu.
 func (m *Memory) get(request id.PromptPart) *recent.Record {
-	if r := m.recent.Get(request); r != nil && time.Since(r.At) <= retention {
+	if r := m.recent.Get(request); r != nil && time.Since(r.At) <= Retention {
 		return r
 	}
 	return nil
--- a/internal/request/ends/ends_test.go
+++ b/internal/request/ends/ends_test.go
@@ -22,9 +22,9 @@
 				t.Errorf("%d moments after %d ends at once", got, n+1)
 			}
 		}
-		time.Sleep(momentLength)
+		time.Sleep(MomentLength)
 		m.Ended(request, "t20", 1, sentAt)
-		time.Sleep(momentLength)
+		time.Sleep(MomentLength)
 		m.Ended(request, "t20", 1, sentAt)
 		if got := m.Count(request); got != 2 {
 			t.Errorf("%d moments", got)
@@ -36,7 +36,7 @@
 		if got := m.Count(request); got != 3 {
 			t.Errorf("%d moments after an end of a repeat", got)
 		}
-		time.Sleep(retention + time.Second)
+		time.Sleep(Retention + time.Second)
 		if got := m.Count(request); got != 0 {
 			t.Errorf("%d moments after a long time", got)
 		}
--- a/internal/site/suspicion/report.go
+++ b/internal/site/suspicion/report.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/request/ends"
 	"egretproxy/internal/site/evidence"
 )
 
@@ -38,9 +39,9 @@
 }
 
 // timeOf returns the time of what an entry reports with an age. What is older than
-// retention counts for nothing.
+// ends.Retention counts for nothing.
 func timeOf(now time.Time, ageMs int64) time.Time {
-	return now.Add(-time.Duration(min(max(ageMs, 0), 2*retention.Milliseconds())) * time.Millisecond)
+	return now.Add(-time.Duration(min(max(ageMs, 0), 2*ends.Retention.Milliseconds())) * time.Millisecond)
 }
 
 // addBegun requires mu.
@@ -106,7 +107,7 @@
 func (j *Judge) numberMoments() {
 	moment, start := 0, time.Time{}
 	for _, e := range j.ends {
-		if e.at.Sub(start) >= momentLength {
+		if e.at.Sub(start) >= ends.MomentLength {
 			moment++
 			start = e.at
 		}
@@ -142,7 +143,7 @@
 // had. The caller holds mu.
 func (j *Judge) forget(now time.Time) {
 	n := max(len(j.ends)-maxEnds, 0)
-	for n < len(j.ends) && now.Sub(j.ends[n].at) > retention {
+	for n < len(j.ends) && now.Sub(j.ends[n].at) > ends.Retention {
 		n++
 	}
 	for _, e := range j.ends[:n] {
--- a/internal/site/suspicion/report_test.go
+++ b/internal/site/suspicion/report_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/request/ends"
 	"egretproxy/internal/site/evidence"
 	"egretproxy/internal/site/quarantine"
 )
@@ -99,11 +100,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		random := rand.New(rand.NewPCG(1, 2))
 		var j Judge
-		check := func(ends []*end) {
+		check := func(all []*end) {
 			t.Helper()
-			for i := 1; i < len(ends); i++ {
-				a, b := ends[i-1], ends[i]
-				if compareEnds(a, b) >= 0 || b.moment < a.moment || b.moment > a.moment && b.at == a.at || b.at.Sub(a.at) >= momentLength && b.moment == a.moment {
+			for i := 1; i < len(all); i++ {
+				a, b := all[i-1], all[i]
+				if compareEnds(a, b) >= 0 || b.moment < a.moment || b.moment > a.moment && b.at == a.at || b.at.Sub(a.at) >= ends.MomentLength && b.moment == a.moment {
 					t.Fatalf("ends at %s, %s of moments %d, %d", a.at, b.at, a.moment, b.moment)
 				}
 			}
@@ -120,9 +121,9 @@
 		if len(j.ends) != maxEnds {
 			t.Errorf("%d ends", len(j.ends))
 		}
-		time.Sleep(retention)
+		time.Sleep(ends.Retention)
 		j.reportEnd(-1, 0, "request:last")
-		j.reportEnd(-2, 2*retention, "request:old")
+		j.reportEnd(-2, 2*ends.Retention, "request:old")
 		if len(j.ends) != 1 || len(j.parts) != 1 {
 			t.Errorf("%d ends, %d parts after a long time", len(j.ends), len(j.parts))
 		}
--- a/internal/site/suspicion/suspicion.go
+++ b/internal/site/suspicion/suspicion.go
@@ -31,14 +31,9 @@
 	quickMoments  = 3
 	quickShare    = 0.5
 	enoughMoments = 5
-	// momentLength is the time in which engines that end count once: the loss of
-	// a failure domain, or of the links of an entry, ends many exchanges at once.
-	momentLength = 50 * time.Millisecond
 	// objectionTime is how long a part must be a suspect before a verdict, so
 	// that entries can report responses that began on it.
 	objectionTime = 250 * time.Millisecond
-	// retention is how long an end counts. Parts may be requested rarely.
-	retention = 30 * time.Minute
 	// maxEnds, maxPartsPerEnd and maxSuspects limit memory and messages.
 	maxEnds        = 512
 	maxPartsPerEnd = 256
