--- a/internal/command/explain/explain.go
+++ b/internal/command/explain/explain.go
@@ -44,9 +44,9 @@
 // verdictLines are the messages that lead to a verdict on parts of prompts, or on a
 // request, or end it. They may be much older than the request, and of any process.
 var verdictLines = map[string]bool{
-	"Target ended before the response began": true, "Target ended under the request": true, "Parts of prompts are shut out": true,
-	"Response began on a part of prompts that is shut out": true, "Verdicts are lifted by an operator": true,
-	"Request tests whether its parts still end targets": true,
+	"Target ended before the response began": true, "Target ended under the request": true, "Parts of prompts or a request are shut out": true,
+	"Response clears a part of prompts or a request": true, "Verdicts are lifted by an operator": true,
+	"Request tests a verdict": true,
 }
 
 // command prints the log lines that explain how a request was handled.
--- a/internal/command/explain/explain_test.go
+++ b/internal/command/explain/explain_test.go
@@ -19,7 +19,7 @@
 
 const verdictLogs = `{"time":"2026-01-01T09:00:00.0Z","level":"INFO","msg":"Target ended before the response began","Process":"a/Entry","Request":"r1","Target":"t1","Parts":["x","bad"]}
 {"time":"2026-01-01T09:00:00.1Z","level":"INFO","msg":"Target ended before the response began","Process":"b/Entry","Request":"r2","Target":"t1","Parts":["x","y"]}
-{"time":"2026-01-01T09:00:02.0Z","level":"INFO","msg":"Parts of prompts are shut out","Process":"k/Keeper","Parts":["bad"],"Ends":3}
+{"time":"2026-01-01T09:00:02.0Z","level":"INFO","msg":"Parts of prompts or a request are shut out","Process":"k/Keeper","Parts":["bad"],"Ends":3}
 {"time":"2026-01-01T10:00:02.0Z","level":"INFO","msg":"Request was not served","Process":"a/Entry","Request":"r9","Reason":"ShutOut","Verdict":["bad"],"Parts":["x","bad"]}
 {"time":"2026-01-01T10:00:03.0Z","level":"INFO","msg":"Verdicts are lifted by an operator","Process":"k/Keeper","Part":"bad"}
 `
@@ -27,7 +27,7 @@
 const requestVerdictLogs = `{"time":"2026-01-01T09:00:00.0Z","level":"INFO","msg":"Target ended under the request","Process":"a/Entry","Request":"r1","Target":"t1","Digest":"request:1","Events":4}
 {"time":"2026-01-01T09:00:00.1Z","level":"INFO","msg":"Target ended under the request","Process":"b/Entry","Request":"r2","Target":"t1","Digest":"request:2","Events":4}
 {"time":"2026-01-01T09:00:01.0Z","level":"INFO","msg":"Target ended before the response began","Process":"b/Entry","Request":"r3","Target":"t1","Parts":["x"],"Digest":"request:1"}
-{"time":"2026-01-01T09:00:02.0Z","level":"INFO","msg":"Parts of prompts are shut out","Process":"k/Keeper","Parts":["request:1"],"Ends":3}
+{"time":"2026-01-01T09:00:02.0Z","level":"INFO","msg":"Parts of prompts or a request are shut out","Process":"k/Keeper","Parts":["request:1"],"Ends":3}
 {"time":"2026-01-01T10:00:02.0Z","level":"INFO","msg":"Request was not served","Process":"a/Entry","Request":"r9","Reason":"ShutOut","Verdict":["request:1"],"Parts":["x"]}
 `
 
@@ -42,7 +42,7 @@
 		got = append(got, l.msg)
 	}
 	want := []string{
-		"Target ended under the request", "Target ended before the response began", "Parts of prompts are shut out", "Request was not served",
+		"Target ended under the request", "Target ended before the response began", "Parts of prompts or a request are shut out", "Request was not served",
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
@@ -60,7 +60,7 @@
 	for _, l := range findLines(lines, "r9") {
 		got = append(got, l.msg)
 	}
-	want := []string{"Target ended before the response began", "Parts of prompts are shut out", "Request was not served"}
+	want := []string{"Target ended before the response began", "Parts of prompts or a request are shut out", "Request was not served"}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
 	}
--- a/internal/fleet/id/id.go
+++ b/internal/fleet/id/id.go
@@ -21,7 +21,8 @@
 // Model identifies a model that engines serve.
 type Model string
 
-// PromptPart identifies a part of prompts, which requests may share.
+// PromptPart identifies a part of prompts, which requests may share. Verdicts and
+// evidence also name whole requests with it, by their digests.
 type PromptPart string
 
 // Service identifies a plain service that targets serve.
--- a/internal/role/siteentry/quarantine.go
+++ b/internal/role/siteentry/quarantine.go
@@ -71,11 +71,11 @@
 
 func (e *Entry) report(ctx context.Context, r evidence.Report) {
 	if err := e.Keepers.Report(ctx, r); err != nil && ctx.Err() == nil {
-		klog.InfoS("Failed to report evidence about parts of prompts", "Ends", len(r.Ends), "Begun", len(r.Begun), "Error", err.Error())
+		klog.InfoS("Failed to report evidence", "Ends", len(r.Ends), "Begun", len(r.Begun), "Error", err.Error())
 	}
 }
 
-// OnSuspects applies the parts of prompts that keepers suspect.
+// OnSuspects applies the parts of prompts and the requests that keepers suspect.
 func (e *Entry) OnSuspects(suspects map[id.PromptPart]time.Time) { e.witness.SetSuspects(suspects) }
 
 // verdicts returns the verdicts in a view.
@@ -157,7 +157,7 @@
 		return false
 	}
 	j.entry.Metrics.Count("VerdictTested")
-	j.entry.DecisionLog.Record(failureKind, "Request tests whether its parts still end targets", "Request", j.id,
+	j.entry.DecisionLog.Record(failureKind, "Request tests a verdict", "Request", j.id,
 		"Verdict", v.Parts, "Number", v.Tests+1)
 	return true
 }
--- a/internal/role/sitekeeper/quarantine.go
+++ b/internal/role/sitekeeper/quarantine.go
@@ -28,8 +28,8 @@
 	testSlack = time.Second
 )
 
-// handleEvidence records what an entry saw. Parts on which responses began are
-// harmless, and are removed from the verdicts.
+// handleEvidence records what an entry saw. Parts on which responses began, and requests
+// whose responses came to their end, are harmless and are removed from the verdicts.
 func (k *Keeper) handleEvidence(ctx context.Context, params json.RawMessage) (any, error) {
 	var in evidence.Report
 	if err := json.Unmarshal(params, &in); err != nil {
@@ -41,7 +41,7 @@
 		if !accused[b.Part] {
 			continue
 		}
-		klog.InfoS("Response began on a part of prompts that is shut out", "Part", b.Part, "AgeMs", b.AgeMs)
+		klog.InfoS("Response clears a part of prompts or a request", "Part", b.Part, "AgeMs", b.AgeMs)
 		change := sitestate.QuarantineChange{Harmless: b.Part}
 		if err := k.Propose(ctx, sitestate.Command{Quarantine: &change}); err != nil {
 			return nil, rpc.NewError(rpc.CodeUnavailable, err.Error())
@@ -140,10 +140,10 @@
 	if !k.raftNode.Status().IsLeader && time.Since(dueSince) < followerDelay {
 		return
 	}
-	klog.InfoS("Parts of prompts are shut out", "Parts", v.Parts, "Ends", v.Ends)
+	klog.InfoS("Parts of prompts or a request are shut out", "Parts", v.Parts, "Ends", v.Ends)
 	k.metrics.Count("PartsShutOut")
 	change := sitestate.QuarantineChange{Verdict: v}
 	if err := k.Propose(ctx, sitestate.Command{Quarantine: &change}); err != nil {
-		klog.InfoS("Failed to shut out parts of prompts", "Parts", v.Parts, "Error", err.Error())
+		klog.InfoS("Failed to shut out parts of prompts or a request", "Parts", v.Parts, "Error", err.Error())
 	}
 }
--- a/internal/role/sitekeeper/sitekeeper.go
+++ b/internal/role/sitekeeper/sitekeeper.go
@@ -51,7 +51,7 @@
 	Machine sitestate.Machine
 	// Targets holds the targets announced to this keeper.
 	Targets discovery.Registry
-	// judge finds the parts of prompts that end targets.
+	// judge finds the parts of prompts and the requests that end targets.
 	judge    suspicion.Judge
 	raftNode *node.Node
 	metrics  *metrics.Set
--- a/internal/site/siteclient/client.go
+++ b/internal/site/siteclient/client.go
@@ -75,7 +75,7 @@
 	// OnChange is called with each new view, one at a time. It may be nil.
 	OnChange func(*View)
 	// OnSuspects is called with the time of the first end of a target with each
-	// part of prompts that keepers suspect. It may be nil.
+	// part of prompts, or request, that keepers suspect. It may be nil.
 	OnSuspects func(map[id.PromptPart]time.Time)
 	// Demand returns the requests per second for services whose targets limit
 	// them. It may be nil.
--- a/internal/site/siteclient/view.go
+++ b/internal/site/siteclient/view.go
@@ -19,7 +19,7 @@
 	Withdrawn map[id.Domain]bool
 	// Weights holds the newest published versions, oldest first.
 	Weights []WeightsVersion
-	// Quarantine holds the verdicts on parts of prompts, oldest first.
+	// Quarantine holds the verdicts on parts of prompts and on requests, oldest first.
 	Quarantine []Verdict
 	// Targets holds all targets that are alive and have not left.
 	Targets map[id.Target]discovery.Target
--- a/internal/site/sitestate/sitestate.go
+++ b/internal/site/sitestate/sitestate.go
@@ -1,6 +1,6 @@
 // Package sitestate implements the replicated state of a site: the plan in
 // force, the withdrawn failure domains, the published versions of weights and the
-// parts of prompts that are shut out.
+// parts of prompts and requests that are shut out.
 // Keepers apply the commands of the replicated log to it.
 package sitestate
 
@@ -24,7 +24,7 @@
 	Plan     *PlanChange    `cbor:",omitempty"`
 	Withdraw *DomainChange  `cbor:",omitempty"`
 	Weights  *WeightsChange `cbor:",omitempty"`
-	// Quarantine changes the parts of prompts that are shut out.
+	// Quarantine changes the parts of prompts and the requests that are shut out.
 	Quarantine *QuarantineChange `cbor:",omitempty"`
 }
 
@@ -65,7 +65,7 @@
 	Weights   map[id.Model]int64
 	// NamedMs is when those versions were published, as in WeightsChange.
 	NamedMs map[id.Model]int64
-	// Quarantine holds the verdicts on parts of prompts, oldest first.
+	// Quarantine holds the verdicts on parts of prompts and on requests, oldest first.
 	Quarantine []quarantine.Verdict
 }
 
--- a/internal/site/suspicion/announce.go
+++ b/internal/site/suspicion/announce.go
@@ -44,7 +44,7 @@
 	j.announced = announced(found)
 	if now.Sub(j.loggedAt) >= logInterval {
 		j.loggedAt = now
-		klog.InfoS("Parts of prompts that are suspected to end targets have changed", "Suspects", len(found), "Ends", len(j.ends))
+		klog.InfoS("Suspected parts of prompts and requests have changed", "Suspects", len(found), "Ends", len(j.ends))
 	}
 	j.position++
 	if j.changed != nil {
--- a/internal/site/watch/watch.go
+++ b/internal/site/watch/watch.go
@@ -63,8 +63,8 @@
 	// changed.
 	Position uint64
 	Targets  []discovery.Target `json:",omitempty"`
-	// SuspectsAt is the newest position of the parts of prompts that are
-	// suspected to end targets, Suspects all of them if the position held was
+	// SuspectsAt is the newest position of the parts of prompts and the
+	// requests that are suspected to end targets, Suspects all of them if the position held was
 	// another one.
 	SuspectsAt uint64             `json:",omitempty"`
 	Suspects   []evidence.Suspect `json:",omitempty"`
@@ -92,7 +92,7 @@
 	Withdrawn []id.Domain
 	// Weights holds the newest published versions, oldest first.
 	Weights []WeightsVersion
-	// Quarantine holds the verdicts on parts of prompts.
+	// Quarantine holds the verdicts on parts of prompts and on requests.
 	Quarantine []Verdict `json:",omitempty"`
 }
 
