--- a/internal/role/entry/admit.go
+++ b/internal/role/entry/admit.go
@@ -21,8 +21,8 @@
 }
 
 // admit finds the organisation, reads the body and applies the organisation's
-// concurrency limit and the end of a shutdown. The returned function must be called when the request
-// ends; it is nil with a refusal.
+// concurrency limit and the end of a shutdown. The returned function must be called
+// when the request ends; it is nil with a refusal.
 func (e *Entry) admit(w http.ResponseWriter, r *http.Request) (*admittedRequest, func(), *refusal.Refusal) {
 	req := &admittedRequest{id: requestID(r)}
 	o, ok := e.directory.Find(r)
--- a/internal/role/siteentry/attempt.go
+++ b/internal/role/siteentry/attempt.go
@@ -193,6 +193,21 @@
 	return j.responseEnded(response, grant)
 }
 
+// sourceReader keeps the error with which a body broke off, to tell it from one of the
+// connection to the caller.
+type sourceReader struct {
+	io.Reader
+	err error
+}
+
+func (s *sourceReader) Read(b []byte) (int, error) {
+	n, err := s.Reader.Read(b)
+	if err != nil && err != io.EOF {
+		s.err = err
+	}
+	return n, err
+}
+
 // responseFailed handles a response that breaks off or exceeds a limit before
 // the caller received any of it. A request whose caller has part of a stream was
 // repeated before, and goes to another target.
--- a/internal/role/siteentry/requestdigest.go
+++ b/internal/role/siteentry/requestdigest.go
@@ -1,7 +1,6 @@
 package siteentry
 
 import (
-	"io"
 	"slices"
 	"time"
 
@@ -49,21 +48,6 @@
 	j.marks = append(slices.Clip(j.parts), j.digest)
 }
 
-// sourceReader keeps the error with which a body broke off, to tell it from one of the
-// connection to the caller.
-type sourceReader struct {
-	io.Reader
-	err error
-}
-
-func (s *sourceReader) Read(b []byte) (int, error) {
-	n, err := s.Reader.Read(b)
-	if err != nil && err != io.EOF {
-		s.err = err
-	}
-	return n, err
-}
-
 // suspectRequest returns an error if the target of the latest attempt ended under the
 // request and others did before, so that it must not go to another one.
 func (j *job) suspectRequest() error {
