entry: take no test of a verdict for a caller that has left

A test was counted for a request whose caller closed its connection while it waited for a target: the connection is asked only before the request is written.

The entry asks it before it takes the test as well. TestLeftCallerTakesNoTest failed before: one test taken, nothing sent.

--- a/internal/role/siteentry/quarantine.go
+++ b/internal/role/siteentry/quarantine.go
@@ -16,6 +16,7 @@
 	"egretproxy/internal/exchange/dispatch"
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/kernel/clock"
+	"egretproxy/internal/kernel/httpserver"
 	"egretproxy/internal/site/evidence"
 	"egretproxy/internal/site/quarantine"
 	"egretproxy/internal/site/siteclient"
@@ -149,7 +150,7 @@
 	if v == nil {
 		return true
 	}
-	if j.testing && j.mayTest(v) {
+	if j.testing && j.mayTest(v) && ctx.Err() == nil && !httpserver.CallerLeft(j.r) {
 		j.tests = j.entry.Keepers.TakeTest(ctx, v, j.entry.Settings.Name+" "+j.id)
 	}
 	if !j.tests {
--- a/internal/role/siteentry/testtarget_test.go
+++ b/internal/role/siteentry/testtarget_test.go
@@ -1,12 +1,14 @@
 package siteentry
 
 import (
+	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	"egretproxy/internal/exchange/dispatch"
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/request/digest"
 )
 
 // inFlight returns the requests in progress at the second of two targets.
@@ -62,3 +64,35 @@
 		t.Errorf("%v in progress before, %v after; %d tests requested, %d requests sent", before, after, keepers.granted-1, len(second.requests()))
 	}
 }
+
+// TestLeftCallerTakesNoTest guards against a test that is used up by a request whose
+// caller left while it waited for a target, though the process has not read that.
+func TestLeftCallerTakesNoTest(t *testing.T) {
+	target, address := startTarget(t, respondWith("ok"))
+	te := startEntry(t, address)
+	keepers := &fakeKeepers{}
+	te.entry.Keepers = keepers
+	te.plan.Routes[1].Objective = 10 * time.Second
+	d := digest.Request{Method: http.MethodPost, Host: "read", URI: "/x", Organisation: "org"}
+	te.shutOut(61*time.Second, d.Digest())
+	te.entry.Dispatcher.ReportLoad("t0", dispatch.Load{Active: 1000})
+	l := &lateListener{}
+	c := send(t, te.listenFor(t, func(inner net.Listener) net.Listener {
+		l.Listener = inner
+		return l
+	}), "read")
+	defer l.late.Store(false)
+	for te.entry.Dispatcher.Summary("s").Waiting == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	l.late.Store(true)
+	_ = c.Close()
+	time.Sleep(50 * time.Millisecond)
+	te.entry.Dispatcher.ReportLoad("t0", dispatch.Load{})
+	for te.entry.active.Load() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if n := len(target.requests()); keepers.granted != 0 || n != 0 {
+		t.Errorf("%d tests were taken, %d requests sent", keepers.granted, n)
+	}
+}
