--- a/review/standin/replacement.go
+++ b/review/standin/replacement.go
@@ -11,8 +11,8 @@
 )
 
 // replacement replaces a machine of the core as planned: its successor starts first.
-// After the successor has had twice its time the old machine stops for good. Then
-// another machine loses its disk and is back after a second.
+// After the successor has had twice its time the old machine stops for good. When it
+// has stopped, another machine loses its disk and is back after a second.
 func replacement(s *site, trouble bool) (string, error) {
 	machines, err := startSmallSite(s)
 	if err != nil {
@@ -36,7 +36,7 @@
 	if err := configure(s, 9, stays, loses, successor); err != nil {
 		return "", err
 	}
-	time.Sleep(2 * time.Second)
+	<-stopped
 	if trouble {
 		loses.kill()
 		if err := loses.loseDisk(); err != nil {
@@ -48,7 +48,6 @@
 		}
 	}
 	backAt := time.Now()
-	<-stopped
 	return readBack(s, 9, backAt, stays, loses, successor), nil
 }
 
