--- a/internal/agreement/node/calls.go
+++ b/internal/agreement/node/calls.go
@@ -18,6 +18,7 @@
 	methodPropose = "seat.propose"
 	methodConfirm = "seat.confirm"
 	methodJoin    = "seat.join"
+	methodLeave   = "seat.leave"
 )
 
 type proposeParams struct{ Command []byte }
@@ -35,6 +36,7 @@
 		methodPropose:  n.handlePropose,
 		methodConfirm:  n.handleConfirm,
 		methodJoin:     n.handleJoin,
+		methodLeave:    n.handleLeave,
 	}
 	for name, h := range n.cfg.Handlers {
 		out[name] = h
@@ -78,7 +80,7 @@
 
 // callLeader runs the call for the leader's address, or for an empty address if
 // this member leads. It retries until the call succeeds, the context ends or this
-// member has stopped, as the caller can then try another keeper.
+// member stops, as the caller can then try another keeper.
 func (n *Node) callLeader(ctx context.Context, call func(ctx context.Context, leader string) error) error {
 	err := error(replica.ErrNotLeader)
 	for ctx.Err() == nil {
@@ -99,8 +101,8 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-n.stopped():
-			return errors.Wrap(err, "keeper has stopped")
+		case <-n.stopping:
+			return errors.Wrap(err, "keeper is stopping")
 		case <-time.After(retryDelay):
 		}
 	}
@@ -149,6 +151,8 @@
 	}
 	in.Member.Voter = false
 	n.mu.Lock()
+	// A keeper that joins has restarted since it left.
+	delete(n.leavers, in.Member.ID)
 	n.joiners[in.Member.Address] = joiner{Member: in.Member, durable: in.Durable, requestedAt: time.Now()}
 	n.mu.Unlock()
 	return api.JoinResponse{Members: n.replica.Status().Membership.Members}, nil
--- a/internal/agreement/node/node.go
+++ b/internal/agreement/node/node.go
@@ -22,6 +22,7 @@
 	"egretproxy/internal/agreement/record"
 	"egretproxy/internal/agreement/replica"
 	"egretproxy/internal/agreement/transport"
+	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/wire/frame"
 	"egretproxy/internal/wire/liveness"
 	"egretproxy/internal/wire/rpc"
@@ -62,6 +63,9 @@
 	// Voters is the number of voters required for the configured fault
 	// tolerance.
 	Voters int
+	// ReplaceAfter is how long a voter may be silent before a learner that has
+	// caught up replaces it. Zero means 2 s.
+	ReplaceAfter time.Duration
 	// Machine is the replicated state machine.
 	Machine replica.StateMachine
 	// Handlers holds additional RPC handlers by method name.
@@ -70,6 +74,13 @@
 	OnLeadershipChange func(leads bool)
 }
 
+func (c *Config) replaceAfter() time.Duration {
+	if c.ReplaceAfter > 0 {
+		return c.ReplaceAfter
+	}
+	return defaultReplaceAfter
+}
+
 // Node is a keeper's member of the Raft group. It is safe for concurrent use.
 type Node struct {
 	cfg     Config
@@ -77,12 +88,17 @@
 	dir     *disk.Dir
 	journal *journal.Journal
 	replica *replica.Replica
+	// stopping is closed when this keeper starts to stop, or has failed.
+	stopping     chan struct{}
+	stoppingOnce sync.Once
 
 	mu sync.Mutex
 	// clients holds the RPC clients of other keepers by address.
 	clients map[string]*rpc.Client
 	// joiners holds the latest join request of each keeper by address.
 	joiners map[string]joiner
+	// leavers holds the time of the latest request of each keeper that leaves.
+	leavers map[id.Keeper]time.Time
 }
 
 // joiner is a keeper that requested to join the group.
@@ -101,7 +117,10 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{cfg: cfg, dir: dir, clients: map[string]*rpc.Client{}, joiners: map[string]joiner{}}
+	n := &Node{
+		cfg: cfg, dir: dir, stopping: make(chan struct{}),
+		clients: map[string]*rpc.Client{}, joiners: map[string]joiner{}, leavers: map[id.Keeper]time.Time{},
+	}
 	if err := n.open(); err != nil {
 		_ = dir.Close()
 		return nil, err
@@ -168,8 +187,9 @@
 	return err
 }
 
-// Run serves until the context is cancelled or the disk fails. It closes the
-// journal and the data directory.
+// Run serves until the context is cancelled or the disk fails. When the context is
+// cancelled, it first passes this member's vote to a learner if there is one that
+// has caught up. It closes the journal and the data directory.
 func (n *Node) Run(ctx context.Context) error {
 	defer func() {
 		_ = n.journal.Close()
@@ -179,11 +199,20 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for keepers")
 	}
-	if err := n.prepare(ctx); err != nil {
+	serving, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	if err := n.prepare(serving); err != nil {
 		_ = l.Close()
 		return err
 	}
-	return n.serve(ctx, l)
+	stop := context.AfterFunc(ctx, func() {
+		defer cancel()
+		n.markStopping()
+		n.leave(serving)
+	})
+	defer stop()
+	defer n.markStopping()
+	return n.serve(serving, l)
 }
 
 func (n *Node) prepare(ctx context.Context) error {
@@ -232,6 +261,8 @@
 	return n.replica
 }
 
+func (n *Node) markStopping() { n.stoppingOnce.Do(func() { close(n.stopping) }) }
+
 // stopped returns a channel that is closed when the replica has stopped, or nil
 // before Run.
 func (n *Node) stopped() <-chan struct{} {
--- a/internal/agreement/raft/election.go
+++ b/internal/agreement/raft/election.go
@@ -100,6 +100,9 @@
 	n.quorumCheckTicks = 0
 	n.appendAsLeader(record.KindNoop, nil)
 	n.updatePeers()
+	if p := n.peers[n.lastLeader]; p != nil {
+		p.inactiveTicks = n.lastLeaderTicks
+	}
 	n.broadcast()
 }
 
--- a/internal/agreement/raft/node.go
+++ b/internal/agreement/raft/node.go
@@ -112,7 +112,11 @@
 	role      role
 	// leader is the known leader of the term, or empty.
 	leader id.Keeper
-	log    log
+	// lastLeader is the other member that this node followed last, and
+	// lastLeaderTicks the number of ticks since its last message.
+	lastLeader      id.Keeper
+	lastLeaderTicks int
+	log             log
 	// commit never decreases and never exceeds the last index of the log.
 	commit uint64
 	// delivered is the highest committed index that Ready has returned.
@@ -215,6 +219,7 @@
 // send heartbeats.
 func (n *Node) Tick() {
 	n.elapsedTicks++
+	n.lastLeaderTicks++
 	if n.starting() {
 		n.startTicks++
 	}
--- a/internal/agreement/raft/replication.go
+++ b/internal/agreement/raft/replication.go
@@ -58,6 +58,7 @@
 	if n.role != follower || n.leader != m.From {
 		n.become(follower, m.Term, m.From)
 	}
+	n.lastLeader, n.lastLeaderTicks = m.From, 0
 	n.resetTimeout()
 }
 
--- a/internal/role/sitekeeper/sitekeeper.go
+++ b/internal/role/sitekeeper/sitekeeper.go
@@ -103,14 +103,19 @@
 	return k, err
 }
 
-// Run serves watchers and other keepers until the context ends.
+// Run serves watchers and other keepers until the context ends and the member of
+// the Raft group has left.
 func (k *Keeper) Run(ctx context.Context) error {
-	g, ctx := errgroup.WithContext(ctx)
 	context.AfterFunc(ctx, func() { k.stopping.Store(true) })
 	defer k.stopping.Store(true)
-	g.Go(func() error { return k.raftNode.Run(ctx) })
-	g.Go(func() error { k.confirmLoop(ctx); return nil })
-	g.Go(func() error { k.judgeLoop(ctx); return nil })
+	serving, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	var g errgroup.Group
+	g.Go(func() error {
+		defer cancel()
+		return k.raftNode.Run(ctx)
+	})
+	g.Go(func() error { k.confirmLoop(serving); return nil })
+	g.Go(func() error { k.judgeLoop(serving); return nil })
 	return g.Wait()
 }
 
