--- a/internal/role/siteagent/mirror_test.go
+++ b/internal/role/siteagent/mirror_test.go
@@ -136,8 +136,8 @@
 
 func (e *recordingEngine) Report(context.Context) (Report, error) { return Report{}, nil }
 
-func (e *recordingEngine) Load(_ context.Context, b relay.Bundle, _ int64, _ SwitchMode) error {
-	e.loaded <- b
+func (e *recordingEngine) Load(_ context.Context, o Order) error {
+	e.loaded <- o.Bundle
 	return nil
 }
 
--- a/internal/role/siteagent/reconcile.go
+++ b/internal/role/siteagent/reconcile.go
@@ -27,6 +27,10 @@
 	// maxCandidates bounds the versions to consider. The origin no longer keeps
 	// older ones.
 	maxCandidates = 2
+	// predecessorTime is how long after its start an agent stages no weights. An
+	// order that the process before it sent is accepted or lost by then, unless
+	// the engine does not respond.
+	predecessorTime = orderTimeout
 )
 
 // reconcileLoop brings the engine to the published version of weights until the
@@ -34,6 +38,7 @@
 func (a *Agent) reconcileLoop(ctx context.Context) {
 	ticker := time.NewTicker(reconcileInterval)
 	defer ticker.Stop()
+	startedAt := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -45,7 +50,10 @@
 			a.prefetch(ctx)
 			continue
 		}
-		if !fresh || r.Busy {
+		if fresh {
+			a.settlePending(r)
+		}
+		if !fresh || r.Busy || time.Since(startedAt) < predecessorTime {
 			continue
 		}
 		b, ok := a.chooseVersion(ctx, r.Weights)
@@ -87,9 +95,14 @@
 }
 
 // chooseVersion returns the version to deploy: the newest one available, or its
-// predecessor if that is due soon and the newest may not be complete by then.
+// predecessor if that is due soon and the newest may not be complete by then. As
+// long as an order is pending, it is the version of that order.
 // current is the version that the engine holds.
 func (a *Agent) chooseVersion(ctx context.Context, current int64) (relay.Bundle, bool) {
+	if p := a.pendingOrder(); p != nil {
+		isDue := time.Since(p.sentAt) < pendingCloseTime || time.Since(p.triedAt) > pendingRetryInterval
+		return p.Bundle, isDue
+	}
 	candidates := a.candidates(current)
 	if len(candidates) > 1 && a.mustFallBack(candidates[0], candidates[1], current) {
 		klog.InfoS("Loading the older version first", "Model", candidates[1].Model, "Version", candidates[1].Version, "Newer", candidates[0].Version)
@@ -178,7 +191,9 @@
 	defer cancel()
 	watchCtx, stopWatch := context.WithCancel(ctx)
 	defer stopWatch()
-	go a.cancelIfSuperseded(watchCtx, b, r.Weights, cancel)
+	if a.pendingOrder() == nil {
+		go a.cancelIfSuperseded(watchCtx, b, r.Weights, cancel)
+	}
 	if err := a.Relay.StageBundle(ctx, b); err != nil {
 		return err
 	}
@@ -197,10 +212,10 @@
 	clock.Sleep(ctx, drainNotice)
 	mode := a.drain(ctx)
 	began := time.Now()
-	if r, _ = a.latestReport(); r.Weights >= b.Version {
+	if r, _ = a.latestReport(); r.Weights >= b.Version && a.pendingOrder() == nil {
 		return nil
 	}
-	if err := a.Engine.Load(ctx, b, r.Sequence, mode); err != nil {
+	if err := a.order(ctx, b, mode); err != nil {
 		return err
 	}
 	for time.Since(began) < loadTimeout && ctx.Err() == nil {
--- a/internal/role/siteagent/siteagent.go
+++ b/internal/role/siteagent/siteagent.go
@@ -72,9 +72,10 @@
 type Engine interface {
 	relay.Stage
 	Report(ctx context.Context) (Report, error)
-	// Load orders the engine to load the staged weights. It returns nil once
-	// the order has begun or is complete.
-	Load(ctx context.Context, b relay.Bundle, sequence int64, mode SwitchMode) error
+	// Load sends an order. It returns nil once the order has begun or is complete,
+	// and an error that wraps ErrOrderRefused if the engine refused it. After any
+	// other error the engine may have accepted the order, or accept it later.
+	Load(ctx context.Context, o Order) error
 }
 
 // Settings configures an Agent.
@@ -117,6 +118,9 @@
 	reportAt time.Time
 	// switching means that the engine is about to load weights.
 	switching bool
+	// pending is the order whose outcome is not known, or nil. It is replaced by
+	// reconcileLoop's goroutine only.
+	pending *pendingOrder
 	// firstSeen is when this process learnt of each version.
 	firstSeen map[relay.Bundle]time.Time
 	// unavailable is the last version found to be unavailable. It is used by
@@ -196,7 +200,7 @@
 	}
 	a.report, a.reportAt = r, time.Now()
 	load := loadreport.Load{
-		Active: r.Active, Queued: r.Queued, Weights: r.Weights, Closed: a.switching || r.Busy,
+		Active: r.Active, Queued: r.Queued, Weights: r.Weights, Closed: a.closed(r),
 	}
 	if a.LinkDelay != nil {
 		load.LinkDelayMs = a.LinkDelay().Milliseconds() / linkDelayStepMs * linkDelayStepMs
