--- a/internal/agreement/node/calls.go
+++ b/internal/agreement/node/calls.go
@@ -23,6 +23,10 @@
 
 type proposeParams struct{ Command []byte }
 
+// proposeResponse holds the response of the state machine. It is empty from keepers
+// of versions that did not send it.
+type proposeResponse struct{ Response []byte }
+
 type confirmResponse struct{ Index uint64 }
 
 type joinParams struct {
@@ -44,17 +48,20 @@
 	return out
 }
 
-// Propose appends a command to the log and returns once a quorum has stored it.
-// The command may be appended twice if a response is lost, so commands must be
-// idempotent.
-func (n *Node) Propose(ctx context.Context, command []byte) error {
-	return n.callLeader(ctx, func(ctx context.Context, leader string) error {
+// Propose appends a command to the log and returns the state machine's response
+// once a quorum has stored it. The command may be appended twice if a response is
+// lost, so commands must be idempotent.
+func (n *Node) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	var out proposeResponse
+	err := n.callLeader(ctx, func(ctx context.Context, leader string) error {
 		if leader == "" {
-			_, err := n.currentReplica().Propose(ctx, command)
+			var err error
+			out.Response, err = n.currentReplica().Propose(ctx, command)
 			return err
 		}
-		return n.client(leader).Call(ctx, methodPropose, proposeParams{Command: command}, nil)
+		return n.client(leader).Call(ctx, methodPropose, proposeParams{Command: command}, &out)
 	})
+	return out.Response, err
 }
 
 // Confirm returns once this member has applied every command that was
@@ -125,10 +132,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
-	if _, err := n.replica.Propose(ctx, in.Command); err != nil {
+	response, err := n.replica.Propose(ctx, in.Command)
+	if err != nil {
 		return nil, rpc.NewError(rpc.CodeNotLeader, err.Error())
 	}
-	return struct{}{}, nil
+	return proposeResponse{Response: response}, nil
 }
 
 func (n *Node) handleConfirm(ctx context.Context, _ json.RawMessage) (any, error) {
--- a/internal/agreement/node/node_test.go
+++ b/internal/agreement/node/node_test.go
@@ -160,7 +160,7 @@
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
-	if err := k.Propose(ctx, data); err != nil {
+	if _, err := k.Propose(ctx, data); err != nil {
 		t.Fatalf("propose %d: %v", version, err)
 	}
 }
@@ -219,7 +219,10 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
 	inProgress := make(chan error, 1)
-	go func() { inProgress <- k.Propose(ctx, nil) }()
+	go func() {
+		_, err := k.Propose(ctx, nil)
+		inProgress <- err
+	}()
 	for k.Status().ID == "" {
 		time.Sleep(time.Millisecond)
 	}
@@ -227,7 +230,7 @@
 	if err := <-inProgress; err == nil || ctx.Err() != nil {
 		t.Errorf("call in progress: error %v, its context %v", err, ctx.Err())
 	}
-	if err := k.Propose(ctx, nil); err == nil || ctx.Err() != nil {
+	if _, err := k.Propose(ctx, nil); err == nil || ctx.Err() != nil {
 		t.Errorf("call after the stop: error %v, its context %v", err, ctx.Err())
 	}
 }
--- a/internal/kernel/httpserver/httpserver.go
+++ b/internal/kernel/httpserver/httpserver.go
@@ -66,7 +66,13 @@
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	tracked := &listener{Listener: l, server: s}
 	s.HTTP.ConnState = s.onState
-	s.HTTP.ConnContext = withConn
+	connContext := s.HTTP.ConnContext
+	s.HTTP.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
+		if connContext != nil {
+			ctx = connContext(ctx, nc)
+		}
+		return withConn(ctx, nc)
+	}
 	s.HTTP.Handler = s.announcing(s.HTTP.Handler)
 	accepting := net.Listener(tracked)
 	if s.HTTP.TLSConfig != nil {
--- /dev/null
+++ b/internal/role/sitekeeper/ordertime_test.go
@@ -0,0 +1,41 @@
+package sitekeeper
+
+import (
+	"testing"
+	"time"
+)
+
+// TestHoldsPauseDatesConnections guards against orders that waited in the system's
+// buffers while the process did not run: a connection that is accepted right after
+// such a pause may have been opened before all that happened during it.
+func TestHoldsPauseDatesConnections(t *testing.T) {
+	var p pauseLog
+	now := time.Hour
+	for range 20 {
+		now += pauseInterval
+		if got := p.record(now, 10); got != 10 {
+			t.Fatalf("position %d while the process runs, want 10", got)
+		}
+	}
+	now += 4 * time.Second
+	if got := p.record(now, 13); got != 10 {
+		t.Errorf("position %d right after a pause, want the one before it, 10", got)
+	}
+	for range 5 {
+		now += pauseInterval
+		if got := p.record(now, 14); got != 10 {
+			t.Errorf("position %d shortly after a pause, want 10", got)
+		}
+	}
+	now += 2 * time.Second
+	if got := p.record(now, 15); got != 10 {
+		t.Errorf("position %d after a second pause shortly after the first, want 10", got)
+	}
+	for range 20 {
+		now += pauseInterval
+		p.record(now, 16)
+	}
+	if got := p.record(now, 16); got != 16 {
+		t.Errorf("position %d long after a pause, want 16", got)
+	}
+}
--- a/internal/role/sitekeeper/sitekeeper.go
+++ b/internal/role/sitekeeper/sitekeeper.go
@@ -45,7 +45,7 @@
 )
 
 // Keeper is one running keeper of a site. It is safe for concurrent use. Lock
-// order: mu before the locks of Machine and Targets, which never call back.
+// order: mu before the locks of Machine, Targets and pauses, which never call back.
 type Keeper struct {
 	// Machine holds the replicated state.
 	Machine sitestate.Machine
@@ -60,6 +60,9 @@
 	// stopping is set when Run is asked to stop or has failed.
 	stopping atomic.Bool
 
+	// pauses detects times in which this process did not run.
+	pauses pauseLog
+
 	mu sync.Mutex
 	// confirmedAt is when the newest successful confirmation began, by the
 	// boottime clock. Zero means never.
@@ -115,6 +118,7 @@
 		return k.raftNode.Run(ctx)
 	})
 	g.Go(func() error { k.confirmLoop(serving); return nil })
+	g.Go(func() error { k.pauses.run(serving, k.Machine.Position); return nil })
 	g.Go(func() error { k.judgeLoop(serving); return nil })
 	return g.Wait()
 }
@@ -122,18 +126,28 @@
 // Stopping reports whether the keeper no longer serves watchers.
 func (k *Keeper) Stopping() bool { return k.stopping.Load() }
 
-// Propose submits a change and returns once a quorum has stored it.
+// Propose submits a change and returns once a quorum has stored it. It returns
+// sitestate.ErrOutdated if the change came on a connection that TrackOrders tracks
+// and may be older than a change that it would undo. Such an order has no effect.
 func (k *Keeper) Propose(ctx context.Context, c sitestate.Command) error {
 	if c.Weights != nil {
 		c.Weights.NamedMs = time.Now().UnixMilli()
 	}
+	if c.Withdraw != nil {
+		after := k.positionOf(ctx)
+		c.Withdraw.After = &after
+	}
 	data, err := sitestate.Encode(c)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	return k.raftNode.Propose(ctx, data)
+	response, err := k.raftNode.Propose(ctx, data)
+	if err == nil && string(response) == sitestate.ErrOutdated.Error() {
+		return sitestate.ErrOutdated
+	}
+	return err
 }
 
 // Confirmed returns the replicated state including every change that was
--- a/internal/site/sitestate/sitestate.go
+++ b/internal/site/sitestate/sitestate.go
@@ -39,8 +39,16 @@
 type DomainChange struct {
 	Domain id.Domain
 	Out    bool
+	// After is a position of the log that the operator's order can't precede. If
+	// the domain has changed since, the order may be older than that change and
+	// has no effect. It is nil in logs of versions that did not store it.
+	After *uint64 `cbor:",omitempty"`
 }
 
+// ErrOutdated is the response to a DomainChange that may be older than the domain's
+// last change.
+var ErrOutdated = errors.New("failure domain has changed since the order may have been sent")
+
 // WeightsChange publishes a version of a model's weights. A version that is not
 // higher than the newest has no effect.
 type WeightsChange struct {
@@ -62,7 +70,9 @@
 	// PlanIndex is the position at which the plan was set.
 	PlanIndex uint64
 	Withdrawn map[id.Domain]bool
-	Weights   map[id.Model]int64
+	// DomainIndex is the position of the last change of each failure domain.
+	DomainIndex map[id.Domain]uint64
+	Weights     map[id.Model]int64
 	// NamedMs is when those versions were published, as in WeightsChange.
 	NamedMs map[id.Model]int64
 	// Quarantine holds the verdicts on parts of prompts and on requests, oldest first.
@@ -138,12 +148,20 @@
 	defer m.mu.Unlock()
 	out := m.state
 	out.Withdrawn = maps.Clone(out.Withdrawn)
+	out.DomainIndex = maps.Clone(out.DomainIndex)
 	out.Weights = maps.Clone(out.Weights)
 	out.NamedMs = maps.Clone(out.NamedMs)
 	out.Quarantine = slices.Clone(out.Quarantine)
 	return out
 }
 
+// Position returns the position of the last change that had an effect.
+func (m *Machine) Position() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.Index
+}
+
 // Changed returns a channel that is closed at the next effect.
 func (m *Machine) Changed() <-chan struct{} {
 	m.mu.Lock()
@@ -162,6 +180,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if in.Withdraw != nil && m.state.isOutdated(*in.Withdraw) {
+		return []byte(ErrOutdated.Error())
+	}
 	if !m.state.apply(index, in) {
 		return nil
 	}
@@ -173,6 +194,13 @@
 	return nil
 }
 
+// isOutdated reports whether a change would undo one that may be newer than its
+// order. A change that is already in effect is not outdated, since an order that was
+// accepted may come again.
+func (s *State) isOutdated(c DomainChange) bool {
+	return c.After != nil && s.Withdrawn[c.Domain] != c.Out && s.DomainIndex[c.Domain] > *c.After
+}
+
 // apply reports whether the command had an effect.
 func (s *State) apply(index uint64, in Command) bool {
 	switch {
@@ -188,6 +216,10 @@
 		if s.Withdrawn == nil {
 			s.Withdrawn = map[id.Domain]bool{}
 		}
+		if s.DomainIndex == nil {
+			s.DomainIndex = map[id.Domain]uint64{}
+		}
+		s.DomainIndex[in.Withdraw.Domain] = index
 		s.Withdrawn[in.Withdraw.Domain] = in.Withdraw.Out
 		if !in.Withdraw.Out {
 			delete(s.Withdrawn, in.Withdraw.Domain)
