--- a/internal/role/sitekeeper/watch.go
+++ b/internal/role/sitekeeper/watch.go
@@ -129,6 +129,7 @@
 	if st.Index <= in.Index && !wanted {
 		return out
 	}
+	out.HeldMs = (boottime.Now() - receivedAt).Milliseconds()
 	out.State = &watch.State{
 		Index: st.Index, PlanIndex: st.PlanIndex, Version: st.Version,
 		Withdrawn: domainList(st.Withdrawn),
--- a/internal/site/siteclient/client.go
+++ b/internal/site/siteclient/client.go
@@ -313,7 +313,10 @@
 		c.planOmittedSince = time.Now()
 	}
 	if response.State != nil && !planOmitted && (response.State.Index > c.index || response.State.PlanIndex > c.planIndex) {
-		changed = c.applyState(response.State) || changed
+		// The response may have waited to be read for any time, as in a process that
+		// was frozen. It was built no earlier than this, by when the call was sent.
+		builtAt := sent + time.Duration(response.HeldMs)*time.Millisecond
+		changed = c.applyState(response.State, builtAt) || changed
 	}
 	c.mu.Unlock()
 	if changed {
--- a/internal/site/siteclient/state.go
+++ b/internal/site/siteclient/state.go
@@ -11,8 +11,9 @@
 	"egretproxy/internal/site/watch"
 )
 
-// applyState reports whether the state was applied. The caller holds mu.
-func (c *Client) applyState(s *watch.State) bool {
+// applyState reports whether the state was applied. The ages in it are those at
+// builtAt of the boottime clock. The caller holds mu.
+func (c *Client) applyState(s *watch.State, builtAt time.Duration) bool {
 	if s.PlanIndex > c.planIndex {
 		document, err := deflate.Decompress(s.Document)
 		if err != nil {
@@ -33,20 +34,20 @@
 	for _, d := range s.Withdrawn {
 		c.withdrawn[d] = true
 	}
-	c.applyWeights(s.Weights)
-	c.applyQuarantine(s.Quarantine)
-	klog.InfoS("Agreed state changed", "Position", s.Index, "Withdrawn", s.Withdrawn, "Weights", s.Weights, "ShutOut", s.Quarantine)
+	c.applyWeights(s.Weights, builtAt)
+	c.applyQuarantine(s.Quarantine, builtAt)
+	klog.InfoS("Agreed state changed", "Position", s.Index, "Withdrawn", s.Withdrawn, "Weights", s.Weights, "ShutOut", s.Quarantine,
+		"ReadAfterMs", (boottime.Now() - builtAt).Milliseconds())
 	return true
 }
 
 // applyWeights keeps the greatest age that any keeper reported for a version,
 // since a restarted keeper reports a smaller one. The caller holds mu.
-func (c *Client) applyWeights(versions []watch.WeightsVersion) {
-	now := boottime.Now()
+func (c *Client) applyWeights(versions []watch.WeightsVersion, builtAt time.Duration) {
 	old := c.weights
 	c.weights = nil
 	for _, w := range versions {
-		since := now - time.Duration(w.AgeMs)*time.Millisecond
+		since := builtAt - time.Duration(w.AgeMs)*time.Millisecond
 		for _, o := range old {
 			if o.Model == w.Model && o.Version == w.Version {
 				since = min(since, o.Since)
@@ -57,10 +58,9 @@
 }
 
 // applyQuarantine takes over the verdicts in force. The caller holds mu.
-func (c *Client) applyQuarantine(verdicts []watch.Verdict) {
-	now := boottime.Now()
+func (c *Client) applyQuarantine(verdicts []watch.Verdict, builtAt time.Duration) {
 	c.quarantine = nil
 	for _, v := range verdicts {
-		c.quarantine = append(c.quarantine, Verdict{v.Verdict, now - time.Duration(v.AgeMs)*time.Millisecond})
+		c.quarantine = append(c.quarantine, Verdict{v.Verdict, builtAt - time.Duration(v.AgeMs)*time.Millisecond})
 	}
 }
--- a/internal/site/siteclient/view_test.go
+++ b/internal/site/siteclient/view_test.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/boottime"
 	"egretproxy/internal/site/discovery"
+	"egretproxy/internal/site/watch"
 )
 
 func listsOf(all ...[]discovery.Target) map[string]*targetList {
@@ -104,3 +106,22 @@
 		t.Errorf("lost %v at %d, want the first failed call", changed, at)
 	}
 }
+
+// TestHoldsUnreadNamingKeepsItsAge guards against a process that was frozen while a
+// response waited to be read: it counted the ages in the response from when it read
+// it, so that a version of weights became required too late.
+func TestHoldsUnreadNamingKeepsItsAge(t *testing.T) {
+	c := clientOf(1, 1)
+	const frozen, held = 4 * time.Second, 500 * time.Millisecond
+	sent := boottime.Now() - frozen
+	if err := c.applyResponse("k0", sent, nil, &watch.Response{
+		Epoch: "e", Position: 1, HeldMs: held.Milliseconds(), Confirmed: true, ConfirmedMs: held.Milliseconds(),
+		State: &watch.State{Index: 1, Weights: []watch.WeightsVersion{{Model: "m", Version: 2, AgeMs: 100}}},
+	}); err != nil {
+		t.Fatal(err)
+	}
+	want := sent + held - 100*time.Millisecond
+	if got := c.View().Weights[0].Since; got != want {
+		t.Errorf("version was published %s before it was read, want %s", boottime.Now()-got, boottime.Now()-want)
+	}
+}
--- a/internal/site/watch/watch.go
+++ b/internal/site/watch/watch.go
@@ -58,7 +58,11 @@
 	// call, negative if it began earlier.
 	Confirmed   bool
 	ConfirmedMs int64
-	State       *State `json:",omitempty"`
+	// HeldMs is the time from the arrival of the call to this response, in
+	// milliseconds. The ages in State are those at its end: the watcher may read
+	// the response much later.
+	HeldMs int64  `json:",omitempty"`
+	State  *State `json:",omitempty"`
 	// Position is the newest position of the targets, Targets holds those
 	// changed.
 	Position uint64
@@ -96,14 +100,15 @@
 	Quarantine []Verdict `json:",omitempty"`
 }
 
-// Verdict is a verdict, with the time since its last change in milliseconds.
+// Verdict is a verdict, with the time since its last change in milliseconds when
+// the response was built.
 type Verdict struct {
 	quarantine.Verdict
 	AgeMs int64
 }
 
-// WeightsVersion is a version of weights. AgeMs is how long the keeper has
-// known it, in milliseconds.
+// WeightsVersion is a version of weights. AgeMs is how long the keeper had known
+// it when the response was built, in milliseconds.
 type WeightsVersion struct {
 	Model   id.Model
 	Version int64
