--- a/internal/exchange/dispatch/acquire.go
+++ b/internal/exchange/dispatch/acquire.go
@@ -227,6 +227,9 @@
 	if t.hasFreshReport(now) {
 		g.ReportAge = now.Sub(t.reportTime)
 	}
+	if s.spec.Engine != nil {
+		t.unstarted = append(t.unstarted, g)
+	}
 	return g
 }
 
@@ -245,9 +248,7 @@
 	g.dispatcher.mu.Lock()
 	defer g.dispatcher.mu.Unlock()
 	g.prefillDone()
-	if s := g.dispatcher.services[g.target.Service]; s != nil {
-		s.timeToFirstEvent.Add(time.Since(g.grantedAt))
-	}
+	g.recordStart(time.Now())
 }
 
 // prefillDone stops counting the prompt as being processed. The caller holds
@@ -255,6 +256,7 @@
 func (g *Grant) prefillDone() {
 	g.target.prefillTokens -= g.prefillTokens
 	g.prefillTokens = 0
+	g.target.startDone(g)
 }
 
 // End releases the capacity held at the target. It reports whether the
--- a/internal/exchange/dispatch/capacity.go
+++ b/internal/exchange/dispatch/capacity.go
@@ -84,7 +84,10 @@
 		return true
 	}
 	weights := t.weights(now)
-	return weights > 0 && weights >= r.MinWeights
+	if weights <= 0 || weights < r.MinWeights {
+		return false
+	}
+	return weights >= r.NewerWeights || startsInTime(s, t, r.StartBy, now)
 }
 
 // inService reports whether the target may get new requests at all.
@@ -132,13 +135,17 @@
 	slots := s.slots(t)
 	if s.spec.Engine != nil {
 		if t.weights(now) < s.nextMinWeights {
-			return immediateStartShare * float64(slots)
+			return ImmediateStartLimit(slots)
 		}
 		return float64(EngineLimit(slots))
 	}
 	return float64(slots)*serviceOversubscription + float64(d.entries)
 }
 
+// ImmediateStartLimit returns the number of requests up to which an engine starts
+// another one without a wait.
+func ImmediateStartLimit(slots int) float64 { return immediateStartShare * float64(slots) }
+
 // EngineLimit returns the number of requests that an engine gets from all entries
 // together.
 func EngineLimit(slots int) int { return slots + extraPerEngine }
--- a/internal/exchange/dispatch/dispatcher.go
+++ b/internal/exchange/dispatch/dispatcher.go
@@ -67,6 +67,11 @@
 	PlacesValid time.Duration
 }
 
+// SoonRequired is how long before a version of weights becomes required the engines
+// on older versions are loaded so lightly that requests start at once. A request at a
+// full engine may start 0.8 s after it arrives.
+const SoonRequired = 800 * time.Millisecond
+
 // Request describes what one request needs of a target.
 type Request struct {
 	Service id.Service
@@ -84,6 +89,10 @@
 	// NextMinWeights is the version that becomes the minimum soon. Targets on
 	// older versions must start the request immediately.
 	NextMinWeights int64
+	// NewerWeights is the oldest published version that is not the minimum yet, 0
+	// for none. Targets on older versions must start the request by StartBy.
+	NewerWeights int64
+	StartBy      time.Time
 	// Interrupted requests were aborted at a target. They prefer targets with
 	// the newest weights, which will not abort them again.
 	Interrupted bool
@@ -126,8 +135,10 @@
 	// timeToFirstEvent estimates the time from the selection of a target to
 	// its first event.
 	timeToFirstEvent quantile.Estimator
-	demand           demand
-	share            limitShare
+	// starts is the longest recent time to the first event at any target.
+	starts startDelay
+	demand demand
+	share  limitShare
 }
 
 type target struct {
@@ -138,6 +149,10 @@
 	// sums the prompt tokens of those without a first event.
 	ownInFlight   int
 	prefillTokens int
+	// starts is the longest recent time to the first event of this entry's
+	// requests, unstarted are those without one.
+	starts    startDelay
+	unstarted []*Grant
 	// load is the newest report. ownAtReport is the number of this entry's
 	// requests in progress when it arrived.
 	load        Load
--- a/internal/role/siteagent/places.go
+++ b/internal/role/siteagent/places.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"egretproxy/internal/exchange/dispatch"
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/boottime"
 	"egretproxy/internal/site/loadreport"
 	"egretproxy/internal/site/plan"
 	"egretproxy/internal/site/siteclient"
@@ -40,6 +42,9 @@
 		return out, 0
 	}
 	limit := dispatch.EngineLimit(a.slots(v, s))
+	if a.replacedSoon(v, s.Engine.Model, l.Weights) {
+		limit = int(dispatch.ImmediateStartLimit(a.slots(v, s)))
+	}
 	out.Free = max(limit-l.Active-l.Queued, 0)
 	out.Valid = reportInterval + placesMargin
 	if out.Free > limit/2 {
@@ -49,6 +54,18 @@
 	return out, interval
 }
 
+// replacedSoon reports whether requests may start on the weights that the engine holds
+// for a short time only. Places that all entries use at once would make some start
+// too late.
+func (a *Agent) replacedSoon(v *siteclient.View, m id.Model, held int64) bool {
+	for _, w := range v.Weights {
+		if left := a.Settings.WeightsDue - (boottime.Now() - w.Since); w.Model == m && w.Version > held && left > 0 && left < dispatch.SoonRequired {
+			return true
+		}
+	}
+	return false
+}
+
 // slots returns the number of requests that the engine processes at once, by the
 // plan or else by its own announcement.
 func (a *Agent) slots(v *siteclient.View, s *plan.Service) int {
--- a/internal/role/siteagent/places_test.go
+++ b/internal/role/siteagent/places_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/boottime"
 	"egretproxy/internal/site/discovery"
 	"egretproxy/internal/site/loadreport"
 	"egretproxy/internal/site/plan"
@@ -77,3 +78,24 @@
 		t.Errorf("no plan: %d sharers", got)
 	}
 }
+
+// TestHoldsFewPlacesShortlyBeforeReplacement guards against an engine that gets
+// requests from all entries at once shortly before its weights are replaced, so that
+// some begin on them too late.
+func TestHoldsFewPlacesShortlyBeforeReplacement(t *testing.T) {
+	v := &siteclient.View{
+		Plan:    &plan.Plan{Services: map[id.Service]*plan.Service{"s": {Engine: &plan.Engine{Model: "m", Slots: 16}}}},
+		Weights: []siteclient.WeightsVersion{{Model: "m", Version: 2}},
+	}
+	a := &Agent{Settings: Settings{Service: "s", WeightsDue: 7 * time.Second}, Views: fixedView{v}}
+	for _, c := range []struct {
+		age  time.Duration
+		held int64
+		want int
+	}{{5 * time.Second, 1, 17}, {6500 * time.Millisecond, 1, 8}, {6500 * time.Millisecond, 2, 17}} {
+		v.Weights[0].Since = boottime.Now() - c.age
+		if got, _ := a.places(loadreport.Load{Weights: c.held}); got.Free != c.want {
+			t.Errorf("%s after the publication, holding version %d: %d places, want %d", c.age, c.held, got.Free, c.want)
+		}
+	}
+}
--- a/internal/role/siteentry/dispatchrequest.go
+++ b/internal/role/siteentry/dispatchrequest.go
@@ -21,10 +21,12 @@
 )
 
 func (j *job) dispatchRequest() *dispatch.Request {
+	newer, startBy := j.nextStart()
 	return &dispatch.Request{
 		Service: j.service.Name, Regions: commonRegions(j.regions), Priority: j.priority,
 		MaxWait: j.maxWait(), Late: j.late(), MinWeights: max(j.minWeights(), j.streamWeights()), Exclude: j.tried,
 		PromptTokens: j.promptTokens(), Interrupted: j.sent > 0, NextMinWeights: j.nextMinWeights(),
+		NewerWeights: newer, StartBy: startBy,
 	}
 }
 
@@ -81,6 +83,15 @@
 	return j.entry.floor.requiredSoon(j.service.Engine.Model)
 }
 
+// nextStart returns the next version that becomes required, and until when the
+// request may start on an older one.
+func (j *job) nextStart() (version int64, by time.Time) {
+	if j.service.Engine == nil {
+		return 0, time.Time{}
+	}
+	return j.entry.floor.nextStart(j.view, j.service.Engine.Model, j.entry.Settings.WeightsStart, j.entry.stableFor())
+}
+
 // streamWeights returns the weights version that the stream started with, or 0
 // for none.
 func (j *job) streamWeights() int64 {
--- a/internal/role/siteentry/siteentry.go
+++ b/internal/role/siteentry/siteentry.go
@@ -63,6 +63,9 @@
 	// WeightsGrace is how long after a version was published requests may still
 	// start on an older one.
 	WeightsGrace time.Duration
+	// WeightsStart is how long after that requests may still begin on an older
+	// one, which some do long after they were sent.
+	WeightsStart time.Duration
 	// KeeperSettleTime is how long after a change in the connections to keepers
 	// that time starts to count.
 	KeeperSettleTime time.Duration
