--- a/internal/kernel/boottime/boottime.go
+++ b/internal/kernel/boottime/boottime.go
@@ -22,3 +22,15 @@
 	}
 	return time.Duration(ts.Nano())
 }
+
+// Moment is a point in time whose age counts suspensions of the instance.
+type Moment struct {
+	at   time.Time
+	boot time.Duration
+}
+
+// Mark returns the present moment.
+func Mark() Moment { return Moment{time.Now(), Now()} }
+
+// Age returns the time since the moment.
+func (m Moment) Age() time.Duration { return max(time.Since(m.at), Now()-m.boot) }
--- a/internal/role/siteagent/distribution_test.go
+++ b/internal/role/siteagent/distribution_test.go
@@ -252,7 +252,7 @@
 		stages[0].pieces[7] = []byte("rotten")
 		delete(stages[0].pieces, 9)
 		r := site.relays["10.0.0.0:80"]
-		if err := r.Verify(t.Context(), relay.Bundle{Model: "m", Version: 2}); err != nil {
+		if _, err := r.Verify(t.Context(), relay.Bundle{Model: "m", Version: 2}); err != nil {
 			t.Fatal(err)
 		}
 		checkStages(t, stages)
--- a/internal/role/siteagent/order_test.go
+++ b/internal/role/siteagent/order_test.go
@@ -20,7 +20,11 @@
 	"egretproxy/internal/weights/relay"
 )
 
-const testLoadTime = 300 * time.Millisecond
+const (
+	testLoadTime   = 300 * time.Millisecond
+	testLayers     = 16
+	piecesPerLayer = pieces / testLayers
+)
 
 func versionedPiece(version int64, n int) []byte {
 	return fmt.Appendf(nil, "version %d piece %d", version, n)
@@ -56,21 +60,63 @@
 	stage
 
 	mu        sync.Mutex
-	version   int64
 	sequence  int64
 	busyUntil time.Time
+	// version is that of the layers held. Each has the pieces that it was loaded
+	// with.
+	version int64
+	layers  map[int]string
 	// deliveries holds what happens to each order. Further ones are answered at
 	// once.
 	deliveries []delivery
 	orders     int
-	// faults lists the pieces that were not of the version that was loaded.
-	faults []string
+	// onOrder is called with the number of each order as it is sent. It may be nil.
+	onOrder func(n int)
+	// mixed lists the pieces of another version than that of the order with which
+	// they were loaded.
+	mixed []string
+}
+
+// stageReadTime is how long the engine takes to send a staged piece.
+const stageReadTime = 2 * time.Millisecond
+
+const corrupted = "corrupted"
+
+// Get implements relay.Stage.
+func (e *testEngine) Get(ctx context.Context, m id.Model, n int) ([]byte, error) {
+	time.Sleep(stageReadTime)
+	return e.stage.Get(ctx, m, n)
 }
 
 func (e *testEngine) Report(context.Context) (Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return Report{Weights: e.version, Sequence: e.sequence, Busy: time.Now().Before(e.busyUntil), StartMs: 1}, nil
+	r := Report{Sequence: e.sequence, Busy: time.Now().Before(e.busyUntil), StartMs: 1}
+	if e.layers[0] != "" {
+		r.Weights, r.LayersTo = e.version, len(e.layers)
+	}
+	return r, nil
+}
+
+// fault describes a layer that is not of the version held.
+func (e *testEngine) fault() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for l, got := range e.layers {
+		if want := layerOf(e.version, l); got != want {
+			return fmt.Sprintf("version %d, layer %d was loaded from %q", e.version, l, got)
+		}
+	}
+	return ""
+}
+
+// layerOf returns the pieces of a layer of a version.
+func layerOf(version int64, l int) string {
+	var out []byte
+	for n := l * piecesPerLayer; n < (l+1)*piecesPerLayer; n++ {
+		out = append(out, versionedPiece(version, n)...)
+	}
+	return string(out)
 }
 
 func (e *testEngine) Load(ctx context.Context, o Order) error {
@@ -80,7 +126,11 @@
 		d = e.deliveries[e.orders]
 	}
 	e.orders++
+	n := e.orders
 	e.mu.Unlock()
+	if e.onOrder != nil {
+		e.onOrder(n)
+	}
 	result := make(chan error, 1)
 	time.AfterFunc(d.delay, func() { result <- e.accept(o) })
 	if d.unanswered {
@@ -99,24 +149,43 @@
 func (e *testEngine) accept(o Order) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if o.Version == e.version {
+	if o.Layers == (Layers{}) {
+		o.Layers = Layers{0, testLayers}
+	}
+	loaded := map[int]string{}
+	missing := 0
+	var mixed []string
+	for l := o.Layers.From; l < o.Layers.To; l++ {
+		if held := e.layers[l]; held != "" && o.Version == e.version {
+			loaded[l] = held
+			continue
+		}
+		missing++
+		for n := l * piecesPerLayer; n < (l+1)*piecesPerLayer; n++ {
+			data, _ := e.stage.Get(context.Background(), o.Model, n)
+			loaded[l] += string(data)
+			if string(data) != corrupted && string(data) != string(versionedPiece(o.Version, n)) {
+				mixed = append(mixed, fmt.Sprintf("version %d was loaded with %q", o.Version, data))
+			}
+		}
+	}
+	if missing == 0 && len(loaded) == len(e.layers) {
 		return nil
 	}
 	if o.Sequence != e.sequence {
 		return errors.Wrap(ErrOrderRefused, "sequence differs")
 	}
 	e.sequence++
-	for n := range pieces {
-		data, _ := e.Get(context.Background(), o.Model, n)
-		if string(data) != string(versionedPiece(o.Version, n)) {
-			e.faults = append(e.faults, fmt.Sprintf("version %d was loaded with %q", o.Version, data))
-		}
+	e.mixed = append(e.mixed, mixed...)
+	if missing == 0 {
+		e.layers = loaded
+		return nil
 	}
 	e.busyUntil = time.Now().Add(testLoadTime)
 	time.AfterFunc(testLoadTime, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		e.version = o.Version
+		e.version, e.layers = o.Version, loaded
 	})
 	return nil
 }
@@ -145,49 +214,71 @@
 	*Agent
 	engine *testEngine
 	views  *mutableView
-	// openFor is the time for which entries were told to send requests.
+	// openFor is the time for which entries were told to send requests, faults what
+	// the engine held meanwhile that is not of one version.
 	openFor time.Duration
+	faults  []string
 }
 
 // runAgent runs an agent's loops until the test ends.
 func runAgent(t *testing.T, deliveries ...delivery) *agentRun {
 	t.Helper()
-	e := &testEngine{stage: stage{pieces: map[int][]byte{}}, version: 1, deliveries: deliveries}
+	run := newAgentRun(deliveries...)
+	run.start(t)
+	return run
+}
+
+func newAgentRun(deliveries ...delivery) *agentRun {
+	e := &testEngine{stage: stage{pieces: map[int][]byte{}}, version: 1, layers: map[int]string{}, deliveries: deliveries}
 	for n := range pieces {
 		e.pieces[n] = versionedPiece(1, n)
 	}
-	v := &mutableView{view: siteclient.View{Plan: &plan.Plan{Services: map[id.Service]*plan.Service{"llm": {Name: "llm", Engine: &plan.Engine{Model: "m", Layers: 16}}}}}}
-	run := &agentRun{engine: e, views: v, Agent: &Agent{
+	for l := range testLayers {
+		e.layers[l] = layerOf(1, l)
+	}
+	v := &mutableView{view: siteclient.View{Plan: &plan.Plan{Services: map[id.Service]*plan.Service{"llm": {Name: "llm", Engine: &plan.Engine{Model: "m", Layers: testLayers}}}}}}
+	return &agentRun{engine: e, views: v, Agent: &Agent{
 		Settings: Settings{Service: "llm", Address: "a", WeightsDue: 3 * time.Second}, Views: v, Engine: e, Metrics: metrics.New("Test"),
 		Relay:     &relay.Relay{Origin: versionedOrigin{}, Stage: e, Routes: func(relay.Bundle, int) relay.Sources { return relay.Sources{} }, Priority: func(relay.Bundle, int) int { return 0 }},
 		firstSeen: map[relay.Bundle]time.Time{}, wake: make(chan struct{}, 1),
 	}}
+}
+
+// start runs the agent's loops until the test ends.
+func (run *agentRun) start(t *testing.T) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	var loops sync.WaitGroup
 	t.Cleanup(func() { cancel(); loops.Wait() })
 	loops.Go(func() { run.reconcileLoop(ctx) })
 	loops.Go(func() {
 		for ctx.Err() == nil {
-			r, err := e.Report(ctx)
+			r, err := run.engine.Report(ctx)
 			if load := run.recordReport(r, err); !load.Closed {
 				run.openFor += reportInterval
+				if f := run.engine.fault(); f != "" {
+					run.faults = append(run.faults, f)
+				}
 			}
 			time.Sleep(reportInterval)
 		}
 	})
-	return run
 }
 
 func (run *agentRun) expectLoaded(t *testing.T, version int64) {
 	t.Helper()
 	r, _ := run.engine.Report(t.Context())
-	if r.Weights != version {
-		t.Errorf("engine holds version %d, want %d", r.Weights, version)
+	if r.Weights != version || r.LayersTo != testLayers {
+		t.Errorf("engine holds %d layers of version %d, want %d of version %d", r.LayersTo, r.Weights, testLayers, version)
+	}
+	if f := run.engine.fault(); f != "" {
+		t.Errorf("engine holds corrupted weights: %s", f)
 	}
-	run.engine.mu.Lock()
-	defer run.engine.mu.Unlock()
-	for _, f := range run.engine.faults {
-		t.Error(f)
+	for _, m := range run.engine.mixed {
+		t.Error(m)
+	}
+	if len(run.faults) > 0 {
+		t.Errorf("engine was open %d times with corrupted weights: %s", len(run.faults), run.faults[0])
 	}
 }
 
@@ -232,3 +323,74 @@
 		})
 	}
 }
+
+// spoil corrupts a staged piece.
+func (e *testEngine) spoil(n int) { _ = e.Put(context.Background(), "m", n, []byte(corrupted)) }
+
+// pausingStage is a stage at which the process stops for some time once, after it has
+// read the last piece of a version.
+type pausingStage struct {
+	*testEngine
+	version int64
+	pause   time.Duration
+	onPause func()
+}
+
+func (s *pausingStage) Get(ctx context.Context, m id.Model, n int) ([]byte, error) {
+	data, err := s.testEngine.Get(ctx, m, n)
+	if n == pieces-1 && s.pause > 0 && string(data) == string(versionedPiece(s.version, n)) {
+		pause := s.pause
+		s.pause = 0
+		s.onPause()
+		time.Sleep(pause)
+	}
+	return data, err
+}
+
+// TestHoldsOldCheckIsRepeated guards against a load of pieces that became corrupted
+// after they were checked: the process did not run between the check and the order.
+func TestHoldsOldCheckIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		run := newAgentRun()
+		orders := 0
+		run.Relay.Stage = &pausingStage{testEngine: run.engine, version: 2, pause: 4 * time.Second, onPause: func() { run.engine.spoil(5) }}
+		run.engine.onOrder = func(int) { orders++ }
+		run.start(t)
+		run.views.publish(2)
+		time.Sleep(15 * time.Second)
+		run.expectLoaded(t, 2)
+		if orders != 1 {
+			t.Errorf("%d orders, want 1", orders)
+		}
+	})
+}
+
+// TestHoldsSpoiltLoadIsRepeated guards against an engine that serves with a piece
+// which became corrupted while the order was on its way: the engine must stay closed
+// until it has loaded the layer again.
+func TestHoldsSpoiltLoadIsRepeated(t *testing.T) {
+	for name, d := range map[string]delivery{
+		"answered":       {delay: 900 * time.Millisecond},
+		"without answer": {delay: 900 * time.Millisecond, unanswered: true},
+	} {
+		for _, piece := range []int{0, 5, pieces - 1} {
+			t.Run(fmt.Sprintf("%s, piece %d", name, piece), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					run := newAgentRun(d)
+					run.engine.onOrder = func(n int) {
+						if n == 1 {
+							run.engine.spoil(piece)
+						}
+					}
+					run.start(t)
+					run.views.publish(2)
+					time.Sleep(12 * time.Second)
+					run.expectLoaded(t, 2)
+					if run.openFor < 6*time.Second {
+						t.Errorf("engine was open for %s of 12 s", run.openFor)
+					}
+				})
+			})
+		}
+	}
+}
--- a/internal/role/siteagent/reconcile.go
+++ b/internal/role/siteagent/reconcile.go
@@ -51,11 +51,17 @@
 			continue
 		}
 		if fresh {
-			a.settlePending(r)
+			a.settlePending(ctx, r)
 		}
 		if !fresh || r.Busy || time.Since(startedAt) < predecessorTime {
 			continue
 		}
+		if b, ok := a.spoiltBundle(r); ok && a.pendingOrder() == nil {
+			if err := a.reload(ctx, b); err != nil && ctx.Err() == nil {
+				klog.InfoS("Failed to load weights again", "Model", b.Model, "Version", b.Version, "Error", err.Error())
+			}
+			continue
+		}
 		b, ok := a.chooseVersion(ctx, r.Weights)
 		if !ok {
 			continue
@@ -204,7 +210,8 @@
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	if err := a.Relay.Verify(ctx, b); err != nil {
+	checked, err := a.Relay.Verify(ctx, b)
+	if err != nil {
 		return err
 	}
 	a.setSwitching(true)
@@ -215,7 +222,8 @@
 	if r, _ = a.latestReport(); r.Weights >= b.Version && a.pendingOrder() == nil {
 		return nil
 	}
-	if err := a.order(ctx, b, mode); err != nil {
+	accepted, err := a.order(ctx, b, Layers{}, mode, checked)
+	if err != nil || accepted.Layers != (Layers{}) {
 		return err
 	}
 	for time.Since(began) < loadTimeout && ctx.Err() == nil {
--- a/internal/role/siteagent/siteagent.go
+++ b/internal/role/siteagent/siteagent.go
@@ -45,8 +45,11 @@
 // Report is the status that an engine reports.
 type Report struct {
 	Active, Queued int
-	// Weights is the version loaded completely, 0 for none.
+	// Weights is the version whose first layers are loaded, 0 for none. Agents set
+	// it to 0 if LayersTo is less than the model's layers.
 	Weights int64
+	// LayersTo is the number of those layers, 0 if unknown.
+	LayersTo int
 	// Busy means that an order is in progress.
 	Busy bool
 	// Sequence is the number of orders accepted.
@@ -121,6 +124,11 @@
 	// pending is the order whose outcome is not known, or nil. It is replaced by
 	// reconcileLoop's goroutine only.
 	pending *pendingOrder
+	// spoilt is the bundle that the engine loaded from corrupted pieces, or the zero
+	// value, and spoiltStartMs the start of that engine. They are replaced by
+	// reconcileLoop's goroutine only.
+	spoilt        relay.Bundle
+	spoiltStartMs int64
 	// firstSeen is when this process learnt of each version.
 	firstSeen map[relay.Bundle]time.Time
 	// unavailable is the last version found to be unavailable. It is used by
@@ -193,11 +201,15 @@
 }
 
 func (a *Agent) recordReport(r Report, err error) loadreport.Load {
+	layers := a.lastLayer() + 1
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if err != nil {
 		return loadreport.Load{Closed: true}
 	}
+	if r.LayersTo > 0 && r.LayersTo < layers {
+		r.Weights = 0
+	}
 	a.report, a.reportAt = r, time.Now()
 	load := loadreport.Load{
 		Active: r.Active, Queued: r.Queued, Weights: r.Weights, Closed: a.closed(r),
--- a/internal/weights/relay/relay.go
+++ b/internal/weights/relay/relay.go
@@ -6,8 +6,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"sync"
 	"time"
 
@@ -338,55 +336,6 @@
 	return true
 }
 
-// Verify reads back all staged pieces and replaces those that are missing or
-// corrupted.
-func (r *Relay) Verify(ctx context.Context, b Bundle) error {
-	m, err := r.manifest(ctx, b)
-	if err != nil {
-		return err
-	}
-	for n := range m.Digests {
-		data, err := r.Stage.Get(ctx, b.Model, n)
-		if err == nil && r.verifyPiece(b, n, data) == nil {
-			continue
-		}
-		klog.InfoS("Staged piece is corrupted or missing; replacing it", "Piece", n, "Version", b.Version)
-		if err := r.repair(ctx, b, n); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (r *Relay) repair(ctx context.Context, b Bundle, n int) error {
-	data, err := r.fetch(ctx, b, n)
-	if err != nil {
-		return err
-	}
-	if err := r.Stage.Put(ctx, b.Model, n, data); err != nil {
-		return err
-	}
-	data, err = r.Stage.Get(ctx, b.Model, n)
-	if err != nil {
-		return err
-	}
-	return r.verifyPiece(b, n, data)
-}
-
-func (r *Relay) verifyPiece(b Bundle, n int, data []byte) error {
-	r.mu.Lock()
-	m := r.state(b).manifest
-	r.mu.Unlock()
-	if m == nil || n < 0 || n >= len(m.Digests) {
-		return ErrNotHeld
-	}
-	sum := sha256.Sum256(data)
-	if hex.EncodeToString(sum[:]) != m.Digests[n] {
-		return ErrCorrupt
-	}
-	return nil
-}
-
 func (r *Relay) storePiece(b Bundle, n int, data []byte) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
