--- a/internal/role/entry/dispatch.go
+++ b/internal/role/entry/dispatch.go
@@ -155,9 +155,11 @@
 }
 
 // forwardBuffered buffers a response until it is complete and forwards it.
-// Responses longer than maxBufferedBytes are streamed from there on.
+// Responses longer than maxBufferedBytes, or than the room for them, are streamed from
+// there on.
 func (x *exchange) forwardBuffered(ctx context.Context, g *targetpool.Grant, response *http.Response) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
+	body, _, release, err := x.buffers.ReadStart(response.Body, maxBufferedBytes)
+	defer release()
 	if err != nil {
 		x.mayHaveRun = true
 		return x.responseFailed(ctx, g, err)
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -30,6 +30,7 @@
 	"egretproxy/internal/request/retrybudget"
 	"egretproxy/internal/routing/policy"
 	"egretproxy/internal/settings/config"
+	"egretproxy/internal/wire/bodylimit"
 	"egretproxy/internal/wire/forward"
 	"egretproxy/internal/wire/frame"
 	"egretproxy/internal/wire/header"
@@ -66,6 +67,8 @@
 	directory  *organisation.Directory
 	targetPool *targetpool.Pool
 	budget     retrybudget.Budget
+	// buffers limits the memory of the responses that are buffered at a time.
+	buffers bodylimit.Budget
 	// client reuses connections. singleUse opens a new connection for each
 	// request that may run at most once.
 	client    *http.Client
--- a/internal/role/siteentry/attempt.go
+++ b/internal/role/siteentry/attempt.go
@@ -138,7 +138,8 @@
 // forwardBuffered buffers the complete response before the caller sees any of
 // it, so that a truncated response is never taken for a complete one.
 func (j *job) forwardBuffered(response *connpool.Response, grant *dispatch.Grant) (decision, dispatch.Outcome, bool) {
-	body, err := bodylimit.ReadAll(response.Body, maxBufferedBytes)
+	body, release, err := j.entry.Buffers.ReadAll(j.r.Context(), response.Body, maxBufferedBytes)
+	defer release()
 	if err == nil && !response.Framed && j.targetEnded(grant) {
 		err = errTargetEnded
 	}
--- a/internal/role/siteentry/siteentry.go
+++ b/internal/role/siteentry/siteentry.go
@@ -22,6 +22,7 @@
 	"egretproxy/internal/kernel/metrics"
 	"egretproxy/internal/site/siteclient"
 	"egretproxy/internal/site/witness"
+	"egretproxy/internal/wire/bodylimit"
 	"egretproxy/internal/wire/liveness"
 )
 
@@ -97,6 +98,8 @@
 	Pool        *connpool.Pool
 	DecisionLog *decisionlog.Log
 	Metrics     *metrics.Set
+	// Buffers limits the memory of the responses that are buffered at a time.
+	Buffers bodylimit.Budget
 
 	stop          stopState
 	active        atomic.Int64
--- a/internal/target/proxy/proxy.go
+++ b/internal/target/proxy/proxy.go
@@ -23,6 +23,7 @@
 	"egretproxy/internal/target/gate"
 	"egretproxy/internal/target/ramp"
 	"egretproxy/internal/target/stream"
+	"egretproxy/internal/wire/bodylimit"
 	"egretproxy/internal/wire/forward"
 	"egretproxy/internal/wire/header"
 )
@@ -57,6 +58,9 @@
 	OnCold func()
 	// OnFailure is called when the target fails a request.
 	OnFailure func()
+
+	// buffers limits the memory of the responses that are buffered at a time.
+	buffers bodylimit.Budget
 }
 
 // exchange is one request in progress.
@@ -202,11 +206,12 @@
 	x.setLoadHeader()
 }
 
-// relayBuffered buffers a response until it is complete or exceeds
-// maxBufferedBytes, and then forwards it.
+// relayBuffered buffers a response until it is complete, or exceeds maxBufferedBytes or
+// the room for it, and then forwards it.
 func (x *exchange) relayBuffered(response *http.Response) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
-	if err == nil && len(body) <= maxBufferedBytes && x.endedWithTarget(response) {
+	body, whole, release, err := x.buffers.ReadStart(response.Body, maxBufferedBytes)
+	defer release()
+	if err == nil && whole && x.endedWithTarget(response) {
 		err = errTargetEnded
 	}
 	if err != nil {
@@ -221,14 +226,14 @@
 	}
 	x.recordResult(response.StatusCode)
 	x.setHeaders(response)
-	if len(body) <= maxBufferedBytes {
+	if whole {
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	x.w.WriteHeader(response.StatusCode)
 	if _, err := x.w.Write(body); err != nil {
 		return
 	}
-	if len(body) <= maxBufferedBytes {
+	if whole {
 		return
 	}
 	if _, err := io.Copy(x.w, response.Body); err != nil || x.endedWithTarget(response) {
