--- a/internal/agreement/faultdisk/faultdisk.go
+++ b/internal/agreement/faultdisk/faultdisk.go
@@ -7,6 +7,8 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
+	"syscall"
 
 	"egretproxy/internal/agreement/disk"
 )
@@ -25,6 +27,8 @@
 	durable map[string]*fileContent
 	// SyncCount is the number of calls of File.Sync.
 	SyncCount int
+	// Full makes the disk refuse all writes. A write may leave a part behind.
+	Full atomic.Bool
 }
 
 func (d *Disk) init() {
@@ -75,12 +79,19 @@
 
 // Write implements disk.File.
 func (f *file) Write(p []byte) (int, error) {
+	if f.disk.Full.Load() {
+		f.content.data = append(f.content.data, p[:len(p)/2]...)
+		return len(p) / 2, syscall.ENOSPC
+	}
 	f.content.data = append(f.content.data, p...)
 	return len(p), nil
 }
 
 // Sync implements disk.File.
 func (f *file) Sync() error {
+	if f.disk.Full.Load() {
+		return syscall.ENOSPC
+	}
 	f.disk.SyncCount++
 	f.content.synced = len(f.content.data)
 	return nil
@@ -93,6 +104,9 @@
 func (d *Disk) Append(name string) (disk.File, error) {
 	d.init()
 	c := d.current[name]
+	if c == nil && d.Full.Load() {
+		return nil, syscall.ENOSPC
+	}
 	if c == nil {
 		c = &fileContent{}
 		d.current[name] = c
@@ -112,6 +126,9 @@
 
 // Truncate implements journal.Dir.
 func (d *Disk) Truncate(name string, size int64) error {
+	if d.Full.Load() {
+		return syscall.ENOSPC
+	}
 	c := d.current[name]
 	c.data = c.data[:size]
 	c.synced = int(size)
--- a/internal/agreement/identity/identity.go
+++ b/internal/agreement/identity/identity.go
@@ -124,6 +124,8 @@
 	if err != nil {
 		return errors.Wrap(err, "encode identity")
 	}
+	// An earlier attempt may have left a part of it.
+	_ = dir.Remove(temporaryName)
 	f, err := dir.Append(temporaryName)
 	if err != nil {
 		return errors.Wrap(err, "create identity")
--- a/internal/agreement/journal/journal.go
+++ b/internal/agreement/journal/journal.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io/fs"
 	"strconv"
 	"strings"
 
@@ -71,6 +72,11 @@
 	lastIndex uint64
 	// tornBytes is the size of the torn tail that Open truncated.
 	tornBytes int
+	// torn means that the open segment may hold an incomplete frame from size on,
+	// since a write failed.
+	torn bool
+	// replaced are the indexes of the snapshots to remove.
+	replaced []uint64
 }
 
 // Open reads the journal in dir. It truncates a torn tail and returns
@@ -100,7 +106,8 @@
 func (j *Journal) TornBytes() int { return j.tornBytes }
 
 // Save writes and syncs one batch: the hard state unless it is nil, the
-// truncation from an index on unless it is zero, and then the entries.
+// truncation from an index on unless it is zero, and then the entries. After an
+// error the batch is not stored, and the same call may be made again.
 func (j *Journal) Save(hard *record.HardState, truncate uint64, entries []record.Entry) error {
 	if hard == nil && truncate == 0 && len(entries) == 0 {
 		return nil
@@ -120,7 +127,8 @@
 }
 
 // SaveSnapshot writes and syncs a snapshot, then removes the segments that it
-// covers. reset drops all entries, as for a snapshot that a leader sent.
+// covers. reset drops all entries, as for a snapshot that a leader sent. After an
+// error the same call may be made again.
 func (j *Journal) SaveSnapshot(s *record.Snapshot, reset bool) error {
 	payload, err := cbor.Marshal(s)
 	if err != nil {
@@ -129,7 +137,9 @@
 	if err := j.writeSnapshot(s.Index, encodeFrame(payload)); err != nil {
 		return err
 	}
-	old := j.snapshot
+	if j.snapshot != nil && j.snapshot.Index != s.Index {
+		j.replaced = append(j.replaced, j.snapshot.Index)
+	}
 	j.snapshot = s
 	truncate := uint64(0)
 	if reset {
@@ -144,7 +154,7 @@
 		return err
 	}
 	j.lastIndex = max(j.lastIndex, s.Index)
-	return j.removeCoveredFiles(old)
+	return j.removeCoveredFiles()
 }
 
 // Close closes the open segment.
@@ -156,6 +166,7 @@
 }
 
 func (j *Journal) writeSnapshot(index uint64, frame []byte) error {
+	// An earlier attempt may have left a part of it.
 	_ = j.dir.Remove(temporarySnapshotName)
 	f, err := j.dir.Append(temporarySnapshotName)
 	if err != nil {
@@ -181,26 +192,42 @@
 // removeCoveredFiles removes the old snapshot and the segments whose entries
 // the new one covers: those followed by a segment that starts at or before the
 // index after the snapshot.
-func (j *Journal) removeCoveredFiles(old *record.Snapshot) error {
+func (j *Journal) removeCoveredFiles() error {
 	for len(j.segments) > 1 && j.segments[1].firstIndex <= j.snapshot.Index+1 {
-		if err := j.dir.Remove(j.segments[0].name); err != nil {
+		if err := j.dir.Remove(j.segments[0].name); err != nil && !errors.Is(err, fs.ErrNotExist) {
 			return errors.Wrap(err, "remove segment")
 		}
 		j.segments = j.segments[1:]
 	}
-	if old != nil && old.Index != j.snapshot.Index {
-		if err := j.dir.Remove(snapshotName(old.Index)); err != nil {
+	for len(j.replaced) > 0 {
+		if err := j.dir.Remove(snapshotName(j.replaced[0])); err != nil && !errors.Is(err, fs.ErrNotExist) {
 			return errors.Wrap(err, "remove snapshot")
 		}
+		j.replaced = j.replaced[1:]
 	}
 	return errwrap.Wrap(j.dir.Sync(), "sync journal directory")
 }
 
+// rotate makes the open segment ready for a frame, or starts a new one.
 func (j *Journal) rotate() error {
-	if j.file != nil && j.size < segmentBytes {
+	if j.file == nil || j.size >= segmentBytes {
+		return j.startSegment()
+	}
+	return j.dropTorn()
+}
+
+// dropTorn removes what a failed write has left in the open segment. A frame behind
+// an incomplete one would not be read again.
+func (j *Journal) dropTorn() error {
+	if !j.torn {
 		return nil
 	}
-	return j.startSegment()
+	name := j.segments[len(j.segments)-1].name
+	if err := j.dir.Truncate(name, int64(j.size)); err != nil {
+		return errors.Wrap(err, "truncate segment")
+	}
+	j.torn = false
+	return nil
 }
 
 func (j *Journal) updateLastIndex(truncate uint64, entries []record.Entry) {
@@ -217,7 +244,12 @@
 func (j *Journal) startSegment() error {
 	first := j.lastIndex + 1
 	if j.file != nil {
-		if err := j.file.Close(); err != nil {
+		if err := j.dropTorn(); err != nil {
+			return err
+		}
+		err := j.file.Close()
+		j.file = nil
+		if err != nil {
 			return errors.Wrap(err, "close segment")
 		}
 	}
@@ -234,19 +266,30 @@
 	if err != nil {
 		return errors.Wrap(err, "create segment")
 	}
+	if err := j.dir.Sync(); err != nil {
+		_ = f.Close()
+		return errors.Wrap(err, "sync journal directory")
+	}
 	j.file = f
 	j.size = 0
 	j.segments = append(j.segments, segment{name: name, firstIndex: first})
-	return errwrap.Wrap(j.dir.Sync(), "sync journal directory")
+	return nil
 }
 
 func (j *Journal) writeFrame(payload []byte) error {
 	frame := encodeFrame(payload)
+	j.torn = true
 	if _, err := j.file.Write(frame); err != nil {
 		return errors.Wrap(err, "write journal")
 	}
+	// After a failed sync the data may be lost although a later sync succeeds, so it
+	// is written again.
+	if err := j.file.Sync(); err != nil {
+		return errors.Wrap(err, "sync journal")
+	}
+	j.torn = false
 	j.size += len(frame)
-	return errwrap.Wrap(j.file.Sync(), "sync journal")
+	return nil
 }
 
 func snapshotName(index uint64) string {
--- a/internal/agreement/journal/journal_test.go
+++ b/internal/agreement/journal/journal_test.go
@@ -164,3 +164,48 @@
 		}
 	}
 }
+
+// TestHoldsFailedWriteMayBeRepeated guards against a journal that is corrupted by a
+// disk which was full for a while: a part of a frame was left before the next one.
+func TestHoldsFailedWriteMayBeRepeated(t *testing.T) {
+	var d faultdisk.Disk
+	j, err := journal.Open(&d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var want []record.Entry
+	for i := range uint64(6) {
+		e := record.Entry{Index: i + 1, Term: 1, Data: []byte("value")}
+		want = append(want, e)
+		save := func() error { return j.Save(&record.HardState{Term: 1}, 0, []record.Entry{e}) }
+		if i%2 == 0 {
+			d.Full.Store(true)
+			for range 3 {
+				if save() == nil {
+					t.Fatal("a full disk stored an entry")
+				}
+			}
+			d.Full.Store(false)
+		}
+		if err := save(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	snap := &record.Snapshot{Index: 2, Term: 1}
+	d.Full.Store(true)
+	if j.SaveSnapshot(snap, false) == nil {
+		t.Fatal("a full disk stored a snapshot")
+	}
+	d.Full.Store(false)
+	if err := j.SaveSnapshot(snap, false); err != nil {
+		t.Fatal(err)
+	}
+	again, err := journal.Open(&d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, gotSnap, got := again.State()
+	if diff := cmp.Diff(want[2:], got); diff != "" || gotSnap == nil || gotSnap.Index != 2 {
+		t.Errorf("snapshot %+v, entries (-want +got):\n%s", gotSnap, diff)
+	}
+}
--- a/internal/agreement/node/join.go
+++ b/internal/agreement/node/join.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -59,7 +60,7 @@
 // returns the addresses of all keepers learned so far.
 func (n *Node) requestJoin(ctx context.Context, self record.Member, st replica.Status, learned []string) []string {
 	requested := map[string]bool{n.cfg.Address: true}
-	addresses := append(n.cfg.Peers(), learned...)
+	addresses := slices.Concat(n.cfg.Peers(), learned)
 	for _, m := range st.Membership.Members {
 		addresses = append(addresses, m.Address)
 	}
--- a/internal/agreement/node/node.go
+++ b/internal/agreement/node/node.go
@@ -187,7 +187,7 @@
 	return err
 }
 
-// Run serves until the context is cancelled or the disk fails. When the context is
+// Run serves until the context is cancelled. When it is
 // cancelled, it first passes this member's vote to a learner if there is one that
 // has caught up. It closes the journal and the data directory.
 func (n *Node) Run(ctx context.Context) error {
--- a/internal/agreement/replica/apply.go
+++ b/internal/agreement/replica/apply.go
@@ -1,7 +1,12 @@
 package replica
 
 import (
+	"context"
+	"syscall"
+	"time"
+
 	"github.com/go-faster/errors"
+	"k8s.io/klog/v2"
 
 	"egretproxy/internal/agreement/raft"
 	"egretproxy/internal/agreement/record"
@@ -9,16 +14,16 @@
 
 // process handles the pending work of the Raft node: it persists, then sends,
 // then applies, until there is none left.
-func (r *Replica) process() error {
+func (r *Replica) process(ctx context.Context) error {
 	for r.node.HasReady() {
 		ready := r.node.Ready()
-		if err := r.persist(ready); err != nil {
+		if err := r.retryStorage(ctx, func() error { return r.persist(ready) }); err != nil {
 			r.recordFailure(err)
 			return err
 		}
 		r.node.Advance(ready)
 		r.sendAll(ready.Messages)
-		if err := r.apply(ready); err != nil {
+		if err := r.apply(ctx, ready); err != nil {
 			r.recordFailure(err)
 			return err
 		}
@@ -27,6 +32,32 @@
 	return nil
 }
 
+// retryStorage calls save until it succeeds. A disk that is full or fails for a while
+// makes the member unresponsive, as a slow one does, and nothing that it has promised
+// depends on what is not stored. It returns an error that is not the disk's, or
+// that of the disk once ctx has ended.
+func (r *Replica) retryStorage(ctx context.Context, save func() error) error {
+	var began time.Time
+	for {
+		err := save()
+		var errno syscall.Errno
+		if err == nil || !errors.As(err, &errno) || ctx.Err() != nil {
+			if err == nil && !began.IsZero() {
+				klog.InfoS("Journal is written again", "Member", r.cfg.Raft.ID, "AfterMs", time.Since(began).Milliseconds())
+			}
+			return err
+		}
+		if began.IsZero() {
+			began = time.Now()
+			klog.ErrorS(err, "Journal can't be written, trying again", "Member", r.cfg.Raft.ID)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(storageRetryDelay):
+		}
+	}
+}
+
 func (r *Replica) persist(ready raft.Ready) error {
 	if ready.Snapshot != nil {
 		if err := r.journal.SaveSnapshot(ready.Snapshot, true); err != nil {
@@ -49,7 +80,7 @@
 	}
 }
 
-func (r *Replica) apply(ready raft.Ready) error {
+func (r *Replica) apply(ctx context.Context, ready raft.Ready) error {
 	applied := r.appliedIndex()
 	if ready.Snapshot != nil {
 		// The bootstrap snapshot of a group holds no state.
@@ -71,7 +102,7 @@
 		request.done <- result{}
 	}
 	r.publishStatus(applied)
-	return r.snapshotIfDue(applied)
+	return r.snapshotIfDue(ctx, applied)
 }
 
 func (r *Replica) applyOne(e record.Entry) {
@@ -91,7 +122,7 @@
 	p.done <- result{response: response}
 }
 
-func (r *Replica) snapshotIfDue(applied uint64) error {
+func (r *Replica) snapshotIfDue(ctx context.Context, applied uint64) error {
 	from := uint64(0)
 	if r.snapshot != nil {
 		from = r.snapshot.Index
@@ -107,7 +138,7 @@
 		Index: applied, Term: r.node.TermAt(applied),
 		Membership: r.node.MembershipAt(applied), Data: data,
 	}
-	if err := r.journal.SaveSnapshot(s, false); err != nil {
+	if err := r.retryStorage(ctx, func() error { return r.journal.SaveSnapshot(s, false) }); err != nil {
 		return err
 	}
 	r.snapshot = s
--- a/internal/agreement/replica/replica.go
+++ b/internal/agreement/replica/replica.go
@@ -31,6 +31,9 @@
 	DefaultTick = 50 * time.Millisecond
 	// DefaultSnapshotEntries is the default number of entries between snapshots.
 	DefaultSnapshotEntries = 10_000
+	// storageRetryDelay is the time between two attempts to write to a disk that
+	// fails.
+	storageRetryDelay = 100 * time.Millisecond
 	// maxBatch bounds the proposals that share one sync.
 	maxBatch = 512
 	// queueLength bounds the queues of proposals, reads and messages.
@@ -186,8 +189,8 @@
 	return r, nil
 }
 
-// Run drives the member until ctx ends, and then returns nil. It returns an
-// error if the journal or a snapshot fails.
+// Run drives the member until ctx ends, and then returns nil. While the disk refuses
+// writes it waits. It returns an error if a snapshot or entry can't be encoded.
 func (r *Replica) Run(ctx context.Context) error {
 	defer r.stop()
 	ticker := time.NewTicker(r.cfg.Tick)
@@ -208,7 +211,10 @@
 			c.done <- r.node.ProposeMembership(c.membership)
 		}
 		r.drainQueues()
-		if err := r.process(); err != nil {
+		if err := r.process(ctx); err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
 			return err
 		}
 	}
