--- a/internal/exchange/dispatch/retrybudget.go
+++ b/internal/exchange/dispatch/retrybudget.go
@@ -25,6 +25,10 @@
 	Allowance float64
 	// Window is the period over which requests and retries are counted.
 	Window time.Duration
+	// StartedAt is when the process started. The process before it may have used the
+	// allowance of the window in progress, so that there is none in the first one. The
+	// zero value means long ago.
+	StartedAt time.Time
 
 	mu sync.Mutex
 	// began is the time of the first use.
@@ -58,7 +62,11 @@
 		requests += c.requests[i]
 		retries += c.retries[i]
 	}
-	allowed := retryMargin * (r.Ratio*float64(requests) + r.Allowance/float64(max(entries, 1)))
+	allowance := 0.0
+	if r.StartedAt.IsZero() || time.Since(r.StartedAt) >= r.Window {
+		allowance = r.Allowance / float64(max(entries, 1))
+	}
+	allowed := retryMargin * (r.Ratio*float64(requests) + allowance)
 	if float64(retries+1) > allowed {
 		return false
 	}
