--- a/internal/agreement/node/calls.go
+++ b/internal/agreement/node/calls.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/sourcegraph/jsonrpc2"
 
 	"egretproxy/internal/agreement/record"
 	"egretproxy/internal/agreement/replica"
@@ -85,6 +86,35 @@
 	return n.currentReplica().WaitApplied(ctx, index)
 }
 
+// CallOthers calls a method of the other members at once, and returns nil as soon as
+// a quorum, this member included, has answered without an error. A member of a version
+// that lacks the method counts as one that has answered.
+func (n *Node) CallOthers(ctx context.Context, method string, params any) error {
+	m := n.Status().Membership
+	need := m.Quorum() - 1
+	results := make(chan error, len(m.Members))
+	calls := 0
+	for _, c := range m.Members {
+		if c.Address == n.cfg.Address {
+			continue
+		}
+		calls++
+		go func() { results <- n.client(c.Address).Call(ctx, method, params, nil) }()
+	}
+	var last error
+	for ; need > 0 && calls > 0; calls-- {
+		if err := <-results; err != nil && rpc.ErrorCode(err) != jsonrpc2.CodeMethodNotFound {
+			last = err
+			continue
+		}
+		need--
+	}
+	if need > 0 {
+		return errors.Wrap(last, "no quorum answers")
+	}
+	return nil
+}
+
 // callLeader runs the call for the leader's address, or for an empty address if
 // this member leads. It retries until the call succeeds, the context ends or this
 // member stops, as the caller can then try another keeper.
--- /dev/null
+++ b/internal/role/sitekeeper/leave.go
@@ -0,0 +1,105 @@
+package sitekeeper
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/site/discovery"
+	"egretproxy/internal/wire/rpc"
+)
+
+const (
+	// leaveMethod tells a keeper that a target leaves.
+	leaveMethod = "site.leave"
+	// spreadTimeout limits the time for a quorum to learn of it. Targets wait for one
+	// second for a response.
+	spreadTimeout = 600 * time.Millisecond
+	// maxSpread bounds the number of targets of which spreadLog knows.
+	maxSpread = 4096
+)
+
+// spreadLog holds the last announcement of each target that leaves of which a quorum
+// of keepers has been told. It is safe for concurrent use. The zero value is empty.
+type spreadLog struct {
+	mu   sync.Mutex
+	told map[id.Target]leaving
+}
+
+// leaving is a stage of an incarnation of a target.
+type leaving struct {
+	born  int64
+	stage discovery.Stage
+}
+
+func (s *spreadLog) has(t discovery.Target) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.told[t.ID] == leaving{t.Born, t.Stage}
+}
+
+func (s *spreadLog) add(t discovery.Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.told == nil || len(s.told) >= maxSpread {
+		s.told = map[id.Target]leaving{}
+	}
+	s.told[t.ID] = leaving{t.Born, t.Stage}
+}
+
+// Announce records the announcement of a target and reports whether it changes
+// anything that entries act on. If the target leaves, it returns an error unless a
+// quorum of keepers has recorded it: entries that start would take an older
+// announcement at another keeper for the newest, once this one has restarted.
+func (k *Keeper) Announce(ctx context.Context, t discovery.Target) (changed bool, err error) {
+	changed = k.Targets.Announce(t)
+	if t.Stage != discovery.Draining {
+		return changed, nil
+	}
+	return changed, k.spread(ctx, t)
+}
+
+// Leave records that a target has left, as Announce does.
+func (k *Keeper) Leave(ctx context.Context, target id.Target) (changed bool, err error) {
+	changed = k.Targets.Leave(target)
+	return changed, k.spread(ctx, k.Targets.Record(target))
+}
+
+// spread tells the other keepers of a target that leaves, once for each stage.
+func (k *Keeper) spread(ctx context.Context, t discovery.Target) error {
+	if k.left.has(t) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, spreadTimeout)
+	defer cancel()
+	if err := k.raftNode.CallOthers(ctx, leaveMethod, t); err != nil {
+		klog.InfoS("Other keepers were not told of a target that leaves", "Target", t.ID, "Stage", t.Stage, "Error", err.Error())
+		return err
+	}
+	k.left.add(t)
+	return nil
+}
+
+// handleLeave records what another keeper was told by a target that leaves.
+func (k *Keeper) handleLeave(_ context.Context, params json.RawMessage) (any, error) {
+	var t discovery.Target
+	if err := json.Unmarshal(params, &t); err != nil {
+		return nil, rpc.InvalidParams(err)
+	}
+	changed := false
+	switch {
+	case t.Stage == discovery.Gone && t.Born == 0:
+		// The other keeper knows no incarnation of the target.
+		changed = k.Targets.Leave(t.ID)
+	case t.Stage == discovery.Gone || t.Stage == discovery.Draining:
+		changed = k.Targets.Announce(t)
+	}
+	if changed {
+		klog.InfoS("Target leaves, as another keeper was told", "Target", t.ID, "Stage", t.Stage)
+	}
+	return struct{}{}, nil
+}
--- /dev/null
+++ b/internal/role/sitekeeper/leave_test.go
@@ -0,0 +1,94 @@
+package sitekeeper
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"egretproxy/internal/agreement/node"
+	"egretproxy/internal/kernel/metrics"
+	"egretproxy/internal/site/discovery"
+)
+
+// startKeepers runs a group of keepers until the test ends.
+func startKeepers(t *testing.T, n int) []*Keeper {
+	t.Helper()
+	var addresses []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		addresses = append(addresses, l.Addr().String())
+		_ = l.Close()
+	}
+	var out []*Keeper
+	for _, a := range addresses {
+		k, err := New(node.Config{
+			Address: a, InitialMembers: addresses, DataDir: t.TempDir(), Peers: func() []string { return nil }, Voters: n, Durable: true,
+		}, "r", metrics.New("Keeper"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- k.Run(ctx) }()
+		t.Cleanup(func() {
+			cancel()
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+		})
+		out = append(out, k)
+	}
+	return out
+}
+
+// TestHoldsLeaveOutlivesItsKeeper guards against requests to a target that has left: the
+// keeper that acknowledged it restarted and forgot it, and an entry that started anew
+// took an older announcement at another keeper for the newest.
+func TestHoldsLeaveOutlivesItsKeeper(t *testing.T) {
+	keepers := startKeepers(t, 3)
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	ready := discovery.Target{ID: "t", Service: "s", Address: "10.0.0.1:80", Domain: "z", Stage: discovery.Ready, Born: 5, Sequence: 1}
+	gone := ready
+	gone.ID = "u"
+	for _, k := range keepers {
+		if _, err := k.Announce(ctx, ready); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := k.Announce(ctx, gone); err != nil {
+			t.Fatal(err)
+		}
+	}
+	draining := ready
+	draining.Stage, draining.Sequence = discovery.Draining, 2
+	await := func(what string, call func() error) {
+		t.Helper()
+		for err := call(); err != nil; err = call() {
+			if ctx.Err() != nil {
+				t.Fatalf("%s: %v", what, err)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	await("announcement that the target leaves", func() error { _, err := keepers[0].Announce(ctx, draining); return err })
+	await("departure", func() error { _, err := keepers[0].Leave(ctx, "u"); return err })
+	for _, want := range []discovery.Target{draining, gone} {
+		stage := discovery.Draining
+		if want.ID == "u" {
+			stage = discovery.Gone
+		}
+		informed := 0
+		for _, k := range keepers {
+			if k.Targets.Record(want.ID).Stage == stage {
+				informed++
+			}
+		}
+		if informed < 2 {
+			t.Errorf("%s: %d keepers know that it leaves, want a quorum", want.ID, informed)
+		}
+	}
+}
--- a/internal/role/sitekeeper/sitekeeper.go
+++ b/internal/role/sitekeeper/sitekeeper.go
@@ -45,7 +45,7 @@
 )
 
 // Keeper is one running keeper of a site. It is safe for concurrent use. Lock
-// order: mu before the locks of Machine, Targets and pauses, which never call back.
+// order: mu before the locks of Machine, Targets, left and pauses, which never call back.
 type Keeper struct {
 	// Machine holds the replicated state.
 	Machine sitestate.Machine
@@ -60,6 +60,8 @@
 	// stopping is set when Run is asked to stop or has failed.
 	stopping atomic.Bool
 
+	// left holds the targets that leave of which other keepers know.
+	left spreadLog
 	// pauses detects times in which this process did not run.
 	pauses pauseLog
 
@@ -92,7 +94,7 @@
 	k := &Keeper{metrics: set, region: region, epoch: hex.EncodeToString(b[:]), watchers: map[watcher]watcherState{}}
 	cfg.Machine = &k.Machine
 	cfg.Handlers = map[string]rpc.Handler{
-		watch.Method: k.handleWatch, evidence.ReportMethod: k.handleEvidence,
+		watch.Method: k.handleWatch, leaveMethod: k.handleLeave, evidence.ReportMethod: k.handleEvidence,
 		evidence.TestMethod: k.handleTest, evidence.QuarantineMethod: k.handleQuarantine,
 	}
 	cfg.OnLeadershipChange = func(leads bool) {
--- a/internal/site/discovery/discovery.go
+++ b/internal/site/discovery/discovery.go
@@ -138,6 +138,16 @@
 	return r.Announce(t)
 }
 
+// Record returns what is known of a target, or only its id.
+func (r *Registry) Record(k id.Target) Target {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if rec := r.targets[k]; rec != nil {
+		return rec.Target
+	}
+	return Target{ID: k}
+}
+
 // equivalent reports whether entries would treat both announcements alike.
 func equivalent(a, b Target) bool {
 	a.Sequence, b.Sequence = 0, 0
