--- a/internal/role/siteagent/order_test.go
+++ b/internal/role/siteagent/order_test.go
@@ -214,6 +214,8 @@
 	*Agent
 	engine *testEngine
 	views  *mutableView
+
+	mu sync.Mutex
 	// openFor is the time for which entries were told to send requests, faults what
 	// the engine held meanwhile that is not of one version.
 	openFor time.Duration
@@ -255,16 +257,32 @@
 		for ctx.Err() == nil {
 			r, err := run.engine.Report(ctx)
 			if load := run.recordReport(r, err); !load.Closed {
-				run.openFor += reportInterval
-				if f := run.engine.fault(); f != "" {
-					run.faults = append(run.faults, f)
-				}
+				run.recordOpen()
 			}
 			time.Sleep(reportInterval)
 		}
 	})
 }
 
+// recordOpen records that the engine is open for the time between two reports.
+func (run *agentRun) recordOpen() {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	run.openFor += reportInterval
+	if f := run.engine.fault(); f != "" {
+		run.faults = append(run.faults, f)
+	}
+}
+
+func (run *agentRun) expectOpen(t *testing.T, least, of time.Duration) {
+	t.Helper()
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	if run.openFor < least {
+		t.Errorf("engine was open for %s of %s", run.openFor, of)
+	}
+}
+
 func (run *agentRun) expectLoaded(t *testing.T, version int64) {
 	t.Helper()
 	r, _ := run.engine.Report(t.Context())
@@ -274,9 +292,13 @@
 	if f := run.engine.fault(); f != "" {
 		t.Errorf("engine holds corrupted weights: %s", f)
 	}
+	run.engine.mu.Lock()
 	for _, m := range run.engine.mixed {
 		t.Error(m)
 	}
+	run.engine.mu.Unlock()
+	run.mu.Lock()
+	defer run.mu.Unlock()
 	if len(run.faults) > 0 {
 		t.Errorf("engine was open %d times with corrupted weights: %s", len(run.faults), run.faults[0])
 	}
@@ -290,9 +312,7 @@
 		run.views.publish(2)
 		time.Sleep(10 * time.Second)
 		run.expectLoaded(t, 2)
-		if run.openFor < 6*time.Second {
-			t.Errorf("engine was open for %s of 10 s", run.openFor)
-		}
+		run.expectOpen(t, 6*time.Second, 10*time.Second)
 		run.views.publish(3)
 		time.Sleep(8 * time.Second)
 		run.expectLoaded(t, 3)
@@ -316,9 +336,7 @@
 				run.views.publish(3)
 				time.Sleep(30 * time.Second)
 				run.expectLoaded(t, 3)
-				if run.openFor < 15*time.Second {
-					t.Errorf("engine was open for %s of 34 s", run.openFor)
-				}
+				run.expectOpen(t, 15*time.Second, 34*time.Second)
 			})
 		})
 	}
@@ -352,15 +370,15 @@
 func TestHoldsOldCheckIsRepeated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		run := newAgentRun()
-		orders := 0
 		run.Relay.Stage = &pausingStage{testEngine: run.engine, version: 2, pause: 4 * time.Second, onPause: func() { run.engine.spoil(5) }}
-		run.engine.onOrder = func(int) { orders++ }
 		run.start(t)
 		run.views.publish(2)
 		time.Sleep(15 * time.Second)
 		run.expectLoaded(t, 2)
-		if orders != 1 {
-			t.Errorf("%d orders, want 1", orders)
+		run.engine.mu.Lock()
+		defer run.engine.mu.Unlock()
+		if run.engine.orders != 1 {
+			t.Errorf("%d orders, want 1", run.engine.orders)
 		}
 	})
 }
@@ -386,9 +404,7 @@
 					run.views.publish(2)
 					time.Sleep(12 * time.Second)
 					run.expectLoaded(t, 2)
-					if run.openFor < 6*time.Second {
-						t.Errorf("engine was open for %s of 12 s", run.openFor)
-					}
+					run.expectOpen(t, 6*time.Second, 12*time.Second)
 				})
 			})
 		}
--- a/internal/role/siteagent/reconcile.go
+++ b/internal/role/siteagent/reconcile.go
@@ -24,6 +24,9 @@
 	// fallbackLeadTime is the time needed to load a version that is already in
 	// memory: staging it again, draining, loading, and a reserve of one second.
 	fallbackLeadTime = drainTimeout + loadDuration + 1300*time.Millisecond
+	// reloadRetryDelay is the wait after weights could not be loaded again. A newer
+	// version, if there is one, replaces them as well.
+	reloadRetryDelay = time.Second
 	// maxCandidates bounds the versions to consider. The origin no longer keeps
 	// older ones.
 	maxCandidates = 2
@@ -57,10 +60,12 @@
 			continue
 		}
 		if b, ok := a.spoiltBundle(r); ok && a.pendingOrder() == nil {
-			if err := a.reload(ctx, b); err != nil && ctx.Err() == nil {
-				klog.InfoS("Failed to load weights again", "Model", b.Model, "Version", b.Version, "Error", err.Error())
+			err := a.reload(ctx, b)
+			if err == nil || ctx.Err() != nil {
+				continue
 			}
-			continue
+			klog.InfoS("Failed to load weights again", "Model", b.Model, "Version", b.Version, "Error", err.Error())
+			clock.Sleep(ctx, reloadRetryDelay)
 		}
 		b, ok := a.chooseVersion(ctx, r.Weights)
 		if !ok {
@@ -193,23 +198,9 @@
 // deploy stages the weights, waits for this engine's scheduled start and orders
 // the load.
 func (a *Agent) deploy(ctx context.Context, b relay.Bundle, r Report) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	watchCtx, stopWatch := context.WithCancel(ctx)
-	defer stopWatch()
-	if a.pendingOrder() == nil {
-		go a.cancelIfSuperseded(watchCtx, b, r.Weights, cancel)
-	}
-	if err := a.Relay.StageBundle(ctx, b); err != nil {
+	if err := a.stage(ctx, b, r.Weights); err != nil {
 		return err
 	}
-	if r.Weights > 0 {
-		a.awaitLoadStart(ctx, b, r.Weights)
-	}
-	stopWatch()
-	if ctx.Err() != nil {
-		return ctx.Err()
-	}
 	checked, err := a.Relay.Verify(ctx, b)
 	if err != nil {
 		return err
@@ -236,6 +227,23 @@
 	return ctx.Err()
 }
 
+// stage stages the weights and waits for this engine's scheduled start. It ends early if
+// the deployment is superseded.
+func (a *Agent) stage(ctx context.Context, b relay.Bundle, current int64) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if a.pendingOrder() == nil {
+		go a.cancelIfSuperseded(ctx, b, current, cancel)
+	}
+	if err := a.Relay.StageBundle(ctx, b); err != nil {
+		return err
+	}
+	if current > 0 {
+		a.awaitLoadStart(ctx, b, current)
+	}
+	return ctx.Err()
+}
+
 // cancelIfSuperseded cancels the deployment of b once a newer version is
 // available, unless b is complete and the newer one couldn't be staged before b
 // is due. It also cancels the deployment if an older version must be loaded
