--- a/internal/role/siteagent/order.go
+++ b/internal/role/siteagent/order.go
@@ -28,8 +28,8 @@
 	// is ordered. A piece that becomes corrupted less than 3 s before a load is
 	// allowed; the rest covers the way of the order.
 	maxCheckAge = 1500 * time.Millisecond
-	// maxChecks is how often a check that became too old is repeated before a load
-	// is given up for the time being.
+	// maxChecks is how often a check that became too old is repeated. On an instance
+	// that is too slow for that, the check after the load decides alone.
 	maxChecks = 3
 	// loadedCheckTimeout limits the check of the pieces after a load was accepted.
 	loadedCheckTimeout = 3 * time.Second
@@ -130,7 +130,7 @@
 			return checked, err
 		}
 	}
-	return checked, errors.New("staged pieces can't be read in time")
+	return checked, nil
 }
 
 // checkLoaded reads the staged pieces after the engine has accepted a load of them. If
