--- a/internal/role/siteagent/order.go
+++ b/internal/role/siteagent/order.go
@@ -108,11 +108,6 @@
 	if a.awaitOutcome(ctx, p) {
 		return p.Order, nil
 	}
-	if errors.Is(err, ErrOrderRefused) && time.Since(p.sentAt) > pendingCloseTime {
-		// The engine would refuse the first attempt as well.
-		a.setPending(nil)
-		return Order{}, err
-	}
 	a.Metrics.Count("OrderPending")
 	return Order{}, errors.Wrap(err, "outcome of the load order is not known")
 }
--- a/internal/role/siteagent/order_test.go
+++ b/internal/role/siteagent/order_test.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -53,6 +54,8 @@
 	delay time.Duration
 	// unanswered means that the agent gets no response.
 	unanswered bool
+	// refused means that the engine refuses the order as it is at present.
+	refused bool
 }
 
 // testEngine is an engine with a stage. mu guards the fields below it.
@@ -133,6 +136,9 @@
 	if e.onOrder != nil {
 		e.onOrder(n)
 	}
+	if d.refused {
+		return ErrOrderRefused
+	}
 	result := make(chan error, 1)
 	time.AfterFunc(d.delay, func() { result <- e.accept(o) })
 	if d.unanswered {
@@ -425,3 +431,19 @@
 		run.expectLoaded(t, 2)
 	})
 }
+
+// TestHoldsRefusedAttemptsSettleNothing guards against weights of two versions: the
+// engine refused further attempts of a pending order, and accepted the first one after
+// that.
+func TestHoldsRefusedAttemptsSettleNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		deliveries := append([]delivery{{delay: 20 * time.Second, unanswered: true}}, slices.Repeat([]delivery{{refused: true}}, 400)...)
+		run := runAgent(t, deliveries...)
+		run.views.publish(2)
+		time.Sleep(4 * time.Second)
+		run.views.publish(3)
+		run.views.publish(4)
+		time.Sleep(20 * time.Second)
+		run.expectLoaded(t, 2)
+	})
+}
