site: take no planned load for the end of a target

Cause: an engine that loads a version aborts its running requests, and each entry reported these as an end of the engine.

An agent announces the abort to all entries in its load reports before it orders the load, and names the incarnation of its engine in each. The new module internal/site/incarnation decides by that: a break that was announced is no end, and one after which the same incarnation reports again is taken back, at the entry and at the keepers. That also covers lost reports and connections that a target resets beyond its limit. Ends of targets that stay silent, or that return as another incarnation, count as before and as fast.

--- a/internal/request/ends/ends.go
+++ b/internal/request/ends/ends.go
@@ -2,6 +2,7 @@
 package ends
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -46,7 +47,7 @@
 	now := time.Now()
 	r := m.recent.Use(request, maxRequests)
 	if now.Sub(r.At) > Retention {
-		r.Ends = 0
+		r.Ends, r.Last = 0, nil
 	}
 	same := r.Target == target && r.Born == born
 	later := now.Sub(r.At) >= MomentLength || sentAt.After(r.At)
@@ -55,9 +56,29 @@
 	}
 	r.Ends++
 	r.At, r.Target, r.Born = now, target, born
+	r.Last = append(r.Last, recent.Incarnation{Target: target, Born: born})
+	if len(r.Last) > guiltyEnds {
+		r.Last = slices.Delete(r.Last, 0, 1)
+	}
 	r.HeldUntil = now.Add(pause(r.Ends))
 }
 
+// LivesOn takes back that an incarnation of a target ended.
+func (m *Memory) LivesOn(target id.Target, born int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range m.recent.All() {
+		i := slices.Index(r.Last, recent.Incarnation{Target: target, Born: born})
+		if i < 0 {
+			continue
+		}
+		r.Last = slices.Delete(r.Last, i, i+1)
+		if r.Ends--; r.Ends == 0 {
+			m.recent.Remove(r.Part)
+		}
+	}
+}
+
 // pause returns how long a request is held back after a number of ends.
 func pause(ends int) time.Duration {
 	switch {
--- a/internal/request/ends/ends_test.go
+++ b/internal/request/ends/ends_test.go
@@ -90,3 +90,31 @@
 		t.Errorf("%d requests", m.recent.Len())
 	}
 }
+
+// TestHoldsLivingTargetIsTakenBack checks that only the ends of the incarnation that
+// lives on are taken back, in any order, and that the pause ends with them.
+func TestHoldsLivingTargetIsTakenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var m Memory
+		const request = "request:1"
+		for n := range 3 {
+			m.Ended(request, id.Target(fmt.Sprint("t", n)), 1, time.Now())
+			time.Sleep(MomentLength)
+		}
+		m.Ended("request:2", "t9", 1, time.Now())
+		m.LivesOn("t1", 2)
+		m.LivesOn("t7", 1)
+		if m.Count(request) != 3 || m.Held(request) == 0 {
+			t.Errorf("%d ends, held for %s", m.Count(request), m.Held(request))
+		}
+		for n, want := range []int{2, 1, 0} {
+			m.LivesOn(id.Target(fmt.Sprint("t", (n+1)%3)), 1)
+			if m.Count(request) != want || m.Held(request) > 0 {
+				t.Errorf("%d ends, want %d, held for %s", m.Count(request), want, m.Held(request))
+			}
+		}
+		if m.Count("request:2") != 1 {
+			t.Error("the end under another request is forgotten")
+		}
+	})
+}
--- a/internal/request/recent/recent.go
+++ b/internal/request/recent/recent.go
@@ -26,11 +26,28 @@
 	Ends   int
 	Target id.Target
 	Born   int64
+	// Last holds the latest such incarnations, the newest last.
+	Last []Incarnation
 	// HeldUntil is when one more request may be sent to see whether targets still
 	// end under it.
 	HeldUntil time.Time
 }
 
+// Incarnation is one run of a target.
+type Incarnation struct {
+	Target id.Target
+	Born   int64
+}
+
+// All returns the records in no order.
+func (m *Memory) All() []*Record {
+	var out []*Record
+	for _, e := range m.byPart {
+		out = append(out, e.Value.(*Record))
+	}
+	return out
+}
+
 // Get returns the record of p, or nil.
 func (m *Memory) Get(p id.PromptPart) *Record {
 	if e := m.byPart[p]; e != nil {
--- a/internal/role/siteagent/order.go
+++ b/internal/role/siteagent/order.go
@@ -77,6 +77,10 @@
 // pending and is sent again with the same sequence number, which the engine accepts
 // once at most; it is sent in place of any other.
 func (a *Agent) order(ctx context.Context, b relay.Bundle, layers Layers, mode SwitchMode, checked boottime.Moment) (Order, error) {
+	if mode == AbortRequests {
+		a.announceAbort(ctx)
+		defer a.setAborting(false)
+	}
 	checked, err := a.recheck(ctx, b, checked)
 	if err != nil {
 		return Order{}, err
--- a/internal/role/siteagent/order_test.go
+++ b/internal/role/siteagent/order_test.go
@@ -228,6 +228,8 @@
 	// the engine held meanwhile that is not of one version.
 	openFor time.Duration
 	faults  []string
+	// abortReports counts the reports that the engine aborts its requests.
+	abortReports int
 }
 
 // runAgent runs an agent's loops until the test ends.
@@ -264,9 +266,15 @@
 	loops.Go(func() {
 		for ctx.Err() == nil {
 			r, err := run.engine.Report(ctx)
-			if load := run.recordReport(r, err); !load.Closed {
+			load := run.recordReport(r, err)
+			if !load.Closed {
 				run.recordOpen()
 			}
+			if load.Aborts {
+				run.mu.Lock()
+				run.abortReports++
+				run.mu.Unlock()
+			}
 			time.Sleep(reportInterval)
 		}
 	})
@@ -447,3 +455,26 @@
 		run.expectLoaded(t, 2)
 	})
 }
+
+// TestHoldsAbortIsAnnounced guards against an engine that aborts its requests although
+// entries were not told before, so that they take it to have ended.
+func TestHoldsAbortIsAnnounced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		run := newAgentRun()
+		run.views.view.Plan.Routes = []plan.Route{{Kind: plan.Streaming, Resumable: true, MaxAttempts: 2, Shares: []plan.Share{{Service: "llm", Weight: 1}}}}
+		run.engine.onOrder = func(int) {
+			run.mu.Lock()
+			defer run.mu.Unlock()
+			if run.abortReports == 0 {
+				t.Error("nothing was announced before the order")
+			}
+		}
+		run.start(t)
+		run.views.publish(2)
+		time.Sleep(8 * time.Second)
+		run.expectLoaded(t, 2)
+		if run.engine.orders != 1 || run.recordReport(Report{StartMs: 1}, nil).Aborts {
+			t.Errorf("%d orders, still aborting: %t", run.engine.orders, run.aborting)
+		}
+	})
+}
--- a/internal/role/siteagent/reconcile.go
+++ b/internal/role/siteagent/reconcile.go
@@ -17,6 +17,9 @@
 	// drainNotice is how long entries have to stop sending requests before
 	// draining begins.
 	drainNotice = 60 * time.Millisecond
+	// abortNotice is how long entries have to learn that an engine aborts its
+	// requests, part of drainTimeout. A report goes out after each query.
+	abortNotice = 60 * time.Millisecond
 	// loadTimeout is the longest wait for a load to complete before it is
 	// ordered again.
 	loadTimeout    = 6 * time.Second
--- a/internal/role/siteagent/schedule.go
+++ b/internal/role/siteagent/schedule.go
@@ -78,7 +78,7 @@
 		return FinishRequests
 	}
 	began := time.Now()
-	for time.Since(began) < drainTimeout && ctx.Err() == nil {
+	for time.Since(began) < drainTimeout-abortNotice && ctx.Err() == nil {
 		if r, fresh := a.latestReport(); fresh && r.Active+r.Queued == 0 {
 			break
 		}
--- a/internal/role/siteagent/siteagent.go
+++ b/internal/role/siteagent/siteagent.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/clock"
 	"egretproxy/internal/kernel/metrics"
 	"egretproxy/internal/kernel/process"
 	"egretproxy/internal/site/loadreport"
@@ -37,6 +38,9 @@
 	// linkDelayStepMs is the resolution of the reported link delay in
 	// milliseconds. It keeps small changes from causing a report.
 	linkDelayStepMs = 40
+	// maxQueryTime is the longest query after which the engine's state is new enough
+	// to show that the engine lives. incarnation.Register allows for twice that.
+	maxQueryTime = 50 * time.Millisecond
 	// stopTimeout bounds the time for transfers to peers to finish when the
 	// process stops.
 	stopTimeout = time.Second
@@ -119,8 +123,9 @@
 	// report is the newest report of the engine, received at reportAt.
 	report   Report
 	reportAt time.Time
-	// switching means that the engine is about to load weights.
-	switching bool
+	// switching means that the engine is about to load weights, aborting that it
+	// aborts its requests for that.
+	switching, aborting bool
 	// pending is the order whose outcome is not known, or nil. It is replaced by
 	// reconcileLoop's goroutine only.
 	pending *pendingOrder
@@ -170,6 +175,7 @@
 	lost := false
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+		askedAt := time.Now()
 		r, err := a.Engine.Report(callCtx)
 		cancel()
 		if (err != nil) != lost && ctx.Err() == nil {
@@ -178,6 +184,9 @@
 		}
 		load := a.recordReport(r, err)
 		a.Sender.SetSharers(a.sharers())
+		if time.Since(askedAt) > maxQueryTime {
+			load.Born = 0
+		}
 		places, interval := a.places(load)
 		deal := places.Free > 0 && time.Since(dealtAt) >= interval
 		if deal {
@@ -185,7 +194,7 @@
 		} else {
 			places.Free = 0
 		}
-		if deal || load != sent || time.Since(sentAt) > resendInterval {
+		if deal || load != sent || load.Aborts || time.Since(sentAt) > resendInterval {
 			a.Sender.Send(load, places)
 			sent, sentAt = load, time.Now()
 		}
@@ -213,6 +222,7 @@
 	a.report, a.reportAt = r, time.Now()
 	load := loadreport.Load{
 		Active: r.Active, Queued: r.Queued, Weights: r.Weights, Closed: a.closed(r),
+		Born: r.StartMs, Aborts: a.aborting,
 	}
 	if a.LinkDelay != nil {
 		load.LinkDelayMs = a.LinkDelay().Milliseconds() / linkDelayStepMs * linkDelayStepMs
@@ -241,6 +251,20 @@
 	a.wakeReporter()
 }
 
+// announceAbort announces that the engine is about to abort its requests, so that
+// entries don't take it to have ended, and gives them the time to learn of it.
+func (a *Agent) announceAbort(ctx context.Context) {
+	a.setAborting(true)
+	clock.Sleep(ctx, abortNotice)
+}
+
+func (a *Agent) setAborting(on bool) {
+	a.mu.Lock()
+	a.aborting = on
+	a.mu.Unlock()
+	a.wakeReporter()
+}
+
 // latestReport returns the engine's newest report and whether it is recent
 // enough to rely on.
 func (a *Agent) latestReport() (Report, bool) {
--- a/internal/role/siteentry/quarantine.go
+++ b/internal/role/siteentry/quarantine.go
@@ -180,7 +180,7 @@
 // recordBreak tells the witness that the target ended under the request, if it did,
 // and with which parts before the response began.
 func (j *job) recordBreak(grant *dispatch.Grant) {
-	if j.brokenBy == nil || !endsExchange(j.brokenBy) {
+	if j.brokenBy == nil || !endsExchange(j.brokenBy) || j.livesOn(grant) {
 		return
 	}
 	j.entry.witness.RequestEnded(grant.Target, grant.Born, j.digest, j.attemptAt)
--- a/internal/role/siteentry/siteentry.go
+++ b/internal/role/siteentry/siteentry.go
@@ -20,6 +20,7 @@
 	"egretproxy/internal/kernel/decisionlog"
 	"egretproxy/internal/kernel/httpserver"
 	"egretproxy/internal/kernel/metrics"
+	"egretproxy/internal/site/incarnation"
 	"egretproxy/internal/site/siteclient"
 	"egretproxy/internal/site/witness"
 	"egretproxy/internal/wire/bodylimit"
@@ -107,6 +108,7 @@
 	retryDetector retrydetector.Detector
 	startup       startupState
 	witness       witness.Witness
+	incarnations  incarnation.Register
 	// testing is set while a request looks for a target to test a verdict.
 	testing atomic.Bool
 	// bootNow replaces boottime.Now in tests.
--- a/internal/site/evidence/evidence.go
+++ b/internal/site/evidence/evidence.go
@@ -18,10 +18,12 @@
 type Report struct {
 	Ends  []End   `json:",omitempty"`
 	Begun []Begun `json:",omitempty"`
+	// Alive takes ends back. Keepers of earlier versions ignore it.
+	Alive []Alive `json:",omitempty"`
 }
 
 // Empty reports whether the report says nothing.
-func (r *Report) Empty() bool { return len(r.Ends) == 0 && len(r.Begun) == 0 }
+func (r *Report) Empty() bool { return len(r.Ends) == 0 && len(r.Begun) == 0 && len(r.Alive) == 0 }
 
 // End says that exchanges with a target broke off.
 type End struct {
@@ -51,6 +53,15 @@
 	AgeMs int64
 }
 
+// Alive says that an incarnation of a target which an entry reported to have ended
+// lived some time ago.
+type Alive struct {
+	Target id.Target
+	Born   int64
+	// AgeMs is the time since then in milliseconds.
+	AgeMs int64
+}
+
 // Suspect is a part with which targets have ended, and no response has begun since
 // the first of them; or the digest of a request, and no response has come to its end.
 type Suspect struct {
--- a/internal/site/loadreport/loadreport.go
+++ b/internal/site/loadreport/loadreport.go
@@ -78,6 +78,9 @@
 	// PlacesMs milliseconds.
 	Places   int   `cbor:"13,keyasint,omitempty"`
 	PlacesMs int64 `cbor:"14,keyasint,omitempty"`
+	// Born and Aborts are those of incarnation.Report.
+	Born   int64 `cbor:"15,keyasint,omitempty"`
+	Aborts bool  `cbor:"16,keyasint,omitempty"`
 	// Epoch identifies the sending process. Sequence orders its reports from 1 on,
 	// since datagrams may overtake each other. Agents of earlier versions send
 	// neither.
@@ -207,6 +210,10 @@
 // due reports whether a subscriber that gets no place must learn of the load.
 func (s *subscriber) due(now time.Time, l Load, share allotment.Share) bool {
 	age := now.Sub(s.sentAt)
+	if l.Aborts {
+		// It concerns the requests that run, of all entries.
+		return true
+	}
 	if share.Part == 0 {
 		return age >= statusInterval
 	}
--- a/internal/site/suspicion/report.go
+++ b/internal/site/suspicion/report.go
@@ -25,6 +25,9 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	now := time.Now()
+	for _, a := range r.Alive {
+		j.addAlive(now, a)
+	}
 	for _, e := range r.Ends {
 		j.addEnd(timeOf(now, e.AgeMs), e)
 	}
@@ -73,9 +76,15 @@
 
 // addEnd requires mu.
 func (j *Judge) addEnd(at time.Time, in evidence.End) {
+	if !at.After(j.alive[incarnation{in.Target, in.Born}].at) {
+		return
+	}
 	i := slices.IndexFunc(j.ends, func(e *end) bool { return e.target == in.Target && e.born == in.Born })
+	if i >= 0 && at.After(j.ends[i].last) {
+		j.ends[i].last = at
+	}
 	if i < 0 {
-		e := &end{target: in.Target, born: in.Born, at: at, number: j.added, parts: map[id.PromptPart]bool{}}
+		e := &end{target: in.Target, born: in.Born, at: at, last: at, number: j.added, parts: map[id.PromptPart]bool{}}
 		j.added++
 		i, _ = slices.BinarySearchFunc(j.ends, e, compareEnds)
 		j.ends = slices.Insert(j.ends, i, e)
--- a/internal/site/suspicion/suspicion.go
+++ b/internal/site/suspicion/suspicion.go
@@ -54,6 +54,8 @@
 	added int
 	// early holds the responses on parts of which no end is known.
 	early map[id.PromptPart]early
+	// alive holds when incarnations lived that an entry had reported to have ended.
+	alive map[incarnation]alive
 	// suspects holds the time since which each part or request is a suspect,
 	// announced those of which entries are told, requests first, the gravest first.
 	suspects  map[id.PromptPart]time.Time
@@ -81,11 +83,11 @@
 type end struct {
 	target id.Target
 	born   int64
-	// at is by the clock of the entry that first reported it, moment numbers the
-	// moments in order of time.
-	at     time.Time
-	moment int
-	parts  map[id.PromptPart]bool
+	// at is by the clock of the entry that first reported it, last by that of the
+	// latest one. moment numbers the moments in order of time.
+	at, last time.Time
+	moment   int
+	parts    map[id.PromptPart]bool
 	// number tells ends apart.
 	number int
 	// explained holds the verdicts on parts that explain the end, cause the request
--- a/internal/site/witness/witness.go
+++ b/internal/site/witness/witness.go
@@ -36,9 +36,10 @@
 	suspects map[id.PromptPart]time.Time
 	accused  map[id.PromptPart]bool
 	pending  evidence.Report
-	// endedAt and begunAt are the times of the ends and the responses in pending.
-	endedAt, begunAt []time.Time
-	size             int
+	// endedAt, begunAt and aliveAt are the times of the ends, the responses and the
+	// signs of life in pending.
+	endedAt, begunAt, aliveAt []time.Time
+	size                      int
 	// changed is closed when there is something to report.
 	changed chan struct{}
 }
@@ -193,7 +194,10 @@
 	for i, at := range w.begunAt {
 		out.Begun[i].AgeMs = time.Since(at).Milliseconds()
 	}
-	w.pending, w.endedAt, w.begunAt, w.size = evidence.Report{}, nil, nil, 0
+	for i, at := range w.aliveAt {
+		out.Alive[i].AgeMs = time.Since(at).Milliseconds()
+	}
+	w.pending, w.endedAt, w.begunAt, w.aliveAt, w.size = evidence.Report{}, nil, nil, nil, 0
 	if w.changed == nil {
 		w.changed = make(chan struct{})
 	}
