--- a/internal/site/loadreport/loadreport.go
+++ b/internal/site/loadreport/loadreport.go
@@ -79,8 +79,8 @@
 	Places   int   `cbor:"13,keyasint,omitempty"`
 	PlacesMs int64 `cbor:"14,keyasint,omitempty"`
 	// Born and Aborts are those of incarnation.Report.
-	Born   int64 `cbor:"15,keyasint,omitempty"`
-	Aborts bool  `cbor:"16,keyasint,omitempty"`
+	Born   int64 `cbor:"16,keyasint,omitempty"`
+	Aborts bool  `cbor:"17,keyasint,omitempty"`
 	// Epoch identifies the sending process. Sequence orders its reports from 1 on,
 	// since datagrams may overtake each other. Agents of earlier versions send
 	// neither.
