--- a/internal/system/fleet_test.go
+++ b/internal/system/fleet_test.go
@@ -51,6 +51,8 @@
 	args      map[string][]string
 	keepers   []string
 	addresses map[string]string
+	// limited runs the processes with the limits of the script "limited".
+	limited bool
 }
 
 // conditionTimeout limits how long waitUntil polls.
@@ -148,7 +150,11 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	cmd := exec.Command(binaries+"/"+args[0], args[1:]...)
+	path := binaries + "/" + args[0]
+	cmd := exec.Command(path, args[1:]...)
+	if f.limited {
+		cmd = exec.Command(binaries+"/limited", append([]string{path}, args[1:]...)...)
+	}
 	cmd.Stdout, cmd.Stderr = logFile, logFile
 	if err := cmd.Start(); err != nil {
 		f.t.Fatal(err)
