intake: bound what a process holds for requests that arrive

What callers sent was bounded for each request only: bodies were buffered up to their limit on any number of connections, headers up to 64 KiB, and nothing bounded the connections or made a body that stopped give way.

One intake for each process, which all HTTP listeners share, counts the long requests by the bytes that have arrived, against an eighth of the memory, and the connections, against three quarters of the descriptors and one for 64 KiB of memory. A long request without room gets 503, one without progress for a second is given up then with 408, and the connection with the least use makes place for a new one. The first 8 KiB of a request never count, and a long one alone is taken whatever its size, so that no single caller within the published limits meets it. A site's entry answers 408 to a body that does not end in the caller's time. Listeners without limits of their own get defaults.

--- /dev/null
+++ b/internal/admission/intake/conns.go
@@ -0,0 +1,91 @@
+package intake
+
+import "time"
+
+// Use is what a connection is used for.
+type Use int
+
+const (
+	// Serving means that a whole request has arrived on the connection and has no
+	// whole response yet. Such a connection is never closed for another one.
+	Serving Use = iota
+	// Idle means that the connection has its last response.
+	Idle
+	// Expired means that its caller may not use the connection any more.
+	Expired
+	// Receiving means that the next request, or the first, is not there as a whole.
+	Receiving
+)
+
+// Conn is an open connection. Its identity is that of the interface value.
+type Conn interface {
+	// Use returns the use of the connection and since when it lasts.
+	Use() (Use, time.Time)
+	// Drop closes the connection.
+	Drop()
+}
+
+// Open records a connection. If that exceeds the limit, it closes the one that is
+// the least use, and reports false if that is the new one.
+func (in *Intake) Open(c Conn) bool {
+	in.mu.Lock()
+	if in.conns == nil {
+		in.conns = map[Conn]struct{}{}
+	}
+	var others []Conn
+	if in.Conns > 0 && len(in.conns) >= in.Conns {
+		others = make([]Conn, 0, len(in.conns))
+		for other := range in.conns {
+			others = append(others, other)
+		}
+		in.refused(reasonConns)
+	}
+	in.mu.Unlock()
+	if others != nil {
+		victim := leastUse(others)
+		if victim == nil {
+			return false
+		}
+		victim.Drop()
+		in.Closed(victim)
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.conns[c] = struct{}{}
+	return true
+}
+
+// Closed records the end of a connection.
+func (in *Intake) Closed(c Conn) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	delete(in.conns, c)
+}
+
+// leastUse returns the connection to be closed for a new one, or nil if all are in
+// use. A request that has been on its way for a while comes first, then what has
+// expired, then a younger request, then an idle connection; of equals the oldest.
+func leastUse(conns []Conn) Conn {
+	var out Conn
+	var least int
+	var oldest time.Time
+	now := time.Now()
+	for _, c := range conns {
+		use, since := c.Use()
+		rank := 0
+		switch {
+		case use == Serving:
+			continue
+		case use == Receiving && now.Sub(since) >= stallTime:
+			rank = 3
+		case use == Expired:
+			rank = 2
+		case use == Receiving:
+			rank = 1
+		}
+		if out == nil || rank > least || rank == least && since.Before(oldest) {
+			out, least, oldest = c, rank, since
+		}
+	}
+	return out
+}
--- a/internal/command/role/role.go
+++ b/internal/command/role/role.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 
+	"egretproxy/internal/admission/intake"
 	"egretproxy/internal/kernel/logs"
 	"egretproxy/internal/kernel/metrics"
 	"egretproxy/internal/settings/config"
@@ -36,5 +37,9 @@
 		return err
 	}
 	logs.Init(os.Stderr, cfg.Process.LogLevel)
-	return run(ctx, cfg, metrics.New(name))
+	set := metrics.New(name)
+	in := intake.New(0, 0)
+	in.Report(set)
+	intake.SetProcess(in)
+	return run(ctx, cfg, set)
 }
--- a/internal/kernel/httpserver/announce.go
+++ b/internal/kernel/httpserver/announce.go
@@ -14,6 +14,14 @@
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		aw := &announcingWriter{ResponseWriter: w, server: s}
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+			if aw.body = c.receive(r); aw.body != nil {
+				// net/http looks at the body of its own request at the end.
+				counted := *r
+				counted.Body = aw.body
+				r = &counted
+			}
+		}
 		h.ServeHTTP(aw, r)
 		if !aw.headerWritten {
 			aw.announce(http.StatusOK)
@@ -27,14 +35,16 @@
 	http.ResponseWriter
 	server        *Server
 	headerWritten bool
+	// body is nil for a request without one.
+	body *body
 }
 
 func (w *announcingWriter) announce(status int) {
 	w.headerWritten = true
 	h := w.Header()
-	// Without the close, net/http reads the rest of a body that is too large
-	// before it responds.
-	if w.server.Stopping() || status == http.StatusRequestEntityTooLarge {
+	// Without the close, net/http reads the rest of a body that is too large or was
+	// refused before it responds.
+	if w.server.Stopping() || status == http.StatusRequestEntityTooLarge || w.body != nil && w.body.refused != nil {
 		h.Set("Connection", "close")
 		return
 	}
--- a/internal/kernel/httpserver/conn.go
+++ b/internal/kernel/httpserver/conn.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 
+	"egretproxy/internal/admission/intake"
 	"egretproxy/internal/kernel/socket"
 )
 
@@ -35,8 +36,17 @@
 	lastUsed time.Time
 	// watched is set while the caller's end is looked for.
 	watched bool
-	// closed is set before an idle connection is closed.
+	// closed is set before the server closes the connection.
 	closed bool
+
+	intake *intake.Intake
+	// claim is the room of the request that arrives or is handled, nil without one.
+	claim *intake.Claim
+	// receiving is set while a part of a request is missing, since receivingFrom.
+	receiving     bool
+	receivingFrom time.Time
+	// keepAlive is how long the caller may leave the connection idle.
+	keepAlive time.Duration
 }
 
 // Read implements io.Reader. A deadline that has passed does not hide bytes
@@ -49,7 +59,9 @@
 		n, err = c.Conn.Read(p)
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.recordRead(n)
+		if refused := c.recordRead(n); refused != nil {
+			return 0, refused
+		}
 		return n, err
 	}
 	var readErr error
@@ -67,6 +79,8 @@
 	switch {
 	case err != nil:
 		return 0, err
+	case errors.Is(readErr, intake.ErrFull), errors.Is(readErr, intake.ErrStalled):
+		return 0, readErr
 	case readErr != nil:
 		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", readErr)}
 	case n == 0:
@@ -90,16 +104,28 @@
 		if err == syscall.EINTR {
 			continue
 		}
-		c.recordRead(n)
+		if refused := c.recordRead(n); refused != nil {
+			return 0, refused
+		}
 		return max(n, 0), err
 	}
 }
 
-// recordRead requires mu.
-func (c *conn) recordRead(n int) {
-	if n > 0 {
-		c.unanswered, c.lastUsed = true, time.Now()
+// recordRead requires mu. It returns an error if the process has no room for the
+// header of a request.
+func (c *conn) recordRead(n int) error {
+	if n <= 0 {
+		return nil
 	}
+	c.unanswered, c.lastUsed = true, time.Now()
+	if c.state == http.StateActive || c.intake == nil {
+		return nil
+	}
+	if c.claim == nil {
+		c.claim = c.intake.Claim(c.interrupt)
+		c.receiving, c.receivingFrom = true, c.lastUsed
+	}
+	return c.claim.Add(n)
 }
 
 // Write implements io.Writer.
@@ -130,6 +156,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state = state
+	if state == http.StateIdle || state == http.StateClosed || state == http.StateHijacked {
+		c.release()
+	}
 }
 
 // retire closes the connection if its caller can't be waiting for a response
--- a/internal/kernel/httpserver/httpserver.go
+++ b/internal/kernel/httpserver/httpserver.go
@@ -14,10 +14,17 @@
 	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
 
+	"egretproxy/internal/admission/intake"
 	"egretproxy/internal/kernel/socket"
+	"egretproxy/internal/wire/header"
 )
 
 const (
+	// The defaults of the limits of HTTP that are not set. Peers' headers are the
+	// longest.
+	defaultHeaderTimeout  = 5 * time.Second
+	defaultIdleTimeout    = 2 * time.Minute
+	defaultMaxHeaderBytes = header.MaxResponseBytes
 	// drainInterval is the interval between checks of the connections during a
 	// stop.
 	drainInterval = 20 * time.Millisecond
@@ -52,6 +59,9 @@
 	// connections that are left are closed. It begins when the process sees that
 	// the period is over, since a pause may have covered the end. 0 means 200 ms.
 	FinalPass time.Duration
+	// Intake bounds the requests that arrive, and the connections. nil means the
+	// intake of the process.
+	Intake *intake.Intake
 
 	stopping atomic.Bool
 
@@ -64,6 +74,10 @@
 // requests that have arrived, and closes each connection once its caller can't
 // send another request on it, within the grace period.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	if s.Intake == nil {
+		s.Intake = intake.Process()
+	}
+	s.setDefaults()
 	tracked := &listener{Listener: l, server: s}
 	s.HTTP.ConnState = s.onState
 	connContext := s.HTTP.ConnContext
@@ -89,6 +103,18 @@
 	return nil
 }
 
+func (s *Server) setDefaults() {
+	if s.HTTP.ReadHeaderTimeout == 0 {
+		s.HTTP.ReadHeaderTimeout = defaultHeaderTimeout
+	}
+	if s.HTTP.IdleTimeout == 0 {
+		s.HTTP.IdleTimeout = defaultIdleTimeout
+	}
+	if s.HTTP.MaxHeaderBytes == 0 {
+		s.HTTP.MaxHeaderBytes = defaultMaxHeaderBytes
+	}
+}
+
 // Stopping reports whether the server was asked to stop.
 func (s *Server) Stopping() bool { return s.stopping.Load() }
 
@@ -177,13 +203,23 @@
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
-	inner, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		now := time.Now()
+		c := &conn{
+			Conn: inner, raw: socket.Raw(inner), lastUsed: now,
+			intake: l.server.Intake, receiving: true, receivingFrom: now, keepAlive: l.server.KeepAlive,
+		}
+		if !l.server.Intake.Open(c) {
+			_ = inner.Close()
+			continue
+		}
+		l.server.track(c)
+		return c, nil
 	}
-	c := &conn{Conn: inner, raw: socket.Raw(inner), lastUsed: time.Now()}
-	l.server.track(c)
-	return c, nil
 }
 
 // hasBacklog reports whether a caller's connection waits to be accepted.
@@ -224,6 +260,7 @@
 	}
 	c.setState(state)
 	if state == http.StateClosed || state == http.StateHijacked {
+		s.Intake.Closed(c)
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.conns, c)
--- a/internal/request/refusal/refusal.go
+++ b/internal/request/refusal/refusal.go
@@ -34,6 +34,7 @@
 	BadRequest          Reason = "BadRequest"
 	BodyTooLarge        Reason = "BodyTooLarge"
 	SlowCaller          Reason = "SlowCaller"
+	NoRoom              Reason = "NoRoom"
 	UnknownOrganisation Reason = "UnknownOrganisation"
 	UnknownModel        Reason = "UnknownModel"
 	UnknownRoute        Reason = "UnknownRoute"
--- a/internal/role/entry/admit.go
+++ b/internal/role/entry/admit.go
@@ -9,6 +9,7 @@
 
 	"egretproxy/internal/control/view"
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/httpserver"
 	"egretproxy/internal/request/refusal"
 )
 
@@ -45,9 +46,14 @@
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(e.cfg.Entry.MaxBody)))
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
+	refused, isRefused := httpserver.BodyRefusal(err)
 	switch {
 	case err == nil:
 		return body, nil
+	case isRefused && refused.Status == http.StatusServiceUnavailable:
+		return nil, refusal.Unavailable(refusal.NoRoom, "too many long requests arrive", time.Second)
+	case isRefused:
+		return nil, refusal.New(refused.Status, refusal.SlowCaller, "body came too slowly")
 	case errors.As(err, &tooLarge):
 		return nil, refusal.New(http.StatusRequestEntityTooLarge, refusal.BodyTooLarge, "body is too large")
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/role/siteentry/request.go
+++ b/internal/role/siteentry/request.go
@@ -16,6 +16,7 @@
 	"egretproxy/internal/exchange/connpool"
 	"egretproxy/internal/exchange/dispatch"
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/httpserver"
 	"egretproxy/internal/request/prompt"
 	"egretproxy/internal/site/plan"
 	"egretproxy/internal/site/siteclient"
@@ -238,7 +239,11 @@
 	body, err := io.ReadAll(j.r.Body)
 	if !expiring() {
 		// net/http also takes the caller for gone, and the request comes too late.
-		j.refuse("Stopping", errStopping.Error())
+		if j.entry.stop.ended() {
+			j.refuse("Stopping", errStopping.Error())
+			return false
+		}
+		j.refuseBody(httpserver.Refusal{Status: http.StatusRequestTimeout, Reason: "BodyTooSlow"})
 		return false
 	}
 	if err == nil {
@@ -250,6 +255,10 @@
 		j.fail(http.StatusRequestEntityTooLarge, "BodyTooLarge", "body is too large")
 		return false
 	}
+	if refusal, ok := httpserver.BodyRefusal(err); ok {
+		j.refuseBody(refusal)
+		return false
+	}
 	j.logEnd("Caller left while sending the body", "CallerLeft")
 	j.reply.Abort()
 	return false
--- a/internal/role/siteentry/response.go
+++ b/internal/role/siteentry/response.go
@@ -65,6 +65,17 @@
 	j.writeError(http.StatusServiceUnavailable, reason, text, header)
 }
 
+// refuseBody responds to a request whose body was not taken. The response states that
+// the request has not run and never will.
+func (j *job) refuseBody(r httpserver.Refusal) {
+	if r.Status == http.StatusServiceUnavailable {
+		j.refuse(r.Reason, "body was not taken")
+		return
+	}
+	j.entry.Metrics.CountReason("Refused", r.Reason)
+	j.writeError(r.Status, r.Reason, "body came too slowly", http.Header{"Connection": {"close"}})
+}
+
 // fail responds with a status that makes no statement about later attempts.
 func (j *job) fail(status int, reason, text string) {
 	j.reply.RequireNothing()
--- a/internal/role/siteentry/stop.go
+++ b/internal/role/siteentry/stop.go
@@ -114,8 +114,17 @@
 	return j.sent == 0 && since > j.entry.stop.admission(j.route.Repeatable())
 }
 
-// expireBody ends the reading of the body when the responses in progress must end.
-// The function that it returns prevents that, and reports false if it was too late.
+// expireBody ends the reading of the body when the responses in progress must end, or
+// the caller no longer waits for its own. The function that it returns prevents that,
+// and reports false if it was too late.
 func (j *job) expireBody() func() bool {
-	return context.AfterFunc(j.entry.stop.ending(), j.reply.ExpireBody)
+	ctx, cancel := j.entry.stop.ending(), context.CancelFunc(func() {})
+	if j.r.ContentLength != 0 && time.Until(j.deadline) > 0 {
+		ctx, cancel = context.WithDeadline(ctx, j.deadline)
+	}
+	stop := context.AfterFunc(ctx, j.reply.ExpireBody)
+	return func() bool {
+		defer cancel()
+		return stop()
+	}
 }
--- a/internal/target/proxy/proxy.go
+++ b/internal/target/proxy/proxy.go
@@ -18,6 +18,7 @@
 
 	"egretproxy/internal/control/view"
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/httpserver"
 	"egretproxy/internal/kernel/metrics"
 	"egretproxy/internal/request/refusal"
 	"egretproxy/internal/target/gate"
@@ -88,6 +89,10 @@
 	w.Header().Set(header.Target, string(p.Target))
 	w.Header().Set(header.RequestID, string(x.request))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if refused, ok := httpserver.BodyRefusal(err); ok {
+		x.refuse(refusal.Unavailable(refusal.NoRoom, refused.Reason, time.Second))
+		return
+	}
 	if err != nil {
 		x.refuse(refusal.New(http.StatusBadRequest, refusal.BadRequest, "body was not read: "+err.Error()))
 		return
