exchange: take a response with an invalid status for none

An engine in trouble sent an answer whose status was 000. net/http returns any status of three digits. With one below 100 the entries and the agent panicked as they passed it on, so that the caller's connection was closed: a request that may be repeated was not, and the failure was not recorded. After 101, for which no request asks, a site's entry waited for another response until the deadline; to net/http it is final.

Both are now bytes that are no response: the exchange counts as broken off, the connection is closed, a request that may be repeated is, and the others get 502. Statuses from 600 to 999 are passed on unchanged as before.

The test of endless headers moves into the package to reach the transport, which is wrapped now; its checks are the same. The tests of the agent use its own clients instead of plain ones.

--- a/internal/exchange/connpool/exchange.go
+++ b/internal/exchange/connpool/exchange.go
@@ -202,7 +202,11 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "response header")
 		}
-		if res.StatusCode >= 100 && res.StatusCode < 200 {
+		if res.StatusCode < http.StatusContinue || res.StatusCode == http.StatusSwitchingProtocols {
+			// No request asks for another protocol.
+			return nil, errors.Errorf("status %q is no answer", res.Status)
+		}
+		if res.StatusCode < http.StatusOK {
 			continue
 		}
 		response := &Response{
--- a/internal/target/proxy/proxy_test.go
+++ b/internal/target/proxy/proxy_test.go
@@ -17,6 +17,7 @@
 	"egretproxy/internal/target/gate"
 	"egretproxy/internal/target/proxy"
 	"egretproxy/internal/target/ramp"
+	"egretproxy/internal/wire/forward"
 	"egretproxy/internal/wire/header"
 )
 
@@ -46,7 +47,7 @@
 	}
 	front := httptest.NewServer(&proxy.Proxy{
 		Target: "t", BaseURL: base, Kind: kind, Gate: g, Ramp: r, Metrics: metrics.New("test"),
-		Client: &http.Client{}, SingleUseClient: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		Client: forward.Client(nil, time.Minute, false), SingleUseClient: forward.Client(nil, time.Minute, true),
 		OnCold: func() {}, OnFailure: func() {},
 	})
 	t.Cleanup(front.Close)
--- a/internal/wire/forward/endless_test.go
+++ b/internal/wire/forward/endless_test.go
@@ -1,4 +1,4 @@
-package forward_test
+package forward
 
 import (
 	"bufio"
@@ -10,8 +10,6 @@
 	"sync/atomic"
 	"testing"
 	"time"
-
-	"egretproxy/internal/wire/forward"
 )
 
 const (
@@ -38,7 +36,7 @@
 // countReceived makes the client count the bytes that it receives.
 func countReceived(client *http.Client) *atomic.Int64 {
 	received := &atomic.Int64{}
-	transport := client.Transport.(*http.Transport)
+	transport := client.Transport.(*finalStatus).Transport
 	dial := transport.DialContext
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
@@ -78,7 +76,7 @@
 				_, err = io.WriteString(conn, block)
 			}
 		}()
-		client := forward.Client(nil, time.Second, true)
+		client := Client(nil, time.Second, true)
 		received := countReceived(client)
 		client.Timeout = hangGuard
 		resp, err := client.Get("http://" + l.Addr().String())
--- a/internal/wire/forward/forward.go
+++ b/internal/wire/forward/forward.go
@@ -88,10 +88,10 @@
 func Client(tlsConfig *tls.Config, idle time.Duration, singleUse bool) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	keep := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &http.Client{CheckRedirect: keep, Transport: &http.Transport{
+	return &http.Client{CheckRedirect: keep, Transport: &finalStatus{&http.Transport{
 		DialContext: dialer.DialContext, TLSClientConfig: tlsConfig,
 		TLSHandshakeTimeout: dialTimeout, IdleConnTimeout: idle,
 		MaxResponseHeaderBytes: header.MaxResponseBytes,
 		MaxIdleConnsPerHost:    maxIdlePerHost, DisableCompression: true, DisableKeepAlives: singleUse,
-	}}
+	}}}
 }
