siteentry, suspicion: a response that only began does not clear its parts

Cause: a response counted as begun from its second event on, and that made its parts harmless. Keepers dropped the earlier ends and lifted a verdict in force, though the engine ended under the same response a moment later. That end did not count against the parts, since the response had begun, and a test that broke off after events went on to a second engine.

A response now shows its parts to be harmless once it is whole, or 250 ms after its second event. Only that lifts a verdict. Ends before that are reported with the parts, and convict if no response showed the part to be harmless for 2 s and six more moments had the part than had not, since any request that runs is at such an end. A test that breaks off goes to no second engine.

TestVerdictIsTestedOnce expects both reports, that the response began and that it came to its end.

--- a/internal/role/siteentry/attempt.go
+++ b/internal/role/siteentry/attempt.go
@@ -239,7 +239,7 @@
 		return done, dispatch.Failed, true
 	}
 	if response.Status < 300 {
-		j.recordBegin()
+		j.recordHarmless()
 	}
 	return done, dispatch.Served, true
 }
--- a/internal/role/siteentry/quarantine.go
+++ b/internal/role/siteentry/quarantine.go
@@ -26,6 +26,10 @@
 	// beginEvents is the number of events from which a response counts as
 	// begun. An engine may end within the first.
 	beginEvents = 2
+	// partHarmlessTime is how long a response must have gone on after it began to show
+	// that no part of the prompt ends targets. A target may send some events before it
+	// ends.
+	partHarmlessTime = 250 * time.Millisecond
 	// clearanceTime is how long a request that may have ended its target waits
 	// for evidence against it or for it.
 	clearanceTime = 500 * time.Millisecond
@@ -89,13 +93,14 @@
 }
 
 // verdict returns the newest verdict that shuts the request out, or nil. A verdict on
-// parts does not concern a request whose response began, and none concerns its test.
+// parts does not concern a request that showed its own to be harmless, and none concerns
+// its test.
 func (j *job) verdict() *siteclient.Verdict {
 	if j.tests {
 		return nil
 	}
 	for _, v := range slices.Backward(j.matchingVerdicts()) {
-		if v.OnRequest() || j.events() < beginEvents {
+		if v.OnRequest() || !j.harmless {
 			return v
 		}
 	}
@@ -171,22 +176,25 @@
 	}
 }
 
-// mayHaveEndedTarget reports whether the target of the latest attempt ended before
-// the response began, so that a part of the prompt may be the reason.
+// mayHaveEndedTarget reports whether the target of the latest attempt ended before the
+// response showed the parts of the prompt to be harmless, so that one may be the reason.
 func (j *job) mayHaveEndedTarget() bool {
-	return j.brokenBy != nil && !j.begun && len(j.parts) > 0 && endsExchange(j.brokenBy)
+	return j.brokenBy != nil && !j.harmless && len(j.parts) > 0 && endsExchange(j.brokenBy)
 }
 
 // recordBreak tells the witness that the target ended under the request, if it did,
-// and with which parts before the response began.
+// and with which parts unless the response showed them to be harmless.
 func (j *job) recordBreak(grant *dispatch.Grant) {
 	if j.brokenBy == nil || !endsExchange(j.brokenBy) || j.livesOn(grant) {
 		return
 	}
 	j.entry.witness.RequestEnded(grant.Target, grant.Born, j.digest, j.attemptAt)
-	if !j.mayHaveEndedTarget() {
+	if !j.begunAt.IsZero() && !j.harmless {
+		j.entry.witness.EndedBegun(grant.Target, grant.Born, j.parts)
+	}
+	if !j.begunAt.IsZero() || len(j.parts) == 0 {
 		j.entry.DecisionLog.Record(notableKind, "Target ended under the request", "Request", j.id, "Target", grant.Target,
-			"Digest", j.digest, "Events", j.events())
+			"Parts", j.parts, "Digest", j.digest, "Events", j.events())
 		return
 	}
 	j.entry.Metrics.Count("TargetEndedBeforeResponse")
@@ -213,11 +221,21 @@
 // recordBegin tells the witness that the response of the latest attempt began. Later
 // calls for it have no effect.
 func (j *job) recordBegin() {
-	if j.begun {
+	if j.begunAt.IsZero() {
+		j.begunAt = time.Now()
+		j.entry.witness.Begun(j.parts)
+	}
+}
+
+// recordHarmless tells the witness that the response of the latest attempt is whole or
+// has gone on for partHarmlessTime. Later calls for it have no effect.
+func (j *job) recordHarmless() {
+	if j.harmless {
 		return
 	}
-	j.begun = true
-	j.entry.witness.Begun(j.parts)
+	j.recordBegin()
+	j.harmless = true
+	j.entry.witness.Harmless(j.parts)
 }
 
 // awaitClearance waits until it is known whether the request may have ended its
@@ -229,6 +247,9 @@
 	if j.tests {
 		return errSuspect
 	}
+	if !j.begunAt.IsZero() {
+		return nil
+	}
 	began := time.Now()
 	for !j.entry.witness.Known(j.parts) || j.entry.witness.Suspected(j.parts) {
 		if j.verdict() != nil {
--- a/internal/role/siteentry/quarantine_test.go
+++ b/internal/role/siteentry/quarantine_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -164,7 +165,34 @@
 		t.Errorf("%d requests were sent, %d tests requested", n, keepers.granted)
 	}
 	report := te.takeReport(t)
-	want := evidence.Report{Begun: []evidence.Begun{{Part: "bad"}}}
+	want := evidence.Report{Begun: []evidence.Begun{{Part: "bad"}, {Part: "bad", Harmless: true}}}
+	if diff := cmp.Diff(want, report); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestHoldsBrokenTestKeepsVerdict guards against a response that begins, and then ends its
+// target, readmitting the part that it tests, and against sending that request to another
+// target.
+func TestHoldsBrokenTestKeepsVerdict(t *testing.T) {
+	_, a1 := startTarget(t, endsAfter(3))
+	second, a2 := startTarget(t, streams(4, 5))
+	te := startEntry(t, a1, a2)
+	te.entry.Keepers = &fakeKeepers{}
+	te.shutOut(3*time.Second, "bad")
+	if res, body, err := te.call(t, "stream", "Prompt", "bad:1,own:3"); err == nil && strings.HasSuffix(body, event(5)) {
+		t.Errorf("got response %v", res)
+	}
+	if n := len(second.requests()); n != 0 {
+		t.Errorf("the second target got %d requests", n)
+	}
+	report := te.takeReport(t)
+	want := evidence.Report{
+		Ends: []evidence.End{{
+			Target: "t0", Born: 1, Begun: []id.PromptPart{"bad"}, Requests: []id.PromptPart{digestOf("stream", "Prompt", "bad:1,own:3")},
+		}},
+		Begun: []evidence.Begun{{Part: "bad"}},
+	}
 	if diff := cmp.Diff(want, report); diff != "" {
 		t.Error(diff)
 	}
--- a/internal/role/siteentry/request.go
+++ b/internal/role/siteentry/request.go
@@ -74,11 +74,13 @@
 	// entry knows, heldFor is how long it must still be held back for them.
 	passed  bool
 	heldFor time.Duration
-	// begun is set once the response of the latest attempt has begun, whole once it
-	// has come to its end, whatever its status. givenUp is set if its caller or its
+	// begunAt is when the response of the latest attempt began, or zero. harmless is
+	// set once that response shows that no part of the prompt ends targets, whole once
+	// it has come to its end, whatever its status. givenUp is set if its caller or its
 	// deadline ended it while the target still worked. brokenBy is the error with
 	// which the target broke that attempt off, if it did.
-	begun    bool
+	begunAt  time.Time
+	harmless bool
 	whole    bool
 	givenUp  bool
 	brokenBy error
--- a/internal/role/siteentry/requestdigest.go
+++ b/internal/role/siteentry/requestdigest.go
@@ -70,5 +70,5 @@
 // target: the response came to its end, or it had begun and gone on for some time when
 // it was given up. A run that has sent nothing yet may still end its target.
 func (j *job) showedHarmless() bool {
-	return j.whole || j.givenUp && j.begun && time.Since(j.sentAt.steady) >= harmlessTime
+	return j.whole || j.givenUp && !j.begunAt.IsZero() && time.Since(j.sentAt.steady) >= harmlessTime
 }
--- a/internal/role/siteentry/run.go
+++ b/internal/role/siteentry/run.go
@@ -114,7 +114,7 @@
 			j.entry.Pool.CloseIdle(grant.Address)
 		}
 	}()
-	j.begun, j.whole, j.givenUp, j.brokenBy, j.attemptAt = false, false, false, nil, time.Now()
+	j.begunAt, j.harmless, j.whole, j.givenUp, j.brokenBy, j.attemptAt = time.Time{}, false, false, false, nil, time.Now()
 	next, outcome, sent = j.attempt(ctx, grant)
 	return next, outcome, sent
 }
--- a/internal/role/siteentry/stream.go
+++ b/internal/role/siteentry/stream.go
@@ -113,7 +113,7 @@
 			if resumed && received == 0 {
 				return errNotContinued
 			}
-			j.recordBegin()
+			j.recordHarmless()
 			if !j.reply.Begun() {
 				j.beginStream(response)
 			}
@@ -171,13 +171,15 @@
 	j.reply.Begin(response.Status, func(h http.Header) { copyHeader(h, response) })
 }
 
-// recordArrival records that a run has sent its first events.
+// recordArrival records that a run has sent an event.
 func (j *job) recordArrival(received int, grant *dispatch.Grant) {
-	switch received {
-	case 1:
+	switch {
+	case received == 1:
 		grant.RecordFirstEvent()
-	case beginEvents:
+	case received == beginEvents:
 		j.recordBegin()
+	case received > beginEvents && time.Since(j.begunAt) >= partHarmlessTime:
+		j.recordHarmless()
 	}
 }
 
--- a/internal/role/sitekeeper/quarantine.go
+++ b/internal/role/sitekeeper/quarantine.go
@@ -28,8 +28,9 @@
 	testSlack = time.Second
 )
 
-// handleEvidence records what an entry saw. Parts on which responses began, and requests
-// whose responses came to their end, are harmless and are removed from the verdicts.
+// handleEvidence records what an entry saw. Parts and requests that responses showed to be
+// harmless are removed from the verdicts. That a response began does not suffice, since
+// its target may end with it.
 func (k *Keeper) handleEvidence(ctx context.Context, params json.RawMessage) (any, error) {
 	var in evidence.Report
 	if err := json.Unmarshal(params, &in); err != nil {
@@ -38,7 +39,7 @@
 	accused := quarantine.Parts(k.Machine.State().Quarantine)
 	k.judge.Add(in)
 	for _, b := range in.Begun {
-		if !accused[b.Part] {
+		if !b.Clears() || !accused[b.Part] {
 			continue
 		}
 		klog.InfoS("Response clears a part of prompts or a request", "Part", b.Part, "AgeMs", b.AgeMs)
--- a/internal/site/evidence/evidence.go
+++ b/internal/site/evidence/evidence.go
@@ -2,7 +2,10 @@
 // requests, between entries, which see engines end, and keepers.
 package evidence
 
-import "egretproxy/internal/fleet/id"
+import (
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/request/digest"
+)
 
 const (
 	// ReportMethod is the call by which entries report what they saw.
@@ -34,6 +37,9 @@
 	// the entry has seen no response begin yet, Known the others.
 	Fresh []id.PromptPart `json:",omitempty"`
 	Known []id.PromptPart `json:",omitempty"`
+	// Begun are the parts of the requests whose responses had begun and had not shown
+	// yet that none of these parts ends targets.
+	Begun []id.PromptPart `json:",omitempty"`
 	// Requests are the digests of the requests at the target whose responses had
 	// not come to their end, whether they had begun or not. Served are those of them
 	// to which the entry has seen a whole response before.
@@ -51,8 +57,14 @@
 	Part id.PromptPart
 	// AgeMs is the time since then in milliseconds.
 	AgeMs int64
+	// Harmless is set if the response on a part did not only begin, but came to its end
+	// or went on for long enough that the part ends no target.
+	Harmless bool `json:",omitempty"`
 }
 
+// Clears reports whether verdicts on the part or the request no longer hold.
+func (b *Begun) Clears() bool { return b.Harmless || digest.IsDigest(b.Part) }
+
 // Alive says that an incarnation of a target which an entry reported to have ended
 // lived some time ago.
 type Alive struct {
--- a/internal/site/suspicion/load_test.go
+++ b/internal/site/suspicion/load_test.go
@@ -29,9 +29,12 @@
 	// soundVerdicts are the verdicts on parts and requests that end nothing.
 	soundVerdicts []quarantine.Verdict
 	steps         int
-	// sends and crashes are the times at which each deadly request was sent to an
-	// engine, and at which engines ended with it.
+	// sends and crashes are the times at which each deadly request, or one with each
+	// guilty part, was sent to an engine, and at which engines ended with it.
 	sends, crashes map[id.PromptPart][]time.Time
+	// lateEvery is set if one in so many requests with a guilty part ends its engine
+	// lateTime after its response began.
+	lateEvery int
 	// popular is the number of sound requests that come again and again.
 	popular int
 	// crashing counts the requests with a guilty part.
@@ -52,7 +55,10 @@
 	sentAt   time.Time
 	beginsAt time.Time
 	begun    bool
+	harmless bool
 	again    bool
+	// late is how long after its beginning the response ends the engine, if it does.
+	late time.Duration
 	// name tells requests apart. A deadly one ends each engine that runs it.
 	name   id.PromptPart
 	deadly bool
@@ -65,6 +71,10 @@
 	loadReturn   = 2500 * time.Millisecond
 	loadRunTime  = time.Second
 	loadMaxBegin = 300 * time.Millisecond
+	// loadHarmlessTime is how long a response goes on before it shows its parts to be
+	// harmless.
+	loadHarmlessTime = 250 * time.Millisecond
+	lateTime         = 100 * time.Millisecond
 )
 
 func newLoad(seed uint64, guilty ...id.PromptPart) *load {
@@ -111,7 +121,9 @@
 	r.sentAt = now
 	r.beginsAt = now.Add(50*time.Millisecond + time.Duration(l.random.Int64N(int64(loadMaxBegin))))
 	e.running = append(e.running, r)
-	if r.deadly {
+	if p := l.guiltyPart(r.parts); p != "" {
+		l.sends[p] = append(l.sends[p], now)
+	} else if r.deadly {
 		l.sends[r.name] = append(l.sends[r.name], now)
 	}
 }
@@ -137,6 +149,9 @@
 			w.RequestEnded(e.id, e.upAt.UnixMilli(), r.name, r.sentAt)
 		}
 		if r.begun {
+			if !r.harmless {
+				w.EndedBegun(e.id, e.upAt.UnixMilli(), r.parts)
+			}
 			l.resume(r)
 			continue
 		}
@@ -153,14 +168,18 @@
 	now := time.Now()
 	for _, e := range l.engines {
 		for _, r := range e.running {
-			if r.begun || now.Before(r.beginsAt) {
+			if now.Before(r.beginsAt) {
 				continue
 			}
-			if p := l.guiltyPart(r.parts); p != "" {
+			if p := l.guiltyPart(r.parts); p != "" && !now.Before(r.beginsAt.Add(r.late)) {
 				l.ends[p]++
+				l.crashes[p] = append(l.crashes[p], now)
 				l.end(e)
 				break
 			}
+			if r.begun {
+				continue
+			}
 			if r.deadly {
 				l.crashes[r.name] = append(l.crashes[r.name], now)
 				l.end(e)
@@ -169,12 +188,20 @@
 			r.begun = true
 			l.witnesses[r.entry].Begun(r.parts)
 		}
+		for _, r := range e.running {
+			if r.begun && !r.harmless && now.Sub(r.beginsAt) >= loadHarmlessTime {
+				r.harmless = true
+				l.witnesses[r.entry].Harmless(r.parts)
+			}
+		}
 		e.running = slices.DeleteFunc(e.running, func(r *promptRequest) bool {
-			ended := now.After(r.beginsAt.Add(loadRunTime))
-			if ended && r.name != "" {
+			if !now.After(r.beginsAt.Add(loadRunTime)) {
+				return false
+			}
+			if r.name != "" {
 				l.witnesses[r.entry].RequestServed(r.name)
 			}
-			return ended
+			return true
 		})
 	}
 	for _, w := range l.witnesses {
@@ -184,7 +211,9 @@
 		}
 		l.judge.Add(report)
 		for _, b := range report.Begun {
-			l.clear(b.Part)
+			if b.Clears() {
+				l.clear(b.Part)
+			}
 		}
 	}
 	if l.steps++; l.steps%5 != 0 {
@@ -232,7 +261,11 @@
 			parts := l.drawParts()
 			parts[place] = l.guilty[l.random.IntN(len(l.guilty))]
 			l.crashing++
-			l.send(&promptRequest{entry: l.random.IntN(loadEntries), parts: parts, name: id.PromptPart(fmt.Sprintf("request:crashing-%d", l.crashing))})
+			r := &promptRequest{entry: l.random.IntN(loadEntries), parts: parts, name: id.PromptPart(fmt.Sprintf("request:crashing-%d", l.crashing))}
+			if l.lateEvery > 0 && l.crashing%l.lateEvery == 0 {
+				r.late = lateTime
+			}
+			l.send(r)
 		}
 		if other != nil {
 			other()
--- a/internal/site/suspicion/report.go
+++ b/internal/site/suspicion/report.go
@@ -17,8 +17,24 @@
 	maxEarly  = 1024
 )
 
-// early is a response on a part of which no end is known.
-type early struct{ at, reportedAt time.Time }
+// early holds the responses on a part of which no end is known.
+type early struct {
+	responses
+	reportedAt time.Time
+}
+
+// responses holds when a response last began on a part, and when one last showed that the
+// part ends no target. To a request, both are when a response came to its end.
+type responses struct{ begunAt, harmlessAt time.Time }
+
+func (r *responses) add(at time.Time, harmless bool) {
+	if at.After(r.begunAt) {
+		r.begunAt = at
+	}
+	if harmless && at.After(r.harmlessAt) {
+		r.harmlessAt = at
+	}
+}
 
 // Add records a report.
 func (j *Judge) Add(r evidence.Report) {
@@ -32,7 +48,7 @@
 		j.addEnd(timeOf(now, e.AgeMs), e)
 	}
 	for _, b := range r.Begun {
-		j.addBegun(now, b.Part, timeOf(now, b.AgeMs))
+		j.addBegun(now, b)
 	}
 	j.forget(now)
 	if j.reported != nil {
@@ -48,11 +64,10 @@
 }
 
 // addBegun requires mu.
-func (j *Judge) addBegun(now time.Time, k id.PromptPart, at time.Time) {
-	if p := j.parts[k]; p != nil {
-		if at.After(p.begunAt) {
-			p.begunAt = at
-		}
+func (j *Judge) addBegun(now time.Time, in evidence.Begun) {
+	at := timeOf(now, in.AgeMs)
+	if p := j.parts[in.Part]; p != nil {
+		p.add(at, in.Clears())
 		return
 	}
 	for old, e := range j.early {
@@ -60,18 +75,16 @@
 			delete(j.early, old)
 		}
 	}
-	e, known := j.early[k]
+	e, known := j.early[in.Part]
 	if !known && len(j.early) >= maxEarly {
 		return
 	}
 	if j.early == nil {
 		j.early = map[id.PromptPart]early{}
 	}
-	if at.After(e.at) {
-		e.at = at
-	}
+	e.add(at, in.Clears())
 	e.reportedAt = now
-	j.early[k] = e
+	j.early[in.Part] = e
 }
 
 // addEnd requires mu.
@@ -84,22 +97,25 @@
 		j.ends[i].last = at
 	}
 	if i < 0 {
-		e := &end{target: in.Target, born: in.Born, at: at, last: at, number: j.added, parts: map[id.PromptPart]bool{}}
+		e := &end{target: in.Target, born: in.Born, at: at, last: at, number: j.added, parts: map[id.PromptPart]presence{}}
 		j.added++
 		i, _ = slices.BinarySearchFunc(j.ends, e, compareEnds)
 		j.ends = slices.Insert(j.ends, i, e)
 		j.numberMoments()
 	}
 	for _, k := range in.Fresh {
-		j.addPart(j.ends[i], k)
+		j.addPart(j.ends[i], k, beforeResponse)
 	}
 	for _, k := range in.Known {
-		if p := j.addPart(j.ends[i], k); p != nil {
+		if p := j.addPart(j.ends[i], k, beforeResponse); p != nil {
 			p.known = true
 		}
 	}
+	for _, k := range in.Begun {
+		j.addPart(j.ends[i], k, duringResponse)
+	}
 	for _, k := range in.Requests {
-		if p := j.addPart(j.ends[i], k); p != nil && slices.Contains(in.Served, k) {
+		if p := j.addPart(j.ends[i], k, beforeResponse); p != nil && slices.Contains(in.Served, k) {
 			p.known = true
 		}
 	}
@@ -126,23 +142,24 @@
 
 // addPart adds a part to an end and returns what is known of it, or nil if the end
 // has too many. The caller holds mu.
-func (j *Judge) addPart(e *end, k id.PromptPart) *part {
+func (j *Judge) addPart(e *end, k id.PromptPart, when presence) *part {
 	p := j.parts[k]
-	if e.parts[k] {
+	if old := e.parts[k]; old != absent {
+		e.parts[k] = max(old, when)
 		return p
 	}
 	if len(e.parts) >= maxPartsPerEnd {
 		return nil
 	}
 	if p == nil {
-		p = &part{begunAt: j.early[k].at}
+		p = &part{responses: j.early[k].responses}
 		delete(j.early, k)
 		if j.parts == nil {
 			j.parts = map[id.PromptPart]*part{}
 		}
 		j.parts[k] = p
 	}
-	e.parts[k] = true
+	e.parts[k] = when
 	at, _ := slices.BinarySearchFunc(p.ends, e, compareEnds)
 	p.ends = slices.Insert(p.ends, at, e)
 	return p
--- a/internal/site/suspicion/request.go
+++ b/internal/site/suspicion/request.go
@@ -37,7 +37,7 @@
 		if shutOut[k] {
 			continue
 		}
-		if s := j.parts[k].suspicion(k); s.moments >= suspectMoments {
+		if s := j.parts[k].count(k, beforeResponse, j.parts[k].begunAt); s.moments >= suspectMoments {
 			all = append(all, s)
 		}
 	}
@@ -52,7 +52,7 @@
 			out = append(out, &twin)
 			continue
 		}
-		left := j.parts[s.part].suspicion(s.part)
+		left := j.parts[s.part].count(s.part, beforeResponse, j.parts[s.part].begunAt)
 		if left.moments < suspectMoments {
 			continue
 		}
--- a/internal/site/suspicion/requestload_test.go
+++ b/internal/site/suspicion/requestload_test.go
@@ -48,7 +48,7 @@
 	if r.name == "" || r.again || !l.mayResume(r) {
 		return
 	}
-	r.again, r.begun = true, false
+	r.again, r.begun, r.harmless = true, false, false
 	l.send(r)
 }
 
--- a/internal/site/suspicion/suspicion.go
+++ b/internal/site/suspicion/suspicion.go
@@ -4,7 +4,8 @@
 // When an engine ends, every request at it whose response had not begun is a
 // suspect, and so is each part of their prompts. Engines also end for other
 // reasons. What tells a guilty part is that engines end with it again and again
-// while no response ever begins on it. What tells a guilty request that comes again is
+// while no response ever begins on it, or while those that begin on it end with their
+// engines. What tells a guilty request that comes again is
 // that engines end under it while no response to it comes to its end.
 package suspicion
 
@@ -31,6 +32,11 @@
 	quickMoments  = 3
 	quickShare    = 0.5
 	enoughMoments = 5
+	// netMoments, the moments with a part less those without, convict a part on which
+	// responses began, and none went on, for responseTime. While engines end one
+	// after the other, few responses to any request go on.
+	netMoments   = 6
+	responseTime = 2 * time.Second
 	// objectionTime is how long a part must be a suspect before a verdict, so
 	// that entries can report responses that began on it.
 	objectionTime = 250 * time.Millisecond
@@ -72,13 +78,23 @@
 type part struct {
 	// ends is sorted as by compareEnds and never empty.
 	ends []*end
-	// begunAt is when a response last began on the part, or one to the request came
-	// to its end.
-	begunAt time.Time
+	responses
 	// known is set if a response was seen to begin on the part before an end.
 	known bool
 }
 
+// presence is what a target was doing for the requests with a part when it ended.
+type presence uint8
+
+const (
+	absent presence = iota
+	// duringResponse means that a response had begun, and had not shown yet that the
+	// part ends no target.
+	duringResponse
+	// beforeResponse means that a response had not begun.
+	beforeResponse
+)
+
 // end is the end of one incarnation of a target.
 type end struct {
 	target id.Target
@@ -87,7 +103,7 @@
 	// latest one. moment numbers the moments in order of time.
 	at, last time.Time
 	moment   int
-	parts    map[id.PromptPart]bool
+	parts    map[id.PromptPart]presence
 	// number tells ends apart.
 	number int
 	// explained holds the verdicts on parts that explain the end, cause the request
@@ -111,6 +127,9 @@
 	members []byte
 	first   int
 	known   bool
+	// present are the moments at which engines ended with the part, whatever explains
+	// them.
+	present []int
 }
 
 // Reported returns a channel that is closed at the next report.
@@ -130,7 +149,7 @@
 	accused := quarantine.Parts(inForce)
 	for k := range j.accused {
 		if p := j.parts[k]; p != nil && !accused[k] {
-			p.begunAt = now
+			p.add(now, true)
 		}
 	}
 	j.accused = accused
@@ -144,16 +163,12 @@
 	}
 	requests, repeated := j.repeated()
 	out := j.suspectRequests(inForce, requests)
-	unexplained := j.unexplained()
+	moments, unexplained := j.unexplained()
 	var parts []*suspicion
 	for _, k := range repeated {
-		s := j.parts[k].suspicion(k)
-		if s.moments < suspectMoments {
-			continue
+		if s := j.parts[k].suspicion(k, moments, unexplained); s.moments >= suspectMoments {
+			parts = append(parts, s)
 		}
-		from, _ := slices.BinarySearch(unexplained, s.first)
-		s.of = max(len(unexplained)-from, s.moments)
-		parts = append(parts, s)
 	}
 	slices.SortFunc(parts, byGravity)
 	return append(out, parts...)
@@ -179,36 +194,73 @@
 	return cmp.Or(cmp.Compare(b.moments, a.moments), cmp.Compare(b.ends, a.ends), bytes.Compare(a.members, b.members), cmp.Compare(a.part, b.part))
 }
 
-// unexplained returns the moments of the ends that no verdict on parts explains. Those
-// that a request explains count once. The caller holds mu.
-func (j *Judge) unexplained() []int {
-	var out []int
+// unexplained returns the moments of the ends that no verdict on parts explains, and those
+// of them that are left if the ends which one request explains count once. The caller
+// holds mu.
+func (j *Judge) unexplained() (all, once []int) {
 	seen := map[id.PromptPart]bool{}
 	for _, e := range j.ends {
-		if len(e.explained) > 0 || seen[e.cause] {
+		if len(e.explained) > 0 {
+			continue
+		}
+		all = appendMoment(all, e.moment)
+		if seen[e.cause] {
 			continue
 		}
 		if e.cause != "" {
 			seen[e.cause] = true
 		}
-		if n := len(out); n == 0 || out[n-1] != e.moment {
-			out = append(out, e.moment)
-		}
+		once = appendMoment(once, e.moment)
+	}
+	return all, once
+}
+
+// appendMoment appends a moment unless it is the last one.
+func appendMoment(moments []int, m int) []int {
+	if n := len(moments); n > 0 && moments[n-1] == m {
+		return moments
 	}
-	return out
+	return append(moments, m)
+}
+
+// since returns the number of moments from the first one on.
+func since(moments []int, first int) int {
+	from, _ := slices.BinarySearch(moments, first)
+	return len(moments) - from
+}
+
+// suspicion returns what counts against the part: the ends before a response, which one
+// that began clears, or those during a response as well, which only one that showed the
+// part to be harmless clears: an engine may send some events before it ends. Any request
+// that runs is at such an end, so that each end without the part takes one off, and a
+// harmless part has had the time to show it.
+func (p *part) suspicion(k id.PromptPart, moments, unexplained []int) *suspicion {
+	s := p.count(k, beforeResponse, p.begunAt)
+	s.of = max(since(unexplained, s.first), s.moments)
+	if s.convicts() {
+		return s
+	}
+	all := p.count(k, duringResponse, p.harmlessAt)
+	all.of = max(since(unexplained, all.first), all.moments)
+	without := since(moments, all.first) - len(all.present)
+	if all.moments-without >= netMoments && time.Since(all.since) >= responseTime {
+		return all
+	}
+	return s
 }
 
-// suspicion returns what counts against the part, or the request. A part is to blame
-// only if several requests end engines with it, so that the ends which one request
-// explains count once.
-func (p *part) suspicion(k id.PromptPart) *suspicion {
+// count returns what counts against the part, or the request, of the ends after a time
+// at which it was there. A part is to blame only if several requests end engines with it,
+// so that the ends which one request explains count once.
+func (p *part) count(k id.PromptPart, least presence, after time.Time) *suspicion {
 	s := &suspicion{part: k, known: p.known}
 	last := -1
 	seen := map[id.PromptPart]bool{}
 	for _, e := range p.ends {
-		if !e.at.After(p.begunAt) || explainedByOthers(k, e.explained) {
+		if e.parts[k] < least || !e.at.After(after) || explainedByOthers(k, e.explained) {
 			continue
 		}
+		s.present = appendMoment(s.present, e.moment)
 		if e.cause != "" && e.cause != k {
 			if seen[e.cause] || digest.IsDigest(k) {
 				continue
@@ -232,7 +284,7 @@
 	e.explained, e.cause = nil, ""
 	for _, v := range inForce {
 		switch {
-		case slices.ContainsFunc(v.Parts, func(p id.PromptPart) bool { return !e.parts[p] }):
+		case slices.ContainsFunc(v.Parts, func(p id.PromptPart) bool { return e.parts[p] == absent }):
 		case v.OnRequest():
 			e.cause = v.Parts[0]
 		default:
--- a/internal/site/suspicion/suspicion_test.go
+++ b/internal/site/suspicion/suspicion_test.go
@@ -63,6 +63,39 @@
 	}
 }
 
+// TestHoldsPartIsShutOutAfterEvents guards against a part on which responses begin before
+// they end their engines: never being shut out, or being readmitted by one that began.
+func TestHoldsPartIsShutOutAfterEvents(t *testing.T) {
+	for _, c := range []struct {
+		rate      float64
+		lateEvery int
+	}{{8, 1}, {4, 1}, {2, 1}, {4, 3}, {4, 20}} {
+		t.Run(fmt.Sprintf("%v per second, one in %d late", c.rate, c.lateEvery), func(t *testing.T) {
+			for seed := range uint64(testSeeds) {
+				synctest.Test(t, func(t *testing.T) {
+					l := newLoad(seed, "g")
+					l.lateEvery = c.lateEvery
+					l.run(quietTime, 80, 0, 0, nil)
+					l.sound, l.refusedSound = 0, 0
+					l.run(crashTime, 80, c.rate, 1, nil)
+					late, crashes := 0, l.crashes["g"]
+					for _, at := range l.sends["g"] {
+						if len(crashes) >= maxEndsPerPart && at.After(crashes[maxEndsPerPart-1].Add(reactionTime)) {
+							late++
+						}
+					}
+					if late > maxLateSends {
+						t.Errorf("seed %d: %d of %d requests were sent later than %s after the fifth end", seed, late, len(l.sends["g"]), reactionTime)
+					}
+					if l.refusedSound*100 > l.sound {
+						t.Errorf("seed %d: %d of %d sound requests were shut out; verdicts %v", seed, l.refusedSound, l.sound, l.soundVerdicts)
+					}
+				})
+			}
+		})
+	}
+}
+
 // TestHoldsOtherEndsShutNothingOut guards against verdicts on parts that were only
 // there when engines ended: at random, a whole failure domain, all that an entry
 // is connected to, and one after the other.
--- a/internal/site/witness/request.go
+++ b/internal/site/witness/request.go
@@ -18,7 +18,7 @@
 	w.requests.Use(request, maxRequests).At = now
 	// Keepers learn at once that requests beside one that ends targets are harmless.
 	if w.ended.Served(request) || w.isOfInterest(request, now) {
-		w.addBegun(request, now)
+		w.addBegun(request, now, false)
 	}
 }
 
--- a/internal/site/witness/witness.go
+++ b/internal/site/witness/witness.go
@@ -27,11 +27,11 @@
 type Witness struct {
 	// mu is locked before the mutex of ended.
 	mu sync.Mutex
-	// parts holds the parts on which responses began, requests the digests of the
-	// requests whose responses came to their end, ended those of the requests under
-	// which targets ended since.
-	parts, requests recent.Memory
-	ended           ends.Memory
+	// parts holds the parts on which responses began, harmless those that responses
+	// showed to be harmless, requests the digests of the requests whose responses came
+	// to their end, ended those of the requests under which targets ended since.
+	parts, harmless, requests recent.Memory
+	ended                     ends.Memory
 	// suspects holds the time of the first end with each suspect.
 	suspects map[id.PromptPart]time.Time
 	accused  map[id.PromptPart]bool
@@ -44,18 +44,28 @@
 	changed chan struct{}
 }
 
-// Begun records that a response began on the parts.
+// Begun records that a response began on the parts. Its target may still end with one.
 func (w *Witness) Begun(parts []id.PromptPart) {
-	if len(parts) == 0 {
-		return
-	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.addBegunParts(&w.parts, parts, false)
+}
+
+// Harmless records that a response showed the parts to end no target: it came to its
+// end, or has gone on for some time.
+func (w *Witness) Harmless(parts []id.PromptPart) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.addBegunParts(&w.harmless, parts, true)
+}
+
+// addBegunParts requires mu.
+func (w *Witness) addBegunParts(memory *recent.Memory, parts []id.PromptPart, harmless bool) {
 	now := time.Now()
 	for _, p := range parts {
-		w.parts.Use(p, maxParts).At = now
+		memory.Use(p, maxParts).At = now
 		if w.isOfInterest(p, now) {
-			w.addBegun(p, now)
+			w.addBegun(p, now, harmless)
 		}
 	}
 }
@@ -68,15 +78,15 @@
 }
 
 // addBegun adds to the report. The caller holds mu.
-func (w *Witness) addBegun(p id.PromptPart, at time.Time) {
-	same := func(b evidence.Begun) bool { return b.Part == p }
+func (w *Witness) addBegun(p id.PromptPart, at time.Time, harmless bool) {
+	same := func(b evidence.Begun) bool { return b.Part == p && b.Harmless == harmless }
 	if i := slices.IndexFunc(w.pending.Begun, same); i >= 0 {
 		w.begunAt[i] = at
 		return
 	}
 	if w.size < maxPartsPerReport {
 		w.size++
-		w.pending.Begun = append(w.pending.Begun, evidence.Begun{Part: p})
+		w.pending.Begun = append(w.pending.Begun, evidence.Begun{Part: p, Harmless: harmless})
 		w.begunAt = append(w.begunAt, at)
 		w.notify()
 	}
@@ -96,21 +106,28 @@
 	defer w.mu.Unlock()
 	return slices.ContainsFunc(parts, func(p id.PromptPart) bool {
 		since, suspect := w.suspects[p]
-		return suspect && !w.begunSince(p, since)
+		if !suspect {
+			return false
+		}
+		begun, harmless := w.responses(p)
+		return !begun.After(since) && !harmless.After(since)
 	})
 }
 
-func (w *Witness) begunSince(p id.PromptPart, since time.Time) bool {
-	r := w.begun(p)
-	return r != nil && r.At.After(since)
+// responses returns when the last response on p began, and when one last showed that it
+// is harmless. The caller holds mu.
+func (w *Witness) responses(p id.PromptPart) (begun, harmless time.Time) {
+	if digest.IsDigest(p) {
+		return lastAt(&w.requests, p), time.Time{}
+	}
+	return lastAt(&w.parts, p), lastAt(&w.harmless, p)
 }
 
-// begun returns the record of the last response on p, or nil.
-func (w *Witness) begun(p id.PromptPart) *recent.Record {
-	if digest.IsDigest(p) {
-		return w.requests.Get(p)
+func lastAt(m *recent.Memory, p id.PromptPart) time.Time {
+	if r := m.Get(p); r != nil {
+		return r.At
 	}
-	return w.parts.Get(p)
+	return time.Time{}
 }
 
 // Ended records that a target ended before the response to a request with the
@@ -139,6 +156,27 @@
 	w.notify()
 }
 
+// EndedBegun records that a target ended after the response to a request with the parts
+// began, and before it showed them to be harmless.
+func (w *Witness) EndedBegun(target id.Target, born int64, parts []id.PromptPart) {
+	if len(parts) == 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e := w.pendingEnd(target, born)
+	if e == nil {
+		return
+	}
+	for _, p := range parts {
+		if w.size < maxPartsPerReport && !slices.Contains(e.Begun, p) {
+			w.size++
+			e.Begun = append(e.Begun, p)
+		}
+	}
+	w.notify()
+}
+
 // pendingEnd returns the end of the incarnation in the report, or nil if the report is
 // full. The caller holds mu.
 func (w *Witness) pendingEnd(target id.Target, born int64) *evidence.End {
@@ -161,8 +199,12 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for p, since := range suspects {
-		if w.begunSince(p, since) {
-			w.addBegun(p, w.begun(p).At)
+		begun, harmless := w.responses(p)
+		if begun.After(since) {
+			w.addBegun(p, begun, false)
+		}
+		if harmless.After(since) {
+			w.addBegun(p, harmless, true)
 		}
 	}
 	w.suspects = suspects
