entry: close the connection of a caller that does not read its response

A caller that reads slower than its response comes, or not at all, kept its connection, its handler and the room among the buffered responses for as long as its system answered: nothing ended a write that waits.

The limit is for one response; the next on the connection is not affected. Responses that are cut are counted as IntakeRefused Unread.

--- a/internal/admission/intake/intake.go
+++ b/internal/admission/intake/intake.go
@@ -34,6 +34,7 @@
 	reasonFull    = "NoRoom"
 	reasonStalled = "Stalled"
 	reasonConns   = "ConnectionLimit"
+	reasonUnread  = "Unread"
 )
 
 // Intake is the room that a process has for requests. It is safe for concurrent
@@ -166,6 +167,13 @@
 	}
 }
 
+// Unread records a response that was cut because its caller did not read it in time.
+func (in *Intake) Unread() {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.refused(reasonUnread)
+}
+
 // Used returns the sum of the long requests in bytes and the number of open
 // connections.
 func (in *Intake) Used() (bytes int64, conns int) {
--- a/internal/kernel/httpserver/conn.go
+++ b/internal/kernel/httpserver/conn.go
@@ -47,6 +47,8 @@
 	receivingFrom time.Time
 	// keepAlive is how long the caller may leave the connection idle.
 	keepAlive time.Duration
+	// writeLimited is set while the response has a time limit.
+	writeLimited bool
 }
 
 // Read implements io.Reader. A deadline that has passed does not hide bytes
@@ -134,6 +136,9 @@
 	c.unanswered, c.lastUsed = false, time.Now()
 	c.mu.Unlock()
 	n, err := c.Conn.Write(p)
+	if c.intake != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		c.intake.Unread()
+	}
 	// The caller's time begins when it has the response, and a write blocks
 	// while the caller does not read.
 	c.mu.Lock()
@@ -142,6 +147,14 @@
 	return n, err
 }
 
+// SetWriteDeadline implements net.Conn. The deadline is for one response.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeLimited = !t.IsZero()
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // CloseWrite sends the end of the stream. net/http calls it before it closes a
 // connection on which the caller is still sending, so that the response is not
 // lost.
@@ -159,6 +172,10 @@
 	if state == http.StateIdle || state == http.StateClosed || state == http.StateHijacked {
 		c.release()
 	}
+	if state == http.StateIdle && c.writeLimited {
+		c.writeLimited = false
+		_ = c.Conn.SetWriteDeadline(time.Time{})
+	}
 }
 
 // retire closes the connection if its caller can't be waiting for a response
--- a/internal/role/entry/exchange.go
+++ b/internal/role/entry/exchange.go
@@ -65,6 +65,7 @@
 // run completes the request with a response or a refusal.
 func (x *exchange) run() {
 	x.budget.RecordRequest()
+	x.reply.LimitTime(time.Now().Add(x.cfg.Entry.RequestTimeout.Std() + stopMargin))
 	ctx, cancel := context.WithTimeout(x.context(), x.cfg.Entry.RequestTimeout.Std())
 	defer cancel()
 	if ref := x.attempts(ctx); ref != nil {
--- a/internal/role/siteentry/request.go
+++ b/internal/role/siteentry/request.go
@@ -29,6 +29,9 @@
 	// responseMargin is reserved for returning a failure to the caller before its
 	// deadline.
 	responseMargin = 30 * time.Millisecond
+	// unreadMargin is how long after its own deadline a caller may still read its
+	// response.
+	unreadMargin = time.Second
 	// maxPriority is the lowest priority that targets accept. Larger numbers
 	// mean lower priority.
 	maxPriority = 9
@@ -88,6 +91,8 @@
 	attemptAt time.Time
 	// deadline is when the caller must have the complete response.
 	deadline time.Time
+	// waitsUntil is when the caller no longer waits, which may be later.
+	waitsUntil time.Time
 	// target is the target of the latest attempt.
 	target id.Target
 	// tried lists the targets that were tried, including those that refused the
@@ -123,6 +128,7 @@
 		j.reply.Close()
 		return
 	}
+	j.reply.LimitTime(j.waitsUntil.Add(unreadMargin))
 	bounded, release := e.stop.bound(r.Context())
 	defer release()
 	ctx, cancel := context.WithDeadline(bounded, j.deadline)
@@ -215,6 +221,7 @@
 		remaining = time.Duration(ms) * time.Millisecond
 	}
 	j.retried = j.entry.retryDetector.Observe(j.route.Name, remaining)
+	j.waitsUntil = j.startedAt.Add(remaining)
 	j.deadline = j.startedAt.Add(min(remaining, j.route.Timeout) - responseMargin)
 }
 
--- a/internal/wire/reply/reply.go
+++ b/internal/wire/reply/reply.go
@@ -133,3 +133,9 @@
 	// A connection that can't expire is closed by the server when its stop ends.
 	_ = http.NewResponseController(p.w).SetReadDeadline(time.Unix(1, 0))
 }
+
+// LimitTime ends a write that waits for the caller to read, and all later ones, from a
+// time on. It lasts until the response has ended.
+func (p *Reply) LimitTime(end time.Time) {
+	_ = http.NewResponseController(p.w).SetWriteDeadline(end)
+}
