siteagent: use a superseded version while the source of the newer one is out

Cause: agents gave up a version that was nearly fetched when a newer one was named and its first piece could be had.

While it waits for its turn, the newer one is fetched. Mirrors ask an origin that was out each 100 ms instead of 250 ms.

--- a/internal/role/siteagent/atsize_test.go
+++ b/internal/role/siteagent/atsize_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/weights/mirror"
 	"egretproxy/internal/weights/peerhttp"
@@ -75,11 +77,28 @@
 	self string
 }
 
+// reach fails if a cut separates the process from the address.
+func (p linkedPeers) reach(address string) error {
+	from, to := p.domain[address], p.domain[p.self]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if from != to && p.cut != "" && (from == p.cut || to == p.cut) {
+		return errors.New("no route to host")
+	}
+	return nil
+}
+
 func (p linkedPeers) Manifest(ctx context.Context, address string, b relay.Bundle) (relay.Manifest, error) {
+	if err := p.reach(address); err != nil {
+		return relay.Manifest{}, err
+	}
 	return p.relays[address].ServeManifest(ctx, b)
 }
 
 func (p linkedPeers) Piece(ctx context.Context, address string, b relay.Bundle, n int) ([]byte, error) {
+	if err := p.reach(address); err != nil {
+		return nil, err
+	}
 	data, err := p.relays[address].Serve(ctx, b, n)
 	if err != nil {
 		return nil, err
@@ -100,6 +119,9 @@
 }
 
 func (p linkedPeers) Await(ctx context.Context, address string, b relay.Bundle, n int) error {
+	if err := p.reach(address); err != nil {
+		return err
+	}
 	_, err := p.relays[address].Serve(ctx, b, n)
 	return err
 }
--- a/internal/role/siteagent/distribution_test.go
+++ b/internal/role/siteagent/distribution_test.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,6 +24,14 @@
 
 func piece(n int) []byte { return fmt.Appendf(nil, "piece %d", n) }
 
+// pieceOf returns a piece of a version. Versions up to 2 are equal.
+func pieceOf(b relay.Bundle, n int) []byte {
+	if b.Version <= 2 {
+		return piece(n)
+	}
+	return fmt.Appendf(nil, "piece %d of version %d", n, b.Version)
+}
+
 // testSite simulates engines in failure domains that exchange weights in
 // memory.
 type testSite struct {
@@ -45,6 +54,10 @@
 	// uploads counts the pieces that each process sent, by address.
 	uploads map[string]int
 	view    *siteclient.View
+	// live replaces view for processes that run while versions are named.
+	live atomic.Pointer[siteclient.View]
+	// cut is the failure domain that reaches no other one, if any.
+	cut id.Domain
 	// corrupt holds the pieces to corrupt once.
 	corrupt map[int]bool
 }
@@ -59,7 +72,7 @@
 	site.mu.Unlock()
 	var m relay.Manifest
 	for n := range pieces {
-		sum := sha256.Sum256(piece(n))
+		sum := sha256.Sum256(pieceOf(b, n))
 		if corrupted && n > 0 {
 			sum[0] ^= 1
 		}
@@ -92,7 +105,7 @@
 		delete(site.corrupt, n)
 		return []byte("spoilt"), nil
 	}
-	return piece(n), nil
+	return pieceOf(b, n), nil
 }
 
 // peers sends requests to the other relays of the site on behalf of one engine.
@@ -152,6 +165,14 @@
 
 func (v fixedView) View() *siteclient.View { return v.view }
 
+// View returns the newest view.
+func (site *testSite) View() *siteclient.View {
+	if v := site.live.Load(); v != nil {
+		return v
+	}
+	return site.view
+}
+
 func newTestSite(domains, perDomain int) (*testSite, []*stage) {
 	site := &testSite{relays: map[string]*relay.Relay{}, domain: map[string]id.Domain{}, corrupt: map[int]bool{}, missing: map[int64]bool{}, truncated: map[int64]bool{}, uploads: map[string]int{}}
 	v := &siteclient.View{
--- a/internal/role/siteagent/mirror_test.go
+++ b/internal/role/siteagent/mirror_test.go
@@ -42,7 +42,7 @@
 // addMirror adds a mirror to the site, whose relay has an origin and peers.
 func (site *testSite) addMirror(address string, regions map[id.Domain]id.Region, r *relay.Relay) *mirror.Mirror {
 	m := &mirror.Mirror{
-		Address: address, Region: site.view.Keepers[address], Regions: regions, Views: fixedView{site.view},
+		Address: address, Region: site.view.Keepers[address], Regions: regions, Views: site,
 		Relay: r, Metrics: metrics.New("Test"),
 	}
 	r.Stage, r.Mirror = mirror.Stage(), true
--- a/internal/role/siteagent/reconcile.go
+++ b/internal/role/siteagent/reconcile.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -119,22 +120,20 @@
 	}
 	candidates := a.candidates(current)
 	if len(candidates) > 1 && a.mustFallBack(candidates[0], candidates[1], current) {
-		klog.InfoS("Loading the older version first", "Model", candidates[1].Model, "Version", candidates[1].Version, "Newer", candidates[0].Version)
+		a.recordFallBack(candidates[0], candidates[1])
 		return candidates[1], true
 	}
 	return a.firstAvailable(ctx, candidates)
 }
 
-// mustFallBack reports whether the older version, which is complete in memory,
-// must be loaded now to meet its deadline because the newer one is incomplete.
+// mustFallBack reports whether the older version must be fetched or loaded now because
+// the newer one is incomplete.
 func (a *Agent) mustFallBack(newer, older relay.Bundle, current int64) bool {
-	if older.Version <= current || a.Relay.Complete(newer) || !a.Relay.Complete(older) {
+	if older.Version <= current {
 		return false
 	}
-	v := a.Views.View()
-	due, age := a.due(v, older, current)
-	newerDue, newerAge := a.due(v, newer, newer.Version-1)
-	return due-age < fallbackLeadTime && newerDue-newerAge > loadDuration
+	s, now := a.succession(older, newer, current), time.Now()
+	return s.LoadsOlder(now) || s.ResumesOlder(now)
 }
 
 // firstAvailable returns the first of the versions that a source can provide
@@ -234,23 +233,25 @@
 // the deployment is superseded.
 func (a *Agent) stage(ctx context.Context, b relay.Bundle, current int64) error {
 	ctx, cancel := context.WithCancel(ctx)
+	var background sync.WaitGroup
+	defer background.Wait()
 	defer cancel()
 	if a.pendingOrder() == nil {
-		go a.cancelIfSuperseded(ctx, b, current, cancel)
+		background.Go(func() { a.cancelIfSuperseded(ctx, b, current, cancel) })
 	}
 	if err := a.Relay.StageBundle(ctx, b); err != nil {
 		return err
 	}
 	if current > 0 {
+		background.Go(func() { a.fetchNewer(ctx, b) })
 		a.awaitLoadStart(ctx, b, current)
 	}
 	return ctx.Err()
 }
 
 // cancelIfSuperseded cancels the deployment of b once a newer version is
-// available, unless b is complete and the newer one couldn't be staged before b
-// is due. It also cancels the deployment if an older version must be loaded
-// first.
+// available, unless b is fetched or loaded first. It also cancels the deployment
+// if an older version must be.
 func (a *Agent) cancelIfSuperseded(ctx context.Context, b relay.Bundle, current int64, cancel context.CancelFunc) {
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, reconcileInterval)
@@ -259,7 +260,7 @@
 			return
 		}
 		newer := a.candidates(b.Version)
-		if len(newer) == 0 || a.Relay.Probe(ctx, newer[0]) != nil {
+		if len(newer) == 0 || a.finishes(b, newer[0], current) || a.mustFallBack(newer[0], b, current) || a.Relay.Probe(ctx, newer[0]) != nil {
 			continue
 		}
 		due, age := a.due(a.Views.View(), b, current)
--- a/internal/weights/mirror/mirror.go
+++ b/internal/weights/mirror/mirror.go
@@ -24,6 +24,9 @@
 	// attempts to get a version.
 	quickRetryDelay = 50 * time.Millisecond
 	quickRetries    = 20
+	// retryInterval is the wait after further failed attempts. Targets may serve
+	// nothing until the source is back.
+	retryInterval = 100 * time.Millisecond
 	// initialVersion is the version that engines may hold before one is
 	// published.
 	initialVersion = 1
@@ -175,7 +178,7 @@
 	if attempts < quickRetries {
 		return quickRetryDelay
 	}
-	return pollInterval
+	return retryInterval
 }
 
 // memoryStage is the stage of processes without an engine. It stores nothing,
--- a/internal/weights/relay/relay.go
+++ b/internal/weights/relay/relay.go
@@ -17,6 +17,7 @@
 
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/kernel/clock"
+	"egretproxy/internal/weights/succession"
 )
 
 // Errors returned by the relay.
@@ -189,6 +190,10 @@
 	// fetching means that a transfer of the bundle is in progress.
 	fetching bool
 	since    time.Time
+	// waitingSince is when the transfer in progress began or the newest piece
+	// arrived, waited the time of earlier transfers since that piece.
+	waitingSince time.Time
+	waited       time.Duration
 	// changed is closed and replaced when a piece or the manifest arrives.
 	changed chan struct{}
 }
@@ -284,13 +289,36 @@
 	return st.manifest != nil && len(st.pieces) == len(st.manifest.Digests)
 }
 
+// Copy returns how much of the bundle is in memory. It keeps no state of a bundle that
+// is not known, which would displace another one.
+func (r *Relay) Copy(b Bundle) succession.Copy {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	st := r.bundles[b]
+	if st == nil {
+		return succession.Copy{}
+	}
+	out := succession.Copy{Held: len(st.pieces), Waited: st.waited}
+	if st.fetching {
+		out.Waited += time.Since(st.waitingSince)
+	}
+	if st.manifest != nil {
+		out.Pieces = len(st.manifest.Digests)
+	}
+	return out
+}
+
 func (r *Relay) setFetching(b Bundle, on bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	st := r.state(b)
-	st.fetching = on
+	now := time.Now()
+	if st.fetching {
+		st.waited += now.Sub(st.waitingSince)
+	}
+	st.fetching, st.waitingSince = on, now
 	if on && st.since.IsZero() {
-		st.since = time.Now()
+		st.since = now
 	}
 }
 
@@ -340,6 +368,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	st := r.state(b)
+	if st.pieces[n] == nil {
+		st.waitingSince, st.waited = time.Now(), 0
+	}
 	st.pieces[n] = data
 	st.notify()
 }
