siteagent: report how slow an engine is, and start few prompts at once there

Engines of one service differ in speed. An engine states how many times as long as its service's engines it takes; no process read that.

The agent smooths the statement over 1 s, anew for each start of the engine, and sends it to entries in an optional field of the load report. The agent of a slow engine deals no more places within the shortest gap of its routes than prompts of mean length fit between two events. targetspeed predicts how a target of a speed serves a request; entries don't use it yet. Agents and entries of earlier versions leave out and ignore the field.

--- a/internal/role/siteagent/places.go
+++ b/internal/role/siteagent/places.go
@@ -51,7 +51,7 @@
 		out.Valid += reportInterval
 		interval = 2*reportInterval - placesMargin
 	}
-	return out, interval
+	return a.boundBurst(v.Plan, s, l, out, interval)
 }
 
 // replacedSoon reports whether requests may start on the weights that the engine holds
--- a/internal/role/siteagent/siteagent.go
+++ b/internal/role/siteagent/siteagent.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"egretproxy/internal/admission/slowdown"
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/kernel/clock"
 	"egretproxy/internal/kernel/metrics"
@@ -61,6 +62,9 @@
 	// StartMs is the start time of the engine in Unix milliseconds, 0 if
 	// unknown.
 	StartMs int64
+	// Slowdown is how many times as long as the plan states the engine takes for
+	// the same work, 0 if unknown.
+	Slowdown float64
 }
 
 // SwitchMode selects how an engine treats running requests when it loads
@@ -123,6 +127,8 @@
 	// report is the newest report of the engine, received at reportAt.
 	report   Report
 	reportAt time.Time
+	// slowdown smooths what the engine reports of its speed.
+	slowdown slowdown.Estimator
 	// switching means that the engine is about to load weights, aborting that it
 	// aborts its requests for that.
 	switching, aborting bool
@@ -223,6 +229,7 @@
 	load := loadreport.Load{
 		Active: r.Active, Queued: r.Queued, Weights: r.Weights, Closed: a.closed(r),
 		Born: r.StartMs, Aborts: a.aborting,
+		Slowdown: a.reportedSlowdown(r),
 	}
 	if a.LinkDelay != nil {
 		load.LinkDelayMs = a.LinkDelay().Milliseconds() / linkDelayStepMs * linkDelayStepMs
--- a/internal/site/loadreport/loadreport.go
+++ b/internal/site/loadreport/loadreport.go
@@ -14,6 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"k8s.io/klog/v2"
 
+	"egretproxy/internal/admission/targetspeed"
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/site/allotment"
 )
@@ -78,6 +79,10 @@
 	// PlacesMs milliseconds.
 	Places   int   `cbor:"13,keyasint,omitempty"`
 	PlacesMs int64 `cbor:"14,keyasint,omitempty"`
+	// Slowdown is how many times as long as the usual engine of its service the
+	// target takes for the same work. It is 0 if unknown and from agents of earlier
+	// versions, and left out for a target that is not slow.
+	Slowdown float32 `cbor:"15,keyasint,omitempty"`
 	// Born and Aborts are those of incarnation.Report.
 	Born   int64 `cbor:"16,keyasint,omitempty"`
 	Aborts bool  `cbor:"17,keyasint,omitempty"`
@@ -91,7 +96,8 @@
 // valid reports whether the numbers are in their ranges, which NaN is not.
 func (l *Load) valid() bool {
 	return l.Active >= 0 && l.Queued >= 0 && l.Part >= 0 && l.Part <= 1 && l.Sharers >= 0 &&
-		l.Places >= 0 && l.Places <= maxPlaces && l.PlacesMs >= 0 && l.PlacesMs <= maxPlacesMs
+		l.Places >= 0 && l.Places <= maxPlaces && l.PlacesMs >= 0 && l.PlacesMs <= maxPlacesMs &&
+		l.Slowdown >= 0 && l.Slowdown <= targetspeed.MaxSlowdown
 }
 
 const (
--- a/internal/site/loadreport/loadreport_test.go
+++ b/internal/site/loadreport/loadreport_test.go
@@ -109,6 +109,9 @@
 		{Places: math.MaxInt},
 		{PlacesMs: -1},
 		{PlacesMs: math.MaxInt64},
+		{Slowdown: nan},
+		{Slowdown: -1},
+		{Slowdown: inf},
 	} {
 		if l.valid() {
 			t.Errorf("load %+v is valid", l)
--- a/internal/site/plan/plan.go
+++ b/internal/site/plan/plan.go
@@ -104,6 +104,8 @@
 	Step time.Duration
 	// StepPerRequest is added to Step for each running request.
 	StepPerRequest time.Duration
+	// StepsPerEvent is the number of tokens in an event of a stream, 0 if unknown.
+	StepsPerEvent int
 	// PrefillTokensPerSecond is the number of prompt tokens processed per
 	// second.
 	PrefillTokensPerSecond float64
