dispatch: send slow targets what they end in time

Entries predict from the reported slowdown when a request has its first event and its last there, by prompt, length hint, and the route's objective, gap and the caller's deadline. Requests in progress count by the slowdown relative to the fastest target. Where no faster target may serve the request, or all run alike, decisions are as before.

--- a/internal/exchange/dispatch/acquire.go
+++ b/internal/exchange/dispatch/acquire.go
@@ -35,6 +35,8 @@
 	Waited time.Duration
 	// Weights is the version that the target holds, or 0 if unknown.
 	Weights int64
+	// Slowdown is that of the target's report, 0 if it is not slow.
+	Slowdown float64
 
 	dispatcher *Dispatcher
 	target     *target
@@ -225,7 +227,7 @@
 		Waited: now.Sub(since), Weights: t.weights(now), dispatcher: d, target: t, grantedAt: now, prefillTokens: r.PromptTokens,
 	}
 	if t.hasFreshReport(now) {
-		g.ReportAge = now.Sub(t.reportTime)
+		g.ReportAge, g.Slowdown = now.Sub(t.reportTime), t.load.Slowdown
 	}
 	if s.spec.Engine != nil {
 		t.unstarted = append(t.unstarted, g)
--- a/internal/exchange/dispatch/capacity.go
+++ b/internal/exchange/dispatch/capacity.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"egretproxy/internal/admission/targetspeed"
 	"egretproxy/internal/site/discovery"
 )
 
@@ -263,7 +264,7 @@
 // nil if none has capacity. found reports whether any is eligible, even if it
 // has no capacity now.
 func (d *Dispatcher) pick(s *service, targets []*target, r *Request, now time.Time) (best *target, found bool) {
-	bestScore, newest := 0.0, int64(0)
+	bestScore, bestFit, newest := 0.0, targetspeed.Suited, int64(0)
 	if r.Interrupted {
 		newest = s.newestWeights(now)
 	}
@@ -276,15 +277,20 @@
 		if !free || !s.pressed(now) && r.MaxWait > 0 && s.full(t, d.inFlight(t, now)) {
 			continue
 		}
-		score := d.inFlight(t, now) + s.prefillPenalty(t) + t.delayPenalty(now) + rand.Float64()
+		speed := d.speed(s, t, now)
+		fit := s.fit(t, speed, r, now)
+		if !s.mayUse(fit, r, now) {
+			continue
+		}
+		score := speed.Load() + s.prefillPenalty(t) + t.delayPenalty(now) + rand.Float64()
 		if t.region == d.cfg.HomeRegion {
 			score -= homeRegionBonus
 		}
 		if r.Interrupted && t.weights(now) < newest {
 			score += oldWeightsPenalty
 		}
-		if best == nil || score < bestScore {
-			best, bestScore = t, score
+		if best == nil || fit < bestFit || fit == bestFit && score < bestScore {
+			best, bestScore, bestFit = t, score, fit
 		}
 	}
 	return best, found
--- a/internal/exchange/dispatch/dispatcher.go
+++ b/internal/exchange/dispatch/dispatcher.go
@@ -57,6 +57,8 @@
 	// the round-trip time of a datagram, or the queueing time on the
 	// instance's link if that is longer.
 	NetworkDelay time.Duration
+	// Slowdown is that of targetspeed.Speed.
+	Slowdown float64
 	// Share is this entry's part of the target's capacity, which it may use
 	// until ShareUntil. Without sharers the target has allotted none yet.
 	Share      allotment.Share
@@ -100,6 +102,8 @@
 	Exclude []id.Target
 	// PromptTokens is the number of prompt tokens to process first.
 	PromptTokens int
+	// Answer is the length of the answer, and what it needs of a target's speed.
+	Answer Answer
 }
 
 // Dispatcher selects targets for the requests of one entry. It is safe for
@@ -132,6 +136,10 @@
 	lastCompletion time.Time
 	// nextMinWeights is the version of weights that becomes the minimum soon.
 	nextMinWeights int64
+	// fastest is the least slowdown among the targets that are ready, found at
+	// fastestAt.
+	fastest   float64
+	fastestAt time.Time
 	// timeToFirstEvent estimates the time from the selection of a target to
 	// its first event.
 	timeToFirstEvent quantile.Estimator
--- a/internal/role/siteentry/dispatchrequest.go
+++ b/internal/role/siteentry/dispatchrequest.go
@@ -26,7 +26,7 @@
 		Service: j.service.Name, Regions: commonRegions(j.regions), Priority: j.priority,
 		MaxWait: j.maxWait(), Late: j.late(), MinWeights: max(j.minWeights(), j.streamWeights()), Exclude: j.tried,
 		PromptTokens: j.promptTokens(), Interrupted: j.sent > 0, NextMinWeights: j.nextMinWeights(),
-		NewerWeights: newer, StartBy: startBy,
+		NewerWeights: newer, StartBy: startBy, Answer: j.answer(),
 	}
 }
 
@@ -40,10 +40,35 @@
 	if j.service.Engine == nil {
 		return 0
 	}
-	field, _, _ := strings.Cut(j.r.Header.Get(j.entry.Settings.Headers.Usage), ",")
+	prompt, _, _ := strings.Cut(j.r.Header.Get(j.entry.Settings.Headers.Usage), ",")
+	if n := tokens(prompt); n >= 0 {
+		return n
+	}
+	return int(j.service.Engine.MeanPromptTokens)
+}
+
+// answer returns what is known of the answer to a request for an engine.
+func (j *job) answer() dispatch.Answer {
+	if j.service.Engine == nil {
+		return dispatch.Answer{}
+	}
+	h := j.r.Header
+	_, most, _ := strings.Cut(h.Get(j.entry.Settings.Headers.Usage), ",")
+	out := dispatch.Answer{
+		HintTokens: max(tokens(h.Get(j.entry.Settings.Headers.Length)), 0), MaxTokens: max(tokens(most), 0),
+		DoneTokens: j.events() * j.service.Engine.StepsPerEvent, Gap: j.route.EventGap, EndDue: j.deadline,
+	}
+	if !j.late() {
+		out.StartDue = j.startedAt.Add(j.route.Objective)
+	}
+	return out
+}
+
+// tokens returns the number of tokens in a field of a header, or -1 if it has none.
+func tokens(field string) int {
 	n, err := strconv.Atoi(strings.TrimSpace(field))
 	if err != nil || n < 0 {
-		return int(j.service.Engine.MeanPromptTokens)
+		return -1
 	}
 	return n
 }
--- a/internal/role/siteentry/response.go
+++ b/internal/role/siteentry/response.go
@@ -216,5 +216,8 @@
 	j.entry.DecisionLog.Record(kind, "Request was answered", "Request", j.id, "Status", status, "Target", grant.Target,
 		"Route", routeName(j.route), "Returned", j.retried, "Busy", grant.InFlight, "ReportMsAgo", grant.ReportAge.Milliseconds(),
 		"WaitedMs", j.waited.Milliseconds(), "TookMs", took.Milliseconds(), "Sent", j.sent+1,
-		"FirstMs", first.Milliseconds(), "GapMs", gap.Milliseconds(), "Events", events, "Plan", planVersion(j.view.Plan))
+		"FirstMs", first.Milliseconds(), "GapMs", gap.Milliseconds(), "Events", events, "Slowdown", grant.Slowdown, "Plan", planVersion(j.view.Plan))
+	if grant.Slowdown > 1 {
+		j.entry.Metrics.CountReason("AnsweredBySlow", strconv.Itoa(status/100)+"xx")
+	}
 }
