--- a/internal/exchange/dispatch/capacity.go
+++ b/internal/exchange/dispatch/capacity.go
@@ -41,6 +41,10 @@
 	// oldWeightsPenalty is the penalty for older weights, in requests, for a
 	// interrupted request.
 	oldWeightsPenalty = 10
+	// overrunPenaltyPerSecond is the penalty for targets that load weights before the
+	// request is expected to end, in requests for each second, and minOverrunPenalty
+	// the least one.
+	overrunPenaltyPerSecond, minOverrunPenalty = 8, 4
 	// maxNetworkDelay is the delay above which a target gets no requests:
 	// they would arrive after their objective, or after the view they were
 	// based on has changed.
@@ -273,7 +277,7 @@
 			continue
 		}
 		found = true
-		if !free || !s.pressed(now) && r.MaxWait > 0 && s.full(t, d.inFlight(t, now)) {
+		if !free || !s.pressed(now) && r.MaxWait > 0 && (s.full(t, d.inFlight(t, now)) || t.loadsBefore(r, now) && s.hasLater(r, now)) {
 			continue
 		}
 		score := d.inFlight(t, now) + s.prefillPenalty(t) + t.delayPenalty(now) + rand.Float64()
@@ -283,6 +287,7 @@
 		if r.Interrupted && t.weights(now) < newest {
 			score += oldWeightsPenalty
 		}
+		score += t.overrunPenalty(r, now)
 		if best == nil || score < bestScore {
 			best, bestScore = t, score
 		}
@@ -301,6 +306,30 @@
 	return s.spec.Engine != nil && inFlight >= float64(s.slots(t))
 }
 
+// hasLater reports whether a target that accepts requests loads no weights before the
+// request is expected to end.
+func (s *service) hasLater(r *Request, now time.Time) bool {
+	return slices.ContainsFunc(s.targets, func(t *target) bool {
+		closed := t.hasFreshReport(now) && t.load.Closed
+		return t.inService() && !closed && t.weights(now) > 0 && !t.loadsBefore(r, now)
+	})
+}
+
+// overrunPenalty returns how much the target suffers from the request if it loads
+// weights before that ends, expressed in requests.
+func (t *target) overrunPenalty(r *Request, now time.Time) float64 {
+	if !t.loadsBefore(r, now) {
+		return 0
+	}
+	return minOverrunPenalty + overrunPenaltyPerSecond*now.Add(r.Expected).Sub(t.load.LoadsAt).Seconds()
+}
+
+// loadsBefore reports whether the target is expected to load weights before the request
+// ends. It waits for the request then, or aborts it.
+func (t *target) loadsBefore(r *Request, now time.Time) bool {
+	return r.Expected > 0 && !t.load.LoadsAt.IsZero() && t.hasFreshReport(now) && now.Add(r.Expected).After(t.load.LoadsAt)
+}
+
 // newestWeights returns the newest version that any target holds.
 func (s *service) newestWeights(now time.Time) int64 {
 	out := int64(0)
--- a/internal/exchange/dispatch/dispatcher.go
+++ b/internal/exchange/dispatch/dispatcher.go
@@ -65,6 +65,9 @@
 	// PlacesValid, if the target has allotted parts.
 	Places      int
 	PlacesValid time.Duration
+	// LoadsAt is when the target takes no more requests to load a version of weights,
+	// zero if it has none to load.
+	LoadsAt time.Time
 }
 
 // SoonRequired is how long before a version of weights becomes required the engines
@@ -100,6 +103,9 @@
 	Exclude []id.Target
 	// PromptTokens is the number of prompt tokens to process first.
 	PromptTokens int
+	// Expected is the time within which the request ends most likely, 0 if unknown.
+	// It goes to targets that load weights later, if there are any.
+	Expected time.Duration
 }
 
 // Dispatcher selects targets for the requests of one entry. It is safe for
--- a/internal/exchange/headernames/headernames.go
+++ b/internal/exchange/headernames/headernames.go
@@ -25,6 +25,8 @@
 	// Usage holds the number of prompt tokens and the maximum number of
 	// response tokens.
 	Usage string
+	// LengthHint holds the number of response tokens that the caller expects.
+	LengthHint string
 	// Prompt lists the parts of the prompt, as ID:TOKENS entries.
 	Prompt string
 	// Limit is the number of requests a second that the target takes from all
--- a/internal/role/siteagent/mirror_test.go
+++ b/internal/role/siteagent/mirror_test.go
@@ -112,7 +112,7 @@
 		site.publish(3)
 		agent := &Agent{
 			Settings: Settings{Service: "llm", Address: "10.0.0.0:80", Domain: "d0"}, Views: fixedView{site.view},
-			Relay: site.relays["10.0.0.0:80"], Metrics: metrics.New("Test"), firstSeen: map[relay.Bundle]time.Time{},
+			Relay: site.relays["10.0.0.0:80"], Metrics: metrics.New("Test"), firstSeen: map[relay.Bundle]time.Time{}, busy: map[relay.Bundle]float64{},
 		}
 		candidates := agent.candidates(1)
 		if len(candidates) != 2 || candidates[0].Version != 3 {
@@ -152,7 +152,7 @@
 		engine := &recordingEngine{stages[0], make(chan relay.Bundle, 1)}
 		agent := &Agent{
 			Settings: Settings{Service: "llm", Address: "10.0.0.0:80", Domain: "d0", Region: "d0"}, Views: fixedView{site.view},
-			Relay: site.relays["10.0.0.0:80"], Metrics: metrics.New("Test"), firstSeen: map[relay.Bundle]time.Time{}, Engine: engine,
+			Relay: site.relays["10.0.0.0:80"], Metrics: metrics.New("Test"), firstSeen: map[relay.Bundle]time.Time{}, busy: map[relay.Bundle]float64{}, Engine: engine,
 		}
 		go agent.reconcileLoop(ctx)
 		time.Sleep(3 * time.Second)
@@ -189,7 +189,7 @@
 		agent := &Agent{
 			Settings: Settings{Service: "llm", Address: "10.0.0.0:80", Domain: "d0", WeightsDue: 7300 * time.Millisecond},
 			Views:    fixedView{site.view}, Relay: site.relays["10.0.0.0:80"], Metrics: metrics.New("Test"),
-			firstSeen: map[relay.Bundle]time.Time{}, Engine: engine,
+			firstSeen: map[relay.Bundle]time.Time{}, busy: map[relay.Bundle]float64{}, Engine: engine,
 		}
 		if err := agent.Relay.StageBundle(t.Context(), relay.Bundle{Model: "m", Version: 2}); err != nil {
 			t.Fatal(err)
--- a/internal/role/siteagent/order_test.go
+++ b/internal/role/siteagent/order_test.go
@@ -78,6 +78,10 @@
 	// mixed lists the pieces of another version than that of the order with which
 	// they were loaded.
 	mixed []string
+	// aborted counts the requests that orders aborted.
+	aborted int
+	// active returns the number of requests that run. It may be nil.
+	active func() int
 	// readTime is how long the engine takes to send a staged piece, 2 ms if zero.
 	readTime time.Duration
 }
@@ -97,6 +101,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	r := Report{Sequence: e.sequence, Busy: time.Now().Before(e.busyUntil), StartMs: 1}
+	if e.active != nil {
+		r.Active = e.active()
+	}
 	if e.layers[0] != "" {
 		r.Weights, r.LayersTo = e.version, len(e.layers)
 	}
@@ -132,6 +139,9 @@
 	}
 	e.orders++
 	n := e.orders
+	if e.active != nil && o.Mode == AbortRequests {
+		e.aborted += e.active()
+	}
 	e.mu.Unlock()
 	if e.onOrder != nil {
 		e.onOrder(n)
@@ -252,7 +262,7 @@
 	return &agentRun{engine: e, views: v, Agent: &Agent{
 		Settings: Settings{Service: "llm", Address: "a", WeightsDue: 3 * time.Second}, Views: v, Engine: e, Metrics: metrics.New("Test"),
 		Relay:     &relay.Relay{Origin: versionedOrigin{}, Stage: e, Routes: func(relay.Bundle, int) relay.Sources { return relay.Sources{} }, Priority: func(relay.Bundle, int) int { return 0 }},
-		firstSeen: map[relay.Bundle]time.Time{}, wake: make(chan struct{}, 1),
+		firstSeen: map[relay.Bundle]time.Time{}, busy: map[relay.Bundle]float64{}, wake: make(chan struct{}, 1),
 	}}
 }
 
@@ -462,6 +472,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		run := newAgentRun()
 		run.views.view.Plan.Routes = []plan.Route{{Kind: plan.Streaming, Resumable: true, MaxAttempts: 2, Shares: []plan.Share{{Service: "llm", Weight: 1}}}}
+		run.engine.active = func() int { return 8 }
 		run.engine.onOrder = func(int) {
 			run.mu.Lock()
 			defer run.mu.Unlock()
@@ -478,3 +489,56 @@
 		}
 	})
 }
+
+// TestHoldsLoadWaitsForRequests checks which loads wait for the requests that run: those
+// of engines that others can stand in for, of services whose streams must not pause.
+func TestHoldsLoadWaitsForRequests(t *testing.T) {
+	for name, c := range map[string]struct {
+		gap    time.Duration
+		active int
+		// runFor is how long the requests run after the version is published.
+		runFor  time.Duration
+		aborted int
+		// by is when the newest version must be in place.
+		by time.Duration
+		// versions are published one second after another.
+		versions int64
+	}{
+		"calm":                   {300 * time.Millisecond, 8, 4 * time.Second, 0, 5 * time.Second, 1},
+		"two versions":           {300 * time.Millisecond, 8, 4 * time.Second, 0, 10 * time.Second, 2},
+		"slow engine":            {300 * time.Millisecond, 8, 7 * time.Second, 0, 8500 * time.Millisecond, 1},
+		"pauses are not bounded": {0, 8, 4 * time.Second, 8, 4 * time.Second, 1},
+		"capacity is short":      {300 * time.Millisecond, 15, 4 * time.Second, 15, 4 * time.Second, 1},
+		"requests don't end":     {300 * time.Millisecond, 8, time.Hour, 8, 10 * time.Second, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				run := newAgentRun()
+				run.Settings.WeightsDue = 7 * time.Second
+				p := run.views.view.Plan
+				p.Services["llm"].Engine.Slots = 16
+				p.Routes = []plan.Route{{
+					Kind: plan.Streaming, Resumable: true, MaxAttempts: 2, EventGap: c.gap, Timeout: 6 * time.Second,
+					Shares: []plan.Share{{Service: "llm", Weight: 1}},
+				}}
+				began := time.Now()
+				run.engine.active = func() int {
+					if time.Since(began) > c.runFor+time.Second {
+						return 0
+					}
+					return c.active
+				}
+				run.start(t)
+				for n := range c.versions {
+					time.Sleep(time.Second)
+					run.views.publish(2 + n)
+				}
+				time.Sleep(c.by)
+				run.expectLoaded(t, 1+c.versions)
+				if run.engine.aborted != c.aborted {
+					t.Errorf("%d requests were aborted, want %d", run.engine.aborted, c.aborted)
+				}
+			})
+		})
+	}
+}
--- a/internal/role/siteagent/reconcile.go
+++ b/internal/role/siteagent/reconcile.go
@@ -9,6 +9,7 @@
 
 	"egretproxy/internal/kernel/clock"
 	"egretproxy/internal/weights/relay"
+	"egretproxy/internal/weights/rollout"
 )
 
 const (
@@ -18,7 +19,7 @@
 	// draining begins.
 	drainNotice = 60 * time.Millisecond
 	// abortNotice is how long entries have to learn that an engine aborts its
-	// requests, part of drainTimeout. A report goes out after each query.
+	// requests, part of the drain. A report goes out after each query.
 	abortNotice = 60 * time.Millisecond
 	// loadTimeout is the longest wait for a load to complete before it is
 	// ordered again.
@@ -26,7 +27,7 @@
 	initialVersion = 1
 	// fallbackLeadTime is the time needed to load a version that is already in
 	// memory: staging it again, draining, loading, and a reserve of one second.
-	fallbackLeadTime = drainTimeout + loadDuration + 1300*time.Millisecond
+	fallbackLeadTime = rollout.ShortDrain + rollout.LoadDuration + 1300*time.Millisecond
 	// reloadRetryDelay is the wait after weights could not be loaded again. A newer
 	// version, if there is one, replaces them as well.
 	reloadRetryDelay = time.Second
@@ -118,6 +119,9 @@
 		return p.Bundle, isDue
 	}
 	candidates := a.candidates(current)
+	if len(candidates) > 0 && current > 0 {
+		a.announceMoment(candidates[0], current)
+	}
 	if len(candidates) > 1 && a.mustFallBack(candidates[0], candidates[1], current) {
 		klog.InfoS("Loading the older version first", "Model", candidates[1].Model, "Version", candidates[1].Version, "Newer", candidates[0].Version)
 		return candidates[1], true
@@ -134,7 +138,7 @@
 	v := a.Views.View()
 	due, age := a.due(v, older, current)
 	newerDue, newerAge := a.due(v, newer, newer.Version-1)
-	return due-age < fallbackLeadTime && newerDue-newerAge > loadDuration
+	return due-age < fallbackLeadTime && newerDue-newerAge > rollout.LoadDuration
 }
 
 // firstAvailable returns the first of the versions that a source can provide
@@ -188,11 +192,13 @@
 			out = append(out, relay.Bundle{Model: s.Engine.Model, Version: n})
 		}
 	}
+	busy := a.busyNow(v)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, b := range out {
 		if a.firstSeen[b].IsZero() {
 			a.firstSeen[b] = time.Now()
+			a.busy[b] = busy
 		}
 	}
 	return out
@@ -201,7 +207,9 @@
 // deploy stages the weights, waits for this engine's scheduled start and orders
 // the load.
 func (a *Agent) deploy(ctx context.Context, b relay.Bundle, r Report) error {
-	if err := a.stage(ctx, b, r.Weights); err != nil {
+	defer a.setLoadsAt(time.Time{}, time.Time{})
+	left, err := a.stage(ctx, b, r.Weights)
+	if err != nil {
 		return err
 	}
 	checked, err := a.Relay.Verify(ctx, b)
@@ -210,8 +218,9 @@
 	}
 	a.setSwitching(true)
 	defer a.setSwitching(false)
+	defer a.setLoadsAt(time.Time{}, time.Time{})
 	clock.Sleep(ctx, drainNotice)
-	mode := a.drain(ctx)
+	mode := a.drain(ctx, b, left)
 	began := time.Now()
 	if r, _ = a.latestReport(); r.Weights >= b.Version && a.pendingOrder() == nil {
 		return nil
@@ -231,20 +240,21 @@
 }
 
 // stage stages the weights and waits for this engine's scheduled start. It ends early if
-// the deployment is superseded.
-func (a *Agent) stage(ctx context.Context, b relay.Bundle, current int64) error {
+// the deployment is superseded. left is the time until the version is due once it is
+// staged.
+func (a *Agent) stage(ctx context.Context, b relay.Bundle, current int64) (left time.Duration, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if a.pendingOrder() == nil {
 		go a.cancelIfSuperseded(ctx, b, current, cancel)
 	}
 	if err := a.Relay.StageBundle(ctx, b); err != nil {
-		return err
+		return 0, err
 	}
 	if current > 0 {
-		a.awaitLoadStart(ctx, b, current)
+		left = a.awaitLoadStart(ctx, b, current)
 	}
-	return ctx.Err()
+	return left, ctx.Err()
 }
 
 // cancelIfSuperseded cancels the deployment of b once a newer version is
@@ -263,7 +273,7 @@
 			continue
 		}
 		due, age := a.due(a.Views.View(), b, current)
-		if a.Relay.Complete(b) && due-age < stagingTime+drainTimeout+loadDuration {
+		if a.Relay.Complete(b) && due-age < rollout.StagingTime+rollout.ShortDrain+rollout.LoadDuration {
 			continue
 		}
 		klog.InfoS("Deployment superseded by a newer version", "Model", b.Model, "Version", b.Version, "By", newer[0].Version)
--- a/internal/role/siteagent/siteagent.go
+++ b/internal/role/siteagent/siteagent.go
@@ -38,6 +38,8 @@
 	// linkDelayStepMs is the resolution of the reported link delay in
 	// milliseconds. It keeps small changes from causing a report.
 	linkDelayStepMs = 40
+	// loadWindow is the smoothing period of the engine's load.
+	loadWindow = time.Second
 	// maxQueryTime is the longest query after which the engine's state is new enough
 	// to show that the engine lives. incarnation.Register allows for twice that.
 	maxQueryTime = 50 * time.Millisecond
@@ -123,9 +125,14 @@
 	// report is the newest report of the engine, received at reportAt.
 	report   Report
 	reportAt time.Time
+	// running is the smoothed number of the engine's requests.
+	running float64
 	// switching means that the engine is about to load weights, aborting that it
 	// aborts its requests for that.
 	switching, aborting bool
+	// loadsAt is when the engine takes no more requests to load a version, zero if it
+	// has none to load. It counts until loadsUntil, if that is set.
+	loadsAt, loadsUntil time.Time
 	// pending is the order whose outcome is not known, or nil. It is replaced by
 	// reconcileLoop's goroutine only.
 	pending *pendingOrder
@@ -136,6 +143,8 @@
 	spoiltStartMs int64
 	// firstSeen is when this process learnt of each version.
 	firstSeen map[relay.Bundle]time.Time
+	// busy is the share of the engine's slots that was taken at that time.
+	busy map[relay.Bundle]float64
 	// unavailable is the last version found to be unavailable. It is used by
 	// reconcileLoop's goroutine only.
 	unavailable relay.Bundle
@@ -145,7 +154,7 @@
 // Run serves until the context ends.
 func (a *Agent) Run(ctx context.Context) error {
 	a.wake = make(chan struct{}, 1)
-	a.firstSeen = map[relay.Bundle]time.Time{}
+	a.firstSeen, a.busy = map[relay.Bundle]time.Time{}, map[relay.Bundle]float64{}
 	l, err := liveness.ListenConfig().Listen(ctx, "tcp", a.Settings.Listen)
 	if err != nil {
 		return errors.Wrap(err, "listen for weight requests of peers")
@@ -195,8 +204,9 @@
 			places.Free = 0
 		}
 		if deal || load != sent || load.Aborts || time.Since(sentAt) > resendInterval {
-			a.Sender.Send(load, places)
 			sent, sentAt = load, time.Now()
+			load.LoadsInMs = a.loadsInMs()
+			a.Sender.Send(load, places)
 		}
 		a.pause(ctx)
 	}
@@ -219,6 +229,8 @@
 	if r.LayersTo > 0 && r.LayersTo < layers {
 		r.Weights = 0
 	}
+	age := min(time.Since(a.reportAt).Seconds()/loadWindow.Seconds(), 1)
+	a.running += (float64(r.Active+r.Queued) - a.running) * age
 	a.report, a.reportAt = r, time.Now()
 	load := loadreport.Load{
 		Active: r.Active, Queued: r.Queued, Weights: r.Weights, Closed: a.closed(r),
@@ -265,6 +277,22 @@
 	a.wakeReporter()
 }
 
+func (a *Agent) setLoadsAt(at, until time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.loadsAt, a.loadsUntil = at, until
+}
+
+// loadsInMs returns the time until the engine takes no more requests.
+func (a *Agent) loadsInMs() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.loadsAt.IsZero() || !a.loadsUntil.IsZero() && time.Now().After(a.loadsUntil) {
+		return 0
+	}
+	return max(time.Until(a.loadsAt).Milliseconds(), 1)
+}
+
 // latestReport returns the engine's newest report and whether it is recent
 // enough to rely on.
 func (a *Agent) latestReport() (Report, bool) {
--- a/internal/role/siteentry/dispatchrequest.go
+++ b/internal/role/siteentry/dispatchrequest.go
@@ -26,7 +26,24 @@
 		Service: j.service.Name, Regions: commonRegions(j.regions), Priority: j.priority,
 		MaxWait: j.maxWait(), Late: j.late(), MinWeights: max(j.minWeights(), j.streamWeights()), Exclude: j.tried,
 		PromptTokens: j.promptTokens(), Interrupted: j.sent > 0, NextMinWeights: j.nextMinWeights(),
-		NewerWeights: newer, StartBy: startBy,
+		NewerWeights: newer, StartBy: startBy, Expected: j.entry.answers.Expect(j.route.Name, j.lengthHint()),
+	}
+}
+
+// lengthHint returns the number of response tokens that the caller expects, 0 if
+// unknown.
+func (j *job) lengthHint() int {
+	n, err := strconv.Atoi(j.r.Header.Get(j.entry.Settings.Headers.LengthHint))
+	if err != nil || n < 0 {
+		return 0
+	}
+	return n
+}
+
+// recordAnswer records how long a target took for the whole response.
+func (j *job) recordAnswer() {
+	if j.service.Engine != nil && j.sent == 0 {
+		j.entry.answers.Add(j.route.Name, j.lengthHint(), time.Since(j.attemptAt))
 	}
 }
 
--- a/internal/role/siteentry/siteentry.go
+++ b/internal/role/siteentry/siteentry.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
 
+	"egretproxy/internal/admission/answertime"
 	"egretproxy/internal/admission/retrydetector"
 	"egretproxy/internal/exchange/connpool"
 	"egretproxy/internal/exchange/dispatch"
@@ -109,6 +110,7 @@
 	startup       startupState
 	witness       witness.Witness
 	incarnations  incarnation.Register
+	answers       answertime.Estimator
 	// testing is set while a request looks for a target to test a verdict.
 	testing atomic.Bool
 	// bootNow replaces boottime.Now in tests.
--- a/internal/role/siteentry/stream.go
+++ b/internal/role/siteentry/stream.go
@@ -67,6 +67,7 @@
 	err := j.copyEvents(response, timer, grant)
 	if err == nil {
 		j.whole = true
+		j.recordAnswer()
 		j.recordResponse(response.Status, grant)
 		return done, dispatch.Served, true
 	}
--- a/internal/site/loadreport/loadreport.go
+++ b/internal/site/loadreport/loadreport.go
@@ -81,6 +81,9 @@
 	// Born and Aborts are those of incarnation.Report.
 	Born   int64 `cbor:"16,keyasint,omitempty"`
 	Aborts bool  `cbor:"17,keyasint,omitempty"`
+	// LoadsInMs is the time in milliseconds until the target takes no more requests to
+	// load a version of weights, 0 if it has none to load.
+	LoadsInMs int64 `cbor:"18,keyasint,omitempty"`
 	// Epoch identifies the sending process. Sequence orders its reports from 1 on,
 	// since datagrams may overtake each other. Agents of earlier versions send
 	// neither.
@@ -90,7 +93,7 @@
 
 // valid reports whether the numbers are in their ranges, which NaN is not.
 func (l *Load) valid() bool {
-	return l.Active >= 0 && l.Queued >= 0 && l.Part >= 0 && l.Part <= 1 && l.Sharers >= 0 &&
+	return l.LoadsInMs >= 0 && l.LoadsInMs <= maxLoadsInMs && l.Active >= 0 && l.Queued >= 0 && l.Part >= 0 && l.Part <= 1 && l.Sharers >= 0 &&
 		l.Places >= 0 && l.Places <= maxPlaces && l.PlacesMs >= 0 && l.PlacesMs <= maxPlacesMs
 }
 
@@ -98,6 +101,8 @@
 	// maxPlaces and maxPlacesMs are more than any target deals.
 	maxPlaces   = 1 << 20
 	maxPlacesMs = 60_000
+	// maxLoadsInMs is more than any rollout takes.
+	maxLoadsInMs = 3_600_000
 )
 
 // Sender sends loads to all subscribers.
--- a/internal/site/plan/plan.go
+++ b/internal/site/plan/plan.go
@@ -4,6 +4,7 @@
 package plan
 
 import (
+	"slices"
 	"time"
 
 	"egretproxy/internal/fleet/id"
@@ -95,6 +96,20 @@
 	return true
 }
 
+// LongestStream returns how long callers wait at most for streams of the service whose
+// pauses are bounded, 0 if there are none.
+func (p *Plan) LongestStream(service id.Service) time.Duration {
+	var longest time.Duration
+	for i := range p.Routes {
+		r := &p.Routes[i]
+		serves := slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service && s.Weight > 0 })
+		if serves && r.Kind == Streaming && r.EventGap > 0 {
+			longest = max(longest, r.Timeout)
+		}
+	}
+	return longest
+}
+
 // Engine describes the model engines of a service.
 type Engine struct {
 	Model id.Model
--- a/internal/role/siteagent/schedule_test.go
+++ b/internal/weights/rollout/stagger_test.go
@@ -1,4 +1,4 @@
-package siteagent
+package rollout
 
 import (
 	"testing"
@@ -11,7 +11,6 @@
 // 7 may be unavailable at once if there is enough time.
 func TestHoldsLoadsAreStaggered(t *testing.T) {
 	const count = 24
-	const due = 7300 * time.Millisecond
 	for name, c := range map[string]struct {
 		age time.Duration
 		// out is the greatest number of engines that may be unavailable at once.
@@ -24,12 +23,12 @@
 	} {
 		var begin, end []time.Duration
 		for i := range count {
-			at := loadStart(i, count, c.age, due)
-			begin, end = append(begin, at), append(end, at+drainTimeout+loadDuration)
+			at := (Rollout{}).Moment(Target{Position: i, Count: count, Age: c.age, Due: due})
+			begin, end = append(begin, at), append(end, at+ShortDrain+LoadDuration)
 			if at < c.age || at > max(c.age, due) {
 				t.Errorf("%s: engine %d loads at %s", name, i, at)
 			}
-			if due-c.age > lateLoadSpread+drainTimeout+loadDuration && end[i] > due {
+			if due-c.age > lateSpread+ShortDrain+LoadDuration && end[i] > due {
 				t.Errorf("%s: engine %d returns %s after the version is due", name, i, end[i]-due)
 			}
 		}
