--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -8,6 +8,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -37,6 +38,8 @@
 	events                    int
 	gap                       time.Duration
 	unframed, model           bool
+	// spoilt is the share of the answers to calls in which bytes of the head are wrong.
+	spoilt float64
 
 	born     int64
 	sequence atomic.Int64
@@ -61,6 +64,7 @@
 	f.IntVar(&e.events, "events", 24, "events of a stream")
 	f.DurationVar(&e.gap, "gap", 100*time.Millisecond, "pause between events, and work of a call")
 	f.BoolVar(&e.unframed, "unframed", false, "answers have no length and end with their connection")
+	f.Float64Var(&e.spoilt, "spoilt", 0, "share of the answers with wrong bytes in their head")
 	f.BoolVar(&e.model, "model", false, "the engine holds weights")
 	_ = f.Parse(args)
 	e.control = strings.Split(*control, ",")
@@ -200,6 +204,10 @@
 	if !strings.HasPrefix(r.URL.Path, "/stream/") {
 		time.Sleep(e.gap)
 		text := wholeBody(id)
+		if rand.Float64() < e.spoilt {
+			head = strings.Replace(head, "X-Response-Signature", "X-Re\x60ponse-Si\x60nature", 1)
+			e.log("hands out wrong bytes for %s", id)
+		}
 		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", head, len(text), text)
 		e.log("answered %s", id)
 		return err == nil
