--- a/review/standin-2/case6.go
+++ b/review/standin-2/case6.go
@@ -9,7 +9,7 @@
 )
 
 // cases holds the cases by their number.
-var cases = map[string]func(*site){"6": playLeavingEngine, "7": playSpoiltAnswers}
+var cases = map[string]func(*site){"6": playLeavingEngine, "7": playUndoneEvacuation, "8": playSpoiltAnswers}
 
 const streamEvents = 24
 
--- a/review/standin-2/case7.go
+++ b/review/standin-2/case7.go
@@ -1,87 +1,77 @@
 package main
 
 import (
-	"fmt"
 	"net/http"
-	"sync"
+	"syscall"
 	"time"
 )
 
-func callRoute(name, prefix, kind, service string) map[string]any {
-	attempts := 1
-	if kind == "idempotent" {
-		attempts = 2
-	}
-	return map[string]any{
-		"name": name, "host": "jepu9.example", "pathPrefix": prefix, "kind": kind, "timeoutMs": 1500, "targetLatencyMs": 300, "priority": 2,
-		"service": service, "maxAttempts": attempts, "public": false, "sessionAffinity": false, "streamResumption": false, "allowedRegions": []string{},
-	}
-}
-
-func plainService(name string) map[string]any {
-	return map[string]any{
-		"name": name, "healthCheckPath": "/health", "connectionLimit": 54, "protocol": "h1", "tls": false, "coldStartS": 0.0, "coldPerS": 0.0,
-	}
-}
-
-func callRequest(entry, method, path string) request {
-	q := request{entry: entry, method: method, host: "jepu9.example", path: path, id: newID(), deadline: 3 * time.Second}
-	if method == http.MethodPost {
-		q.body = fmt.Sprintf("{\"emptied\":%q}", q.id)
-	}
-	return q
-}
+// Bounds of the site.
+const (
+	evacuationTime = 5 * time.Second
+	contactTime    = 3 * time.Second
+	freezeTime     = 4 * time.Second
+)
 
-// playSpoiltAnswers sends calls to three engines of a plain service, one of which
-// hands out wrong bytes.
-func playSpoiltAnswers(s *site) {
+// playUndoneEvacuation evacuates a zone, takes that back while the leader of the
+// keepers is frozen, and evacuates it again. The operator resends an order for one
+// second at most, which is one call.
+func playUndoneEvacuation(s *site) {
+	s.startRoles()
 	for n := range 3 {
-		flags := []string{"-gap", "30ms"}
-		if n == 0 && s.trouble {
-			flags = append(flags, "-spoilt", "0.03")
-		}
-		if n == 0 {
-			s.startRoles()
-		}
-		s.startEngine(n, "kafi81c", false, flags...)
+		s.startEngine(n, "kafi81c", false, "-gap", "30ms")
 	}
-	routes := []any{callRoute("r-lesen", "/lesen/", "idempotent", "kafi81c"), callRoute("r-buchen", "/buchen/", "non_idempotent", "kafi81c")}
-	s.order(http.MethodPut, "/egretproxy/configuration", document(7, routes, []any{plainService("kafi81c")}))
+	s.order(http.MethodPut, "/egretproxy/configuration", document(7, []any{callRoute("r-lesen", "/lesen/", "idempotent", "kafi81c")}, []any{plainService("kafi81c")}))
 	s.awaitEntries(func(entry string) bool {
 		r := callRequest(entry, http.MethodGet, "/lesen/1").send()
-		return r.status == http.StatusOK && r.err == nil && r.body == wholeBody(r.id)
+		return r.status == http.StatusOK && r.err == nil
 	})
-	const requests, perSecond = 1500, 50
-	var wait sync.WaitGroup
-	var mu sync.Mutex
-	statuses := map[string]int{}
-	for i := range requests {
-		wait.Add(1)
-		go func() {
-			defer wait.Done()
-			method, path := http.MethodGet, "/lesen/"+newID()
-			if i%2 == 0 {
-				method, path = http.MethodPost, "/buchen/1"
-			}
-			r := callRequest(s.entry(i), method, path).send()
-			mu.Lock()
-			statuses[fmt.Sprintf("%s %d, error %v", method, r.status, r.err)]++
-			mu.Unlock()
-			if r.status/100 != 2 || r.err != nil {
-				s.note("%s %s: status %d, error %v", method, r.id, r.status, r.err)
-				return
-			}
-			if r.header.Get("X-Response-Signature") == "" {
-				s.breaks("%s %s got status %d without X-Response-Signature; header %v", method, r.id, r.status, r.header)
-			}
-			if r.body != wholeBody(r.id) {
-				s.breaks("%s %s got another body", method, r.id)
+	stop := s.trickle(30, func(n int) { callRequest(s.entry(n), http.MethodGet, "/lesen/"+newID()).send() })
+	defer stop()
+	const path, rounds = "/egretproxy/evacuation/bern-a", 3
+	for round := range rounds {
+		s.note("round %d", round+1)
+		s.order(http.MethodPost, path, nil)
+		time.Sleep(evacuationTime)
+		leader := s.leader()
+		other, third := (leader+1)%3, (leader+2)%3
+		if s.trouble {
+			s.note("%s, which leads, is frozen", s.keepers[leader].name)
+			s.keepers[leader].signal(syscall.SIGSTOP)
+			frozenUntil := time.Now().Add(freezeTime)
+			time.AfterFunc(time.Until(frozenUntil), func() {
+				s.keepers[leader].signal(syscall.SIGCONT)
+				s.note("%s goes on", s.keepers[leader].name)
+			})
+		}
+		status, _, err := s.call(http.MethodDelete, s.seeds()[other], path, nil)
+		s.note("operator: DELETE at %s: status %d, error %v", s.keepers[other].name, status, err)
+		var acked time.Time
+		for begun := time.Now(); acked.IsZero(); {
+			status, _, err = s.call(http.MethodPost, s.seeds()[third], path, nil)
+			s.note("operator: POST at %s: status %d, error %v", s.keepers[third].name, status, err)
+			if err == nil && status/100 == 2 {
+				acked = time.Now()
+			} else if time.Since(begun) > contactTime {
+				break
 			}
-		}()
-		time.Sleep(time.Second / perSecond)
-	}
-	wait.Wait()
-	for k, n := range statuses {
-		s.note("%d times: %s", n, k)
+		}
+		if acked.IsZero() {
+			s.note("the second evacuation was not acknowledged; the round shows nothing")
+			time.Sleep(freezeTime)
+			s.order(http.MethodDelete, path, nil)
+			continue
+		}
+		// All machines are in touch contactTime after the end of the freeze.
+		from := acked.Add(max(evacuationTime, freezeTime+contactTime))
+		time.Sleep(time.Until(from) + 3*time.Second)
+		runs := s.runsAfter(s.engines[0], from)
+		s.note("%d requests reached the engine in bern-a later than %v after the acknowledgement", len(runs), from.Sub(acked))
+		if len(runs) > 0 {
+			s.breaks("round %d: %d requests reached the engine in the evacuated zone; %v and more after the acknowledgement, the first: %s",
+				round+1, len(runs), from.Sub(acked), runs[0])
+		}
+		s.order(http.MethodDelete, path, nil)
+		time.Sleep(time.Second)
 	}
 }
--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -49,7 +49,7 @@
 }
 
 func (e *engine) log(format string, args ...any) {
-	fmt.Printf("%s %s %s\n", time.Now().Format("15:04:05.000"), e.id, fmt.Sprintf(format, args...))
+	fmt.Printf("%d %s %s\n", time.Now().UnixMilli(), e.id, fmt.Sprintf(format, args...))
 }
 
 // runEngine serves until it has left as planned, which SIGTERM asks for.
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -355,6 +356,8 @@
 	if err != nil {
 		return 0, nil, err
 	}
+	// The operator uses a connection for one call.
+	r.Close = true
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return 0, nil, err
@@ -419,3 +422,73 @@
 }
 
 func (s *site) entry(n int) string { return address(s.host(1+n%len(zones)), frontendPort) }
+
+// leader returns the number of the keeper that leads, by what the keepers logged.
+func (s *site) leader() int {
+	at, leader := "", 0
+	for i, k := range s.keepers {
+		for _, line := range s.lines(k, "Leadership changed") {
+			var entry struct {
+				Time  string `json:"time"`
+				Leads bool   `json:"Leads"`
+			}
+			if json.Unmarshal([]byte(line), &entry) == nil && entry.Leads && entry.Time > at {
+				at, leader = entry.Time, i
+			}
+		}
+	}
+	return leader
+}
+
+// lines returns the lines that a process logged with a text.
+func (s *site) lines(p *process, text string) []string {
+	data, err := os.ReadFile(p.log.Name())
+	if err != nil {
+		s.fail("%v", err)
+	}
+	var out []string
+	for line := range strings.Lines(string(data)) {
+		if strings.Contains(line, text) {
+			out = append(out, strings.TrimSpace(line))
+		}
+	}
+	return out
+}
+
+// runsAfter returns the requests that an engine began to run after a time.
+func (s *site) runsAfter(e *engineProcess, from time.Time) []string {
+	var out []string
+	for _, line := range s.lines(e.process, " runs ") {
+		at, rest, _ := strings.Cut(line, " ")
+		if ms, err := strconv.ParseInt(at, 10, 64); err == nil && ms > from.UnixMilli() {
+			out = append(out, fmt.Sprintf("%d ms after it: %s", ms-from.UnixMilli(), rest))
+		}
+	}
+	return out
+}
+
+// trickle sends requests at a rate until the returned function is called, which waits
+// for the last one.
+func (s *site) trickle(perSecond int, send func(n int)) (stop func()) {
+	done := make(chan struct{})
+	var wait sync.WaitGroup
+	wait.Add(1)
+	go func() {
+		defer wait.Done()
+		ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+		defer ticker.Stop()
+		for n := 0; ; n++ {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+				wait.Add(1)
+				go func() {
+					defer wait.Done()
+					send(n)
+				}()
+			}
+		}
+	}()
+	return func() { close(done); wait.Wait() }
+}
