--- a/review/standin-2/case6.go
+++ b/review/standin-2/case6.go
@@ -1,97 +1,28 @@
 package main
 
 import (
-	"net/http"
-	"strings"
-	"sync"
-	"syscall"
+	"fmt"
 	"time"
 )
 
-// cases holds the cases by their number.
-var cases = map[string]func(*site){"6": playLeavingEngine, "7": playUndoneEvacuation, "8": playSpoiltAnswers}
-
-const streamEvents = 24
-
-func streamRoute(service string) map[string]any {
-	return map[string]any{
-		"name": "r-2xp4zhp", "host": "hulo84.example", "pathPrefix": "/stream/", "kind": "streaming", "timeoutMs": 6000,
-		"targetLatencyMs": 400, "priority": 1, "service": service, "maxAttempts": 2, "public": false, "sessionAffinity": true,
-		"streamResumption": true, "gapTargetMs": 300, "allowedRegions": []string{},
-	}
-}
-
-func modelService(name string) map[string]any {
-	return map[string]any{
-		"name": name, "healthCheckPath": "/health", "connectionLimit": 344, "protocol": "h1", "tls": false, "coldStartS": 3.0, "coldPerS": 36.0,
-		"engineKind": map[string]any{
-			"slots": 16, "kvCapacityTokens": 1640000, "kvTokenBytes": 163840, "linkMbps": 400000.0, "stride": 6,
-			"modelList": []any{map[string]any{"name": "daka510000", "pace": 1.0, "loadTimeS": 4.0, "warmupS": 0.3}},
-			"sizeMb":    282000.0, "adapterCapacity": 8, "loadsPerS": 0.0, "step_ms": 6.73, "per_seq_ms": 0.0219, "context_per_k": 0.0068,
-			"read_per_s": 30600.0, "pairs_per_m": 0.647, "chunk": 2048, "report_lag_ms": 200.0, "loads_at_once": 8, "delays": []any{},
-			"usual": map[string]any{"prompt": 964, "answer": 119}, "layers": 16, "layer_mb": 4540.0, "act_bytes": 16384, "pipe_mbps": 0.0,
-			"chunks": 48, "chunkBytes": 49152,
-		},
-	}
-}
-
-func streamRequest(entry string) request {
-	return request{
-		entry: entry, method: http.MethodPost, host: "hulo84.example", path: "/stream/2f", id: newID(), body: strings.Repeat("x", 600),
-		deadline: 6 * time.Second, header: "X-Model: daka510000\r\nX-Token-Usage: 1460,144\r\nX-Prompt-Prefix: 5c1e07a2:40," + newID()[:8] + ":1420\r\n",
-	}
-}
-
-// playLeavingEngine sends streams to three engines whose answers have no length, and
-// empties one of the engines while they run.
-func playLeavingEngine(s *site) {
-	s.startRoles()
-	for n := range 3 {
-		s.startEngine(n, "huvo11a", true, "-model", "-unframed", "-events", "24", "-gap", "150ms")
-	}
-	s.order(http.MethodPut, "/egretproxy/configuration", document(7, []any{streamRoute("huvo11a")}, []any{modelService("huvo11a")}))
-	s.awaitEntries(func(entry string) bool {
-		r := streamRequest(entry).send()
-		n, exact := r.events()
-		return r.status == http.StatusOK && r.err == nil && n == streamEvents && exact
-	})
-	const streams = 18
-	var wait sync.WaitGroup
-	results := make([]result, streams)
-	for i := range streams {
-		wait.Add(1)
-		go func() {
-			defer wait.Done()
-			results[i] = streamRequest(s.entry(i)).send()
-		}()
-	}
-	// The streams take 3.6 s. The engine serves for 2.3 s from the acknowledgement.
-	time.Sleep(500 * time.Millisecond)
-	if s.trouble {
-		s.note("%s is asked to leave", s.engines[0].id)
-		s.engines[0].signal(syscall.SIGTERM)
-	}
-	wait.Wait()
-	s.judgeStreams(results)
-}
-
-// judgeStreams checks that no stream ends as complete before its last piece.
-func (s *site) judgeStreams(results []result) {
-	whole := 0
-	for _, r := range results {
-		n, exact := r.events()
-		s.note("stream %s: status %d, %d events, signature %s, error %v", r.id, r.status, n, r.header.Get("X-Response-Signature"), r.err)
-		switch {
-		case r.status == http.StatusOK && !exact:
-			s.breaks("stream %s holds something other than its events in order", r.id)
-		case r.status == http.StatusOK && r.err == nil && n < streamEvents:
-			s.breaks("stream %s ended as complete after %d of %d events", r.id, n, streamEvents)
-		case r.status == http.StatusOK && r.err == nil:
-			whole++
+// playCrash sends streams to engines whose answers have no length, and kills one of
+// the engines while they run. Another one starts at its address seconds later.
+func playCrash(s *site) {
+	s.startModelSite("60ms")
+	for round := range 12 {
+		crashing := s.engines[round%engineCount]
+		results := s.streams(90, func() {
+			if s.trouble {
+				s.note("%s crashes", crashing.id)
+				crashing.kill()
+			}
+		})
+		s.judgeStreams(results)
+		if s.trouble {
+			crashing.id = fmt.Sprintf("%s-%d", crashing.id, round)
+			crashing.args[3] = crashing.id
+			s.launch(crashing.process)
+			time.Sleep(1500 * time.Millisecond)
 		}
 	}
-	s.note("%d of %d streams are whole", whole, len(results))
-	if whole == 0 {
-		s.fail("no stream was served")
-	}
 }
--- a/review/standin-2/case8.go
+++ b/review/standin-2/case8.go
@@ -1,87 +1,115 @@
 package main
 
 import (
-	"fmt"
 	"net/http"
+	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
-func callRoute(name, prefix, kind, service string) map[string]any {
-	attempts := 1
-	if kind == "idempotent" {
-		attempts = 2
-	}
+// cases holds the cases by their number.
+var cases = map[string]func(*site){
+	"6": playCrash, "7": playUndoneEvacuation, "8": playLeavingEngine, "9": playSpoiltAnswers,
+}
+
+const streamEvents = 24
+
+func streamRoute(service string) map[string]any {
 	return map[string]any{
-		"name": name, "host": "jepu9.example", "pathPrefix": prefix, "kind": kind, "timeoutMs": 1500, "targetLatencyMs": 300, "priority": 2,
-		"service": service, "maxAttempts": attempts, "public": false, "sessionAffinity": false, "streamResumption": false, "allowedRegions": []string{},
+		"name": "r-2xp4zhp", "host": "hulo84.example", "pathPrefix": "/stream/", "kind": "streaming", "timeoutMs": 6000,
+		"targetLatencyMs": 400, "priority": 1, "service": service, "maxAttempts": 2, "public": false, "sessionAffinity": true,
+		"streamResumption": true, "gapTargetMs": 300, "allowedRegions": []string{},
 	}
 }
 
-func plainService(name string) map[string]any {
+func modelService(name string) map[string]any {
 	return map[string]any{
-		"name": name, "healthCheckPath": "/health", "connectionLimit": 54, "protocol": "h1", "tls": false, "coldStartS": 0.0, "coldPerS": 0.0,
+		"name": name, "healthCheckPath": "/health", "connectionLimit": 344, "protocol": "h1", "tls": false, "coldStartS": 3.0, "coldPerS": 36.0,
+		"engineKind": map[string]any{
+			"slots": 16, "kvCapacityTokens": 1640000, "kvTokenBytes": 163840, "linkMbps": 400000.0, "stride": 6,
+			"modelList": []any{map[string]any{"name": "daka510000", "pace": 1.0, "loadTimeS": 4.0, "warmupS": 0.3}},
+			"sizeMb":    282000.0, "adapterCapacity": 8, "loadsPerS": 0.0, "step_ms": 6.73, "per_seq_ms": 0.0219, "context_per_k": 0.0068,
+			"read_per_s": 30600.0, "pairs_per_m": 0.647, "chunk": 2048, "report_lag_ms": 200.0, "loads_at_once": 8, "delays": []any{},
+			"usual": map[string]any{"prompt": 964, "answer": 119}, "layers": 16, "layer_mb": 4540.0, "act_bytes": 16384, "pipe_mbps": 0.0,
+			"chunks": 48, "chunkBytes": 49152,
+		},
 	}
 }
 
-func callRequest(entry, method, path string) request {
-	q := request{entry: entry, method: method, host: "jepu9.example", path: path, id: newID(), deadline: 3 * time.Second}
-	if method == http.MethodPost {
-		q.body = fmt.Sprintf("{\"emptied\":%q}", q.id)
+func streamRequest(entry string) request {
+	return request{
+		entry: entry, method: http.MethodPost, host: "hulo84.example", path: "/stream/2f", id: newID(), body: strings.Repeat("x", 600),
+		deadline: 6 * time.Second, header: "X-Model: daka510000\r\nX-Token-Usage: 1460,144\r\nX-Prompt-Prefix: 5c1e07a2:40," + newID()[:8] + ":1420\r\n",
 	}
-	return q
 }
 
-// playSpoiltAnswers sends calls to three engines of a plain service, one of which
-// hands out wrong bytes.
-func playSpoiltAnswers(s *site) {
-	for n := range 3 {
-		flags := []string{"-gap", "30ms"}
-		if n == 0 && s.trouble {
-			flags = append(flags, "-spoilt", "0.03")
-		}
-		if n == 0 {
-			s.startRoles()
-		}
-		s.startEngine(n, "kafi81c", false, flags...)
+// engineCount is such that one engine is the share that a disruption may take.
+const engineCount = 6
+
+// startModelSite starts a site of model engines whose answers have no length, with a
+// pause between the events of streams.
+func (s *site) startModelSite(gap string) {
+	s.startRoles()
+	for n := range engineCount {
+		s.startEngine(n, "huvo11a", true, "-model", "-unframed", "-events", "24", "-gap", gap)
 	}
-	routes := []any{callRoute("r-lesen", "/lesen/", "idempotent", "kafi81c"), callRoute("r-buchen", "/buchen/", "non_idempotent", "kafi81c")}
-	s.order(http.MethodPut, "/egretproxy/configuration", document(7, routes, []any{plainService("kafi81c")}))
+	s.order(http.MethodPut, "/egretproxy/configuration", document(7, []any{streamRoute("huvo11a")}, []any{modelService("huvo11a")}))
 	s.awaitEntries(func(entry string) bool {
-		r := callRequest(entry, http.MethodGet, "/lesen/1").send()
-		return r.status == http.StatusOK && r.err == nil && r.body == wholeBody(r.id)
+		r := streamRequest(entry).send()
+		n, exact := r.events()
+		return r.status == http.StatusOK && r.err == nil && n == streamEvents && exact
 	})
-	const requests, perSecond = 1500, 50
+}
+
+// streams sends streams at once, calls disrupt when they run, and returns what their
+// clients got.
+func (s *site) streams(count int, disrupt func()) []result {
 	var wait sync.WaitGroup
-	var mu sync.Mutex
-	statuses := map[string]int{}
-	for i := range requests {
+	results := make([]result, count)
+	for i := range count {
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			method, path := http.MethodGet, "/lesen/"+newID()
-			if i%2 == 0 {
-				method, path = http.MethodPost, "/buchen/1"
-			}
-			r := callRequest(s.entry(i), method, path).send()
-			mu.Lock()
-			statuses[fmt.Sprintf("%s %d, error %v", method, r.status, r.err)]++
-			mu.Unlock()
-			if r.status/100 != 2 || r.err != nil {
-				s.note("%s %s: status %d, error %v", method, r.id, r.status, r.err)
-				return
-			}
-			if r.header.Get("X-Response-Signature") == "" {
-				s.breaks("%s %s got status %d without X-Response-Signature; header %v", method, r.id, r.status, r.header)
-			}
-			if r.body != wholeBody(r.id) {
-				s.breaks("%s %s got another body", method, r.id)
-			}
+			results[i] = streamRequest(s.entry(i)).send()
 		}()
-		time.Sleep(time.Second / perSecond)
 	}
+	time.Sleep(500 * time.Millisecond)
+	disrupt()
 	wait.Wait()
-	for k, n := range statuses {
-		s.note("%d times: %s", n, k)
+	return results
+}
+
+// playLeavingEngine sends streams to engines whose answers have no length, and
+// empties one of the engines while they run. The streams take 3.6 s; the engine
+// serves for 2.3 s from the acknowledgement that it leaves.
+func playLeavingEngine(s *site) {
+	s.startModelSite("150ms")
+	s.judgeStreams(s.streams(36, func() {
+		if s.trouble {
+			s.note("%s is asked to leave", s.engines[0].id)
+			s.engines[0].signal(syscall.SIGTERM)
+		}
+	}))
+}
+
+// judgeStreams checks that no stream ends as complete before its last piece.
+func (s *site) judgeStreams(results []result) {
+	whole := 0
+	for _, r := range results {
+		n, exact := r.events()
+		s.note("stream %s: status %d, %d events, signature %s, error %v", r.id, r.status, n, r.header.Get("X-Response-Signature"), r.err)
+		switch {
+		case r.status == http.StatusOK && !exact:
+			s.breaks("stream %s holds something other than its events in order", r.id)
+		case r.status == http.StatusOK && r.err == nil && n < streamEvents:
+			s.breaks("stream %s ended as complete after %d of %d events", r.id, n, streamEvents)
+		case r.status == http.StatusOK && r.err == nil:
+			whole++
+		}
+	}
+	s.note("%d of %d streams are whole", whole, len(results))
+	if whole == 0 {
+		s.fail("no stream was served")
 	}
 }
