--- a/review/standin-2/case7.go
+++ b/review/standin-2/case7.go
@@ -21,14 +21,14 @@
 	for n := range 3 {
 		s.startEngine(n, "kafi81c", false, "-gap", "30ms")
 	}
-	s.order(http.MethodPut, "/egretproxy/configuration", document(7, []any{callRoute("r-lesen", "/lesen/", "idempotent", "kafi81c")}, []any{plainService("kafi81c")}))
+	s.order(http.MethodPut, words["configuration"], document(7, []any{callRoute("r-lesen", "/lesen/", "idempotent", "kafi81c")}, []any{plainService("kafi81c")}))
 	s.awaitEntries(func(entry string) bool {
 		r := callRequest(entry, http.MethodGet, "/lesen/1").send()
 		return r.status == http.StatusOK && r.err == nil
 	})
 	stop := s.trickle(30, func(n int) { callRequest(s.entry(n), http.MethodGet, "/lesen/"+newID()).send() })
 	defer stop()
-	const path, rounds = "/egretproxy/evacuation/bern-a", 3
+	path, rounds := words["evacuation"]+"bern-a", 3
 	for round := range rounds {
 		s.note("round %d", round+1)
 		s.order(http.MethodPost, path, nil)
--- a/review/standin-2/case8.go
+++ b/review/standin-2/case8.go
@@ -40,7 +40,7 @@
 func streamRequest(entry string) request {
 	return request{
 		entry: entry, method: http.MethodPost, host: "hulo84.example", path: "/stream/2f", id: newID(), body: strings.Repeat("x", 600),
-		deadline: 6 * time.Second, header: "X-Model: daka510000\r\nX-Token-Usage: 1460,144\r\nX-Prompt-Prefix: 5c1e07a2:40," + newID()[:8] + ":1420\r\n",
+		deadline: 6 * time.Second, header: "X-Model: daka510000\r\n" + words["usage"] + ": 1460,144\r\n" + words["prompt"] + ": 5c1e07a2:40," + newID()[:8] + ":1420\r\n",
 	}
 }
 
@@ -54,7 +54,7 @@
 	for n := range engineCount {
 		s.startEngine(n, "huvo11a", true, "-model", "-unframed", "-events", "24", "-gap", gap)
 	}
-	s.order(http.MethodPut, "/egretproxy/configuration", document(7, []any{streamRoute("huvo11a")}, []any{modelService("huvo11a")}))
+	s.order(http.MethodPut, words["configuration"], document(7, []any{streamRoute("huvo11a")}, []any{modelService("huvo11a")}))
 	s.awaitEntries(func(entry string) bool {
 		r := streamRequest(entry).send()
 		n, exact := r.events()
@@ -98,7 +98,7 @@
 	whole := 0
 	for _, r := range results {
 		n, exact := r.events()
-		s.note("stream %s: status %d, %d events, signature %s, error %v", r.id, r.status, n, r.header.Get("X-Response-Signature"), r.err)
+		s.note("stream %s: status %d, %d events, signature %s, error %v", r.id, r.status, n, r.header.Get(words["signature"]), r.err)
 		switch {
 		case r.status == http.StatusOK && !exact:
 			s.breaks("stream %s holds something other than its events in order", r.id)
--- a/review/standin-2/case9.go
+++ b/review/standin-2/case9.go
@@ -46,7 +46,7 @@
 		s.startEngine(n, "kafi81c", false, flags...)
 	}
 	routes := []any{callRoute("r-lesen", "/lesen/", "idempotent", "kafi81c"), callRoute("r-buchen", "/buchen/", "non_idempotent", "kafi81c")}
-	s.order(http.MethodPut, "/egretproxy/configuration", document(7, routes, []any{plainService("kafi81c")}))
+	s.order(http.MethodPut, words["configuration"], document(7, routes, []any{plainService("kafi81c")}))
 	s.awaitEntries(func(entry string) bool {
 		r := callRequest(entry, http.MethodGet, "/lesen/1").send()
 		return r.status == http.StatusOK && r.err == nil && r.body == wholeBody(r.id)
@@ -71,8 +71,8 @@
 				s.note("%s %s: status %d, error %v", method, r.id, r.status, r.err)
 				return
 			}
-			if r.header.Get("X-Response-Signature") == "" {
-				s.breaks("%s %s got status %d without X-Response-Signature; header %v", method, r.id, r.status, r.header)
+			if r.header.Get(words["signature"]) == "" {
+				s.breaks("%s %s got status %d without a signature; header %v", method, r.id, r.status, r.header)
 			}
 			if r.body != wholeBody(r.id) {
 				s.breaks("%s %s got another body", method, r.id)
--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -46,8 +46,8 @@
 func (q request) sendOn(c net.Conn, br *bufio.Reader) result {
 	out := result{id: q.id}
 	_ = c.SetDeadline(time.Now().Add(q.deadline + time.Second))
-	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nX-Api-Key: %s\r\n%s",
-		q.method, q.path, q.host, q.id, q.deadline.Milliseconds(), clientKey, q.header)
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %s\r\n%s", q.method, q.path, q.host,
+		words["attempt"], q.id, words["deadline"], q.deadline.Milliseconds(), words["key"], clientKey, q.header)
 	if q.body != "" || q.method == http.MethodPost {
 		text += fmt.Sprintf("Content-Length: %d\r\n", len(q.body))
 	}
--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -127,7 +127,7 @@
 	e.mu.Unlock()
 	out := map[string]any{
 		"service": e.service, "address": e.listen, "zone": e.zone, "version": "v1", "slots": 16, "state": state,
-		"coldRemainingMs": 0, "sequenceNumber": e.sequence.Add(1), "born": e.born,
+		words["cold"]: 0, "sequenceNumber": e.sequence.Add(1), "born": e.born,
 	}
 	if e.model {
 		for k, v := range e.weights() {
@@ -143,7 +143,7 @@
 	for i := range e.control {
 		keeper := e.control[(int(e.sequence.Load())+i)%len(e.control)]
 		ctx, cancel := context.WithTimeout(context.Background(), beatTimeout)
-		r, _ := http.NewRequestWithContext(ctx, method, "http://"+keeper+"/egretproxy/instances/"+e.id, bytes.NewReader(body))
+		r, _ := http.NewRequestWithContext(ctx, method, "http://"+keeper+words["instances"]+e.id, bytes.NewReader(body))
 		response, err := http.DefaultClient.Do(r)
 		if err == nil {
 			_, _ = io.Copy(io.Discard, response.Body)
@@ -177,7 +177,7 @@
 
 // answer answers a request and reports whether the connection is kept.
 func (e *engine) answer(c net.Conn, r *http.Request, body []byte) bool {
-	if strings.HasPrefix(r.URL.Path, "/egretproxy/report") {
+	if r.URL.Path == words["report"] {
 		report := map[string]any{
 			"busy": false, "sequenceNumber": 0, "queuedRequests": 0, "activeRequests": e.active.Load(), "kvInUse": 0,
 			"kvCapacity": 1640000, "kvHandles": 0, "born": e.born, "pace": 1.0,
@@ -189,23 +189,23 @@
 		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(data), data)
 		return err == nil
 	}
-	id := r.Header.Get("X-Attempt-Id")
-	head := fmt.Sprintf("X-Attempt-Id: %s\r\nX-Response-Signature: %s.%s\r\n", id, e.id, id)
-	if expected := r.Header.Get("X-Expected-Instance"); expected != "" && expected != e.id {
-		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
+	id := r.Header.Get(words["attempt"])
+	head := fmt.Sprintf("%s: %s\r\n%s: %s.%s\r\n", words["attempt"], id, words["signature"], e.id, id)
+	if expected := r.Header.Get(words["expected"]); expected != "" && expected != e.id {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", words["attempt"], id, words["notRun"])
 		return err == nil
 	}
 	e.active.Add(1)
 	defer e.active.Add(-1)
 	e.log("runs %s %s %s, %d bytes, last id %q", id, r.Method, r.URL.RequestURI(), len(body), r.Header.Get("Last-Event-Id"))
 	if e.model {
-		head += "X-Weight-Versions: 1\r\n"
+		head += words["versions"] + ": 1\r\n"
 	}
 	if !strings.HasPrefix(r.URL.Path, "/stream/") {
 		time.Sleep(e.gap)
 		text := wholeBody(id)
 		if rand.Float64() < e.spoilt {
-			head = strings.Replace(head, "X-Response-Signature", "X-Re\x60ponse-Si\x60nature", 1)
+			head = strings.Replace(head, words["signature"], strings.NewReplacer("sp", "\x60p", "gn", "\x60n").Replace(words["signature"]), 1)
 			e.log("hands out wrong bytes for %s", id)
 		}
 		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", head, len(text), text)
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	_ "embed" // for settingsText
 	"encoding/json"
 	"fmt"
 	"io"
@@ -36,67 +37,9 @@
 
 // settingsText is the settings file as DEPLOY.md shows it, with the bounds of the
 // site brunner-routen.
-const settingsText = `nodeName = "$NAME"
-role = "$ROLE"
-machineClass = "$CLASS"
-serves = ["$SERVES"]
-ipAddress = "$ADDRESS"
-zone = "$ZONE"
-region = "$REGION"
-internalPortRange = [7700,7715]
-seedNodes = ["$SEEDS"]
-firstStart = $FIRST
-faultCounted = $COUNTED
-$DISK
-discoverySource = "registration"
-entryKind = "virtual_ip"
-heartbeatIntervalMs = 1200
-contracts = ["base","drain","config","cost","retry","recover","engine","stream","tenants","places","chunks"]
-configurationMode = "highest"
-$APP
-[zones]
-bern-a = "mittelland"
-stgallen-a = "ostschweiz"
-lausanne-a = "romandie"
-[listenAddresses]
-$LISTEN
-[limits]
-cpuShare = 0.72
-cpuCores = 1
-memoryMb = 284
-fileDescriptors = 4100
-linkMbps = 1000.0
-diskMb = 64
-[faultTolerance]
-machines = 1
-zones = 1
-regions = 0
-[bounds]
-seedLagS = 3
-addressReuseS = 2
-contactMs = 3000
-ackTimeoutMs = 4000
-catchUpS = 4
-drainTimeoutMs = 2000
-gracePeriodS = 8
-lossSlackMs = 200
-configApplyMs = 2000
-downgradeSlackMs = 250
-outerBoundMs = 5000
-revokePartitioned = true
-revocationMs = 5000
-retryBudgetRatio = 0.2
-retryWindowS = 10
-retryAllowance = 108
-coldOverrun = 1.5
-coldAllowance = 5
-evacuationMs = 5000
-recoveryTimeS = 12
-eventLatencyMs = 120
-retryAfterS = 0
-version_ms = 8000
-version_all_ms = 0
-`
+//
+//go:embed settings.tmpl
+var settingsText string
 
 // process is one process that the case starts.
 type process struct {
@@ -301,7 +244,7 @@
 
 func (s *site) role(name, role, class, serves, host string, zone int, app, service string) *process {
 	path := s.writeSettings(name, role, class, serves, host, zone, true, app, service)
-	return s.newProcess(name+"-"+role, []string{"EGRETPROXY_SETTINGS=" + path}, s.program, "platform", role)
+	return s.newProcess(name+"-"+role, []string{words["settings"] + "=" + path}, s.program, "platform", role)
 }
 
 func (s *site) launch(p *process) {
@@ -405,7 +348,7 @@
 	for i := range zones {
 		host := s.host(1 + i)
 		for {
-			response, err := http.Get("http://" + address(host, readyPort) + "/egretproxy/readiness")
+			response, err := http.Get("http://" + address(host, readyPort) + words["readiness"])
 			if err == nil {
 				_ = response.Body.Close()
 			}
