intake: bound the bytes that wait unread at the listeners

Callers that send bodies and stop, or go on after a refusal, took far more memory than their instance has: bytes that arrived and were not read count as memory of the process, and neither the intake nor the tests saw them.

Cause: the system lengthens a receive buffer to megabytes while its reader keeps up. Then the reader stops, when a body waits for room or in the half second in which a refused caller may still send, and the buffer fills, once for each connection.

The listeners now have a receive buffer that follows from the memory: a quarter of it for all connections and listen queues, 8 to 128 KiB each. It is set at the listener, so that it is in force before the first byte. A listen queue holds 256 connections.

The older TestCrowd tests check the same sum from now on. They run one at a time after the other tests.

--- a/Makefile
+++ b/Makefile
@@ -9,8 +9,11 @@
 demo: build
 	@bash scripts/demo.sh
 
+# The TestCrowd tests measure the memory of processes, one at a time and apart from
+# other load.
 test:
-	$(GO) test -race -count=1 -timeout 30m $(if $(SKIP),-skip '$(SKIP)') ./...
+	$(GO) test -race -count=1 -timeout 30m -skip '^TestCrowd$(if $(SKIP),|$(SKIP))' ./...
+	$(GO) test -race -count=1 -timeout 30m -p 1 -run '^TestCrowd' $(if $(SKIP),-skip '$(SKIP)') ./platform/soak ./internal/system
 
 lint:
 	@out=$$($(TOOL) gofumpt -l .); if [ -n "$$out" ]; then echo "not formatted: $$out"; exit 1; fi
--- a/internal/admission/intake/conns.go
+++ b/internal/admission/intake/conns.go
@@ -1,6 +1,13 @@
 package intake
 
-import "time"
+import (
+	"net"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"egretproxy/internal/kernel/socket"
+)
 
 // Use is what a connection is used for.
 type Use int
@@ -25,6 +32,24 @@
 	Drop()
 }
 
+// Listen applies the limits to what waits at a listener in the system.
+func (in *Intake) Listen(l net.Listener) {
+	raw := socket.Raw(l)
+	if raw == nil {
+		return
+	}
+	if in.UnreadBytes > 0 {
+		if err := socket.LimitUnread(raw, in.UnreadBytes); err != nil {
+			klog.ErrorS(err, "Receive buffers can't be limited", "Listener", l.Addr().String())
+		}
+	}
+	if in.Queue > 0 {
+		if err := socket.LimitQueue(raw, in.Queue); err != nil {
+			klog.ErrorS(err, "Listen queue can't be limited", "Listener", l.Addr().String())
+		}
+	}
+}
+
 // Open records a connection. If that exceeds the limit, it closes the one that is
 // the least use, and reports false if that is the new one.
 func (in *Intake) Open(c Conn) bool {
@@ -60,6 +85,26 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	delete(in.conns, c)
+	delete(in.wide, c)
+}
+
+// WideBytes is what the system may keep unread of a connection with a long request,
+// so that one from afar arrives at a good rate.
+const WideBytes = 256 << 10
+
+// Widen reports whether WideBytes may wait unread at an open connection from now on
+// until it is closed, as a receive buffer can't be shortened safely.
+func (in *Intake) Widen(c Conn) bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if _, open := in.conns[c]; !open || in.UnreadBytes >= WideBytes || len(in.wide) >= in.Wide {
+		return false
+	}
+	if in.wide == nil {
+		in.wide = map[Conn]struct{}{}
+	}
+	in.wide[c] = struct{}{}
+	return true
 }
 
 // leastUse returns the connection to be closed for a new one, or nil if all are in
--- a/internal/admission/intake/intake.go
+++ b/internal/admission/intake/intake.go
@@ -44,6 +44,14 @@
 	Bytes int64
 	// Conns limits the open connections.
 	Conns int
+	// UnreadBytes limits the bytes that the system keeps of a connection until they are
+	// read. 0 leaves it to the system.
+	UnreadBytes int
+	// Queue limits the connections that wait at a listener to be accepted. 0 leaves
+	// it to the system.
+	Queue int
+	// Wide limits the connections with WideBytes in place of UnreadBytes.
+	Wide int
 	// OnRefuse is called with the reason when a request or a connection is given
 	// up. It may be nil, must not block, and must not call the intake.
 	OnRefuse func(reason string)
@@ -54,6 +62,8 @@
 	// claims holds those with counted bytes.
 	claims map[*Claim]struct{}
 	conns  map[Conn]struct{}
+	// wide are those of conns with WideBytes.
+	wide map[Conn]struct{}
 }
 
 // Claim is the room that one request takes. Create one with Intake.Claim. The mutex
--- a/internal/admission/intake/intake_test.go
+++ b/internal/admission/intake/intake_test.go
@@ -122,3 +122,39 @@
 		}
 	})
 }
+
+// TestWideBuffersAreBounded has connections that end in time and ones that are unknown.
+func TestWideBuffersAreBounded(t *testing.T) {
+	in := &Intake{UnreadBytes: minUnread, Wide: 2}
+	var conns []*fakeConn
+	for range 4 {
+		c := &fakeConn{}
+		in.Open(c)
+		conns = append(conns, c)
+	}
+	in.Closed(conns[0])
+	var got []bool
+	for _, c := range conns {
+		got = append(got, in.Widen(c))
+	}
+	in.Closed(conns[1])
+	got = append(got, in.Widen(conns[3]))
+	if diff := cmp.Diff([]bool{false, true, true, false, true}, got); diff != "" {
+		t.Errorf("connections with a longer buffer (-want +got):\n%s", diff)
+	}
+}
+
+// TestUnreadBytesFitTheMemory checks the sum of all that may wait in the system for the
+// instances that the users run.
+func TestUnreadBytesFitTheMemory(t *testing.T) {
+	for _, c := range []struct {
+		memoryMb    int64
+		descriptors int
+	}{{96, 500}, {152, 1848}, {184, 3900}, {264, 5950}, {284, 3900}, {544, 8000}, {24 << 10, 1 << 20}, {24 << 10, 1024}} {
+		in := New(c.memoryMb<<20, c.descriptors)
+		sum := int64(in.UnreadBytes)*int64(in.Conns+listenersPerProcess*in.Queue) + int64(in.Wide)*WideBytes
+		if limit := int64((unreadFraction + wideFraction) * float64(c.memoryMb<<20)); sum > limit || in.UnreadBytes < minUnread {
+			t.Errorf("%d MiB and %d descriptors: %d bytes each, %d in all, want at most %d", c.memoryMb, c.descriptors, in.UnreadBytes, sum, limit)
+		}
+	}
+}
--- a/internal/admission/intake/process.go
+++ b/internal/admission/intake/process.go
@@ -25,6 +25,20 @@
 	// runtime is taken for.
 	runtimeFraction = 0.6
 	minConns        = 16
+	// unreadFraction is the fraction of the memory for bytes that have arrived at
+	// connections, accepted or not, and wait in the system.
+	unreadFraction = 0.25
+	// minUnread is room for a short request, and maxUnread what most systems begin
+	// with.
+	minUnread, maxUnread = 8 << 10, 128 << 10
+	// queueLength is many times the connections that arrive while a process doesn't
+	// run for a second.
+	queueLength = 256
+	// listenersPerProcess is the largest number in any role.
+	listenersPerProcess = 4
+	// wideFraction is the fraction of the memory for the longer receive buffers of
+	// long requests, WideBytes each.
+	wideFraction = 1.0 / 16
 )
 
 // New returns an intake for a process with memory in bytes and a number of
@@ -36,15 +50,19 @@
 	if descriptors <= 0 {
 		descriptors = systemDescriptors()
 	}
+	conns := max(min(int(connsFraction*float64(descriptors)), int(memory/memoryPerConn)), minConns)
+	unread := int64(unreadFraction*float64(memory)) / int64(conns+listenersPerProcess*queueLength)
 	return &Intake{
-		Bytes: int64(bytesFraction * float64(memory)),
-		Conns: max(min(int(connsFraction*float64(descriptors)), int(memory/memoryPerConn)), minConns),
+		Bytes: int64(bytesFraction * float64(memory)), Conns: conns,
+		UnreadBytes: int(min(max(unread, minUnread), maxUnread)), Queue: queueLength,
+		Wide: int(wideFraction * float64(memory) / WideBytes),
 	}
 }
 
 var (
 	processMu sync.Mutex
 	process   *Intake
+	peers     *Intake
 )
 
 // SetProcess replaces the intake of the process. It must be called before the first
--- a/internal/kernel/httpserver/httpserver.go
+++ b/internal/kernel/httpserver/httpserver.go
@@ -78,6 +78,7 @@
 		s.Intake = intake.Process()
 	}
 	s.setDefaults()
+	s.Intake.Listen(l)
 	tracked := &listener{Listener: l, server: s}
 	s.HTTP.ConnState = s.onState
 	connContext := s.HTTP.ConnContext
--- a/internal/kernel/socket/socket.go
+++ b/internal/kernel/socket/socket.go
@@ -50,6 +50,40 @@
 	return n
 }
 
+// LimitUnread bounds the bytes that the system keeps unread of a TCP connection, or of
+// those that arrive at a listener. The system rounds it up to a few kilobytes. The bound
+// of a connection must not be lowered: its peer may stop for seconds then.
+func LimitUnread(raw syscall.RawConn, bytes int) error {
+	return control(raw, func(fd int) error {
+		// The system doubles the value, to have room for its own data.
+		return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, bytes/2)
+	})
+}
+
+// RaiseUnread raises the bound that LimitUnread has set for an open TCP connection.
+func RaiseUnread(raw syscall.RawConn, bytes int) error {
+	return control(raw, func(fd int) error {
+		if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, bytes/2); err != nil {
+			return err
+		}
+		// The window stays within the buffer that the connection began with otherwise.
+		return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, bytes/2)
+	})
+}
+
+// LimitQueue bounds the connections that wait at a listener to be accepted.
+func LimitQueue(raw syscall.RawConn, length int) error {
+	return control(raw, func(fd int) error { return unix.Listen(fd, length) })
+}
+
+func control(raw syscall.RawConn, f func(fd int) error) error {
+	var inner error
+	if err := raw.Control(func(fd uintptr) { inner = f(int(fd)) }); err != nil {
+		return err
+	}
+	return inner
+}
+
 // ended are the events of a socket whose peer has closed or reset the connection,
 // whether bytes that came before have been read or not.
 const ended = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
--- a/internal/kernel/socket/socket_test.go
+++ b/internal/kernel/socket/socket_test.go
@@ -1,6 +1,7 @@
 package socket
 
 import (
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -129,3 +130,48 @@
 		}
 	}
 }
+
+// TestUnreadIsLimited checks what waits at a connection before it is accepted, with the
+// limit of its listener, and after the limit was raised.
+func TestUnreadIsLimited(t *testing.T) {
+	const limit, raised = 16 << 10, 256 << 10
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	if err := LimitUnread(Raw(l), limit); err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	fill := func() {
+		_ = c.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
+		_, _ = c.Write(make([]byte, 16<<20))
+	}
+	fill()
+	s, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = s.Close() }()
+	if n := Unread(Raw(s)); n == 0 || n > limit {
+		t.Errorf("%d bytes wait at a connection that was not accepted, want at most %d", n, limit)
+	}
+	if err := RaiseUnread(Raw(s), raised); err != nil {
+		t.Fatal(err)
+	}
+	go fill()
+	if _, err := io.CopyN(io.Discard, s, limit); err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(10 * time.Second); Unread(Raw(s)) <= limit && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	if n := Unread(Raw(s)); n <= limit || n > raised {
+		t.Errorf("%d bytes wait at a connection with the raised limit, want %d to %d", n, limit, raised)
+	}
+}
--- a/internal/system/crowd_test.go
+++ b/internal/system/crowd_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"egretproxy/internal/standin/crowd"
+	"egretproxy/internal/standin/footprint"
 )
 
 // The instances of these tests have little memory and few descriptors.
@@ -53,6 +54,8 @@
 // and that ordinary requests are answered while each of them stays and afterwards.
 func (f *fleet) endure(name, address string, callers int, r crowd.Request) {
 	f.t.Helper()
+	fp := footprint.Watch(f.pid(name), address)
+	defer fp.Stop()
 	check := func() {
 		f.t.Helper()
 		for range ordinaryCalls {
@@ -60,6 +63,7 @@
 			time.Sleep(ordinaryPause)
 		}
 		f.checkProcess(name)
+		f.checkFootprint(name, fp)
 	}
 	for range 2 {
 		c := crowd.Open(address, callers, r)
@@ -84,12 +88,27 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+func (f *fleet) pid(name string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.running[name].Process.Pid
+}
+
+// checkFootprint checks that a process has stayed within its memory, in which bytes
+// count that arrived and were not read.
+func (f *fleet) checkFootprint(name string, fp *footprint.Footprint) {
+	f.t.Helper()
+	resident, unread := fp.Peak()
+	f.t.Logf("%s: largest footprint %d KiB, of which %d KiB unread", name, (resident+unread)>>10, unread>>10)
+	if resident+unread > crowdMemoryBytes {
+		f.t.Errorf("%s has taken %d KiB with %d KiB unread, want at most %d", name, (resident+unread)>>10, unread>>10, crowdMemoryBytes>>10)
+	}
+}
+
 // checkProcess checks that a process has not ended and stays within its limits.
 func (f *fleet) checkProcess(name string) {
 	f.t.Helper()
-	f.mu.Lock()
-	pid := f.running[name].Process.Pid
-	f.mu.Unlock()
+	pid := f.pid(name)
 	peak, err := crowd.PeakBytes(pid)
 	if err != nil {
 		f.t.Fatalf("%s has ended: %v", name, err)
