rpc: bound the calls between processes and their connections

Anyone who reached a listener for calls between processes could end the process: 20 connections with a frame of 60 MiB that stopped one byte short took 1.3 to 2.3 GB on instances with 96 MB, 480 with 60 KB opened more descriptors than there are.

Cause: a frame was read whole whatever the others held, with a buffer that doubles; jsonrpc2 decoded its params to a generic form and encoded them again, which takes many times their size; and nothing counted the connections.

Connections now count with those of callers. The bytes of long calls have room of their own, an eighth of the memory, so that callers of the control plane can't keep keepers from each other. A long call waits up to 3 s for room, in which those without progress for a second are given up. One call may take an eighth of the memory, at least 24 MiB and at most 64 MiB: the longest that sound processes send is a configuration of 8 MiB, 11 MiB in a frame, as appends end at 1 MiB of entries after the first. Params are handed on undecoded.

Evidence: TestCrowdFrames... at a keeper, a process without a disk and a keeper of the own interface; crowds and bounds fixed before the change. A sound call of 4 MiB passes beside unfinished ones that fill a room of 1 MiB (TestLongCallsPassBesideUnfinishedOnes).

--- a/internal/admission/intake/intake.go
+++ b/internal/admission/intake/intake.go
@@ -18,6 +18,8 @@
 	// stallTime is how long a long request may be without progress, or a
 	// connection without a whole request, before others may take its place.
 	stallTime = time.Second
+	// awaitInterval is the interval between questions for room.
+	awaitInterval = 20 * time.Millisecond
 )
 
 // Errors of a request that is not taken.
@@ -95,23 +97,53 @@
 	in := c.intake
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	err := c.add(n)
+	if errors.Is(err, ErrFull) {
+		in.refused(reasonFull)
+	}
+	return err
+}
+
+// Await is like Add for bytes that have not been read yet, but waits up to limit for
+// room.
+func (c *Claim) Await(n int, limit time.Duration) error {
+	for end := time.Now().Add(limit); ; time.Sleep(awaitInterval) {
+		c.intake.mu.Lock()
+		err := c.add(n)
+		c.intake.mu.Unlock()
+		if !errors.Is(err, ErrFull) || time.Now().Add(awaitInterval).After(end) {
+			return err
+		}
+	}
+}
+
+// Bytes returns how much of the request has been added.
+func (c *Claim) Bytes() int64 {
+	c.intake.mu.Lock()
+	defer c.intake.mu.Unlock()
+	return c.bytes
+}
+
+// add requires mu.
+func (c *Claim) add(n int) error {
+	in := c.intake
 	if c.stalled {
 		return ErrStalled
 	}
-	c.bytes += int64(n)
 	now := time.Now()
+	bytes := c.bytes + int64(n)
+	more := max(bytes-freeBytes-c.counted, 0)
+	if others := in.used - c.counted; more > 0 && others > 0 && in.used+more > in.Bytes {
+		in.interruptStalled(c, now, in.used+more-in.Bytes)
+		return ErrFull
+	}
+	c.bytes = bytes
 	if c.bytes-c.stepAtBytes >= stepBytes {
 		c.stepAt, c.stepAtBytes = now, c.bytes
 	}
-	more := c.bytes - freeBytes - c.counted
-	if more <= 0 {
+	if more == 0 {
 		return nil
 	}
-	if others := in.used - c.counted; others > 0 && in.used+more > in.Bytes {
-		in.interruptStalled(c, now, in.used+more-in.Bytes)
-		in.refused(reasonFull)
-		return ErrFull
-	}
 	if in.claims == nil {
 		in.claims = map[*Claim]struct{}{}
 	}
--- a/internal/admission/intake/process.go
+++ b/internal/admission/intake/process.go
@@ -70,17 +70,38 @@
 func SetProcess(in *Intake) {
 	processMu.Lock()
 	defer processMu.Unlock()
-	process = in
+	process, peers = in, in.forPeers()
+}
+
+// forPeers returns the room for long calls of other processes, which callers' requests
+// must not take: it is as large as that for callers, and their refusals count alike.
+func (in *Intake) forPeers() *Intake {
+	return &Intake{Bytes: in.Bytes, OnRefuse: in.OnRefuse}
 }
 
 // Process returns the intake that all listeners of the process share.
 func Process() *Intake {
 	processMu.Lock()
 	defer processMu.Unlock()
+	setDefault()
+	return process
+}
+
+// Peers returns the room of the process for long calls of other processes. Their
+// connections count in Process.
+func Peers() *Intake {
+	processMu.Lock()
+	defer processMu.Unlock()
+	setDefault()
+	return peers
+}
+
+// setDefault requires processMu.
+func setDefault() {
 	if process == nil {
 		process = New(0, 0)
+		peers = process.forPeers()
 	}
-	return process
 }
 
 // systemMemory returns the memory that the process may take: what the soft limit of
--- a/internal/standin/crowd/crowd.go
+++ b/internal/standin/crowd/crowd.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -33,7 +34,11 @@
 	BodyBytes int
 	// ChunkBytes is the size of the chunks of the body. 0 sends it with a length.
 	ChunkBytes int
-	// Piecewise sends the body in pieces of 16 KiB.
+	// FrameBytes is the size of a frame between processes, a JSON-RPC call whose
+	// parameter is one text. All but every tenth caller leave out its last byte. Such
+	// a request has no head and no body.
+	FrameBytes int
+	// Piecewise sends the request in pieces of 16 KiB.
 	Piecewise bool
 }
 
@@ -99,6 +104,10 @@
 	b.WriteString(strings.Repeat("\r\n", r.EmptyLines/2))
 	b.WriteString(r.Head)
 	switch {
+	case r.FrameBytes > 0:
+		call := `{"jsonrpc":"2.0","id":1,"method":"crowd","params":"` + strings.Repeat("a", r.FrameBytes) + `"}`
+		_ = binary.Write(&b, binary.BigEndian, uint32(len(call)))
+		b.WriteString(call[:len(call)-missing])
 	case r.HeadBytes > 0:
 		b.WriteString("X-Padding: " + strings.Repeat("a", r.HeadBytes))
 	case r.ChunkBytes > 0:
--- a/internal/wire/frame/codec.go
+++ b/internal/wire/frame/codec.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"slices"
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
@@ -27,6 +28,8 @@
 	// length prefix.
 	DefaultLimit = 64 << 20
 	prefixBytes  = 4
+	// firstBytes is the size with which the buffer of a frame begins. It doubles.
+	firstBytes = 8 << 10
 )
 
 // Codec implements jsonrpc2.ObjectCodec. The zero value is ready for use.
@@ -67,31 +70,52 @@
 	return err
 }
 
-// ReadObject reads one frame. It returns io.EOF if the connection ends before
-// a frame, ErrTruncated if it ends within one, and ErrTooLarge if the length
-// exceeds the limit. Its buffer grows as data arrives, so that a false length
-// allocates no memory.
+// ReadObject reads one frame and decodes it. Its errors are those of Read.
 func (c Codec) ReadObject(r *bufio.Reader, v any) error {
+	data, err := c.Read(r, nil)
+	if err != nil {
+		return err
+	}
+	return errwrap.Wrap(json.Unmarshal(data, v), "decode frame")
+}
+
+// Read reads one frame and returns its JSON. It returns io.EOF if the connection
+// ends before a frame, ErrTruncated if it ends within one, and ErrTooLarge if the
+// length exceeds the limit. Its buffer grows as data arrives, so that a false length
+// allocates no memory. reserve is called before that with the number of bytes by
+// which it grows, and may be nil; Read returns its error.
+func (c Codec) Read(r *bufio.Reader, reserve func(n int) error) ([]byte, error) {
 	var prefix [prefixBytes]byte
 	if _, err := io.ReadFull(r, prefix[:]); err != nil {
 		if errors.Is(err, io.ErrUnexpectedEOF) {
-			return ErrTruncated
+			return nil, ErrTruncated
 		}
-		return err
+		return nil, err
 	}
-	length := int(binary.BigEndian.Uint32(prefix[:]))
-	if length > c.limit() {
-		return ErrTooLarge
+	if uint64(binary.BigEndian.Uint32(prefix[:])) > uint64(c.limit()) {
+		return nil, ErrTooLarge
 	}
-	data, err := io.ReadAll(io.LimitReader(r, int64(length)))
-	if err != nil {
-		return err
-	}
-	if len(data) < length {
-		return ErrTruncated
+	length := int(binary.BigEndian.Uint32(prefix[:]))
+	data := []byte{}
+	for len(data) < length {
+		n := min(length-len(data), max(len(data), firstBytes))
+		if reserve != nil {
+			if err := reserve(n); err != nil {
+				return nil, err
+			}
+		}
+		data = slices.Grow(data, n)
+		m, err := io.ReadFull(r, data[len(data):len(data)+n])
+		data = data[:len(data)+m]
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+			return nil, ErrTruncated
+		}
+		if err != nil {
+			return nil, err
+		}
 	}
 	if c.Received != nil {
 		c.Received.Add(int64(prefixBytes + length))
 	}
-	return errwrap.Wrap(json.Unmarshal(data, v), "decode frame")
+	return data, nil
 }
--- a/internal/wire/rpc/server.go
+++ b/internal/wire/rpc/server.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"egretproxy/internal/admission/intake"
 	"egretproxy/internal/kernel/socket"
 	"egretproxy/internal/wire/frame"
 )
@@ -56,6 +57,9 @@
 	// Grace limits the time for calls in progress to be answered after the
 	// context has ended. Zero means 500 ms.
 	Grace time.Duration
+	// Intake bounds the connections, Room the long calls. nil means those of the
+	// process.
+	Intake, Room *intake.Intake
 
 	mu sync.Mutex
 	// conns contains the open connections. It is nil before Serve is called
@@ -70,9 +74,15 @@
 // serverConn is a caller's connection.
 type serverConn struct {
 	net.Conn
+	server *Server
 	// pending counts the calls and notifications in progress. It is guarded by
-	// the server's mu.
+	// the server's mu, like the other fields below.
 	pending int
+	// receiving is set until the first call has arrived, and while a part of a later
+	// one is missing. since is when that began, or when the latest call began or
+	// ended.
+	receiving bool
+	since     time.Time
 }
 
 // hasUnread reports whether bytes have arrived that were not read.
@@ -81,10 +91,42 @@
 	return raw != nil && socket.Readable(raw)
 }
 
+// Use implements intake.Conn.
+func (c *serverConn) Use() (intake.Use, time.Time) {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	switch {
+	case c.pending > 0:
+		return intake.Serving, c.since
+	case c.receiving:
+		return intake.Receiving, c.since
+	}
+	return intake.Idle, c.since
+}
+
+// Drop implements intake.Conn.
+func (c *serverConn) Drop() { _ = c.Close() }
+
+// receive records that a call has begun to arrive.
+func (c *serverConn) receive() {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	if !c.receiving {
+		c.receiving, c.since = true, time.Now()
+	}
+}
+
 // Serve accepts connections until the context ends or the listener fails. When
 // the context ends it closes the listener, closes each connection once its calls
 // are answered, waits for the connections' goroutines and returns nil.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	if s.Intake == nil {
+		s.Intake = intake.Process()
+	}
+	if s.Room == nil {
+		s.Room = intake.Peers()
+	}
+	s.Intake.Listen(l)
 	s.mu.Lock()
 	s.conns = map[*serverConn]struct{}{}
 	s.mu.Unlock()
@@ -102,9 +144,14 @@
 			}
 			return errors.Wrap(err, "accept")
 		}
-		c := &serverConn{Conn: accepted}
+		c := &serverConn{Conn: accepted, server: s, receiving: true, since: time.Now()}
+		if !s.Intake.Open(c) {
+			_ = c.Close()
+			continue
+		}
 		if !s.track(c) {
 			_ = c.Close()
+			s.Intake.Closed(c)
 			return nil
 		}
 		s.wg.Add(1)
@@ -121,13 +168,10 @@
 		s.reportError(err)
 		return
 	}
-	stream := &monitoredStream{
-		ObjectStream: jsonrpc2.NewBufferedStream(conn, s.Codec),
-		onError:      s.reportError,
-	}
+	stream := newCallStream(s, c, conn)
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	handler := &connHandler{server: s, conn: c, ctx: callCtx, slots: make(chan struct{}, maxCallsPerConn)}
+	handler := &connHandler{server: s, conn: c, stream: stream, ctx: callCtx, slots: make(chan struct{}, maxCallsPerConn)}
 	// A connection is closed with its context, so it gets another one than calls.
 	rpcConn := jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, handler, jsonrpc2.SetLogger(discardLogger{}))
 	<-rpcConn.DisconnectNotify()
@@ -169,6 +213,7 @@
 
 func (s *Server) untrack(c *serverConn) {
 	_ = c.Close()
+	s.Intake.Closed(c)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
@@ -211,6 +256,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.pending++
+	c.receiving, c.since = false, time.Now()
 }
 
 // end is called after a call was answered.
@@ -218,6 +264,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.pending--
+	c.since = time.Now()
 	if s.stopping {
 		s.closeIfIdle(c)
 	}
@@ -228,6 +275,7 @@
 type connHandler struct {
 	server *Server
 	conn   *serverConn
+	stream *callStream
 	// ctx ends with the server or the connection.
 	ctx   context.Context
 	slots chan struct{}
@@ -237,8 +285,11 @@
 // stops reading from the connection.
 func (h *connHandler) Handle(_ context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) {
 	h.server.begin(h.conn)
+	var release func()
+	r.Params, release = h.stream.take()
 	if r.Notif {
 		defer h.server.end(h.conn)
+		defer release()
 		h.handleNotification(h.ctx, r)
 		return
 	}
@@ -246,6 +297,7 @@
 	go func() {
 		defer func() { <-h.slots }()
 		defer h.server.end(h.conn)
+		defer release()
 		h.handleCall(h.ctx, c, r)
 	}()
 }
@@ -301,22 +353,6 @@
 	return NewError(jsonrpc2.CodeInvalidParams, err.Error())
 }
 
-// monitoredStream reports frames that can't be decoded.
-type monitoredStream struct {
-	jsonrpc2.ObjectStream
-	onError func(error)
-}
-
-// ReadObject implements jsonrpc2.ObjectStream.
-func (s *monitoredStream) ReadObject(v any) error {
-	err := s.ObjectStream.ReadObject(v)
-	var syntax *json.SyntaxError
-	if errors.Is(err, frame.ErrTooLarge) || errors.Is(err, frame.ErrTruncated) || errors.As(err, &syntax) {
-		s.onError(err)
-	}
-	return err
-}
-
 // discardLogger drops log lines of the jsonrpc2 library.
 type discardLogger struct{}
 
--- /dev/null
+++ b/internal/wire/rpc/stream.go
@@ -0,0 +1,153 @@
+package rpc
+
+import (
+	"bufio"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"egretproxy/internal/admission/intake"
+	"egretproxy/internal/kernel/errwrap"
+	"egretproxy/internal/kernel/socket"
+	"egretproxy/internal/wire/frame"
+)
+
+const (
+	// longestFrame is the least limit of a frame in bytes, whatever the memory. A
+	// configuration of 8 MiB that can't be compressed takes 11 MiB in a frame.
+	longestFrame = 24 << 20
+	// roomTimeout limits the wait for room for a long frame. It is longer than the
+	// time after which those without progress are given up.
+	roomTimeout = 3 * time.Second
+	// widenBytes is the length of a frame beyond which its connection gets a longer
+	// receive buffer, if there is room.
+	widenBytes = 64 << 10
+)
+
+// errNoCall means that a frame is another object than a call.
+var errNoCall = errors.New("frame has no method")
+
+// frameLimit returns the limit in bytes for frames of callers, who may be anyone if
+// there is no TLS.
+func frameLimit(codec frame.Codec, room *intake.Intake) int {
+	limit := codec.Limit
+	if limit == 0 {
+		limit = frame.DefaultLimit
+	}
+	if room.Bytes <= 0 {
+		return limit
+	}
+	return int(min(int64(limit), max(room.Bytes, longestFrame)))
+}
+
+// callStream reads calls from a connection. A long frame takes room of the process
+// until its call has ended.
+type callStream struct {
+	jsonrpc2.ObjectStream
+	server *Server
+	conn   *serverConn
+	codec  frame.Codec
+	r      *bufio.Reader
+
+	// claim and params are those of the latest call. They are used by the goroutine
+	// that reads, which also calls the handler.
+	claim  *intake.Claim
+	params json.RawMessage
+}
+
+func newCallStream(s *Server, c *serverConn, conn net.Conn) *callStream {
+	codec := s.Codec
+	codec.Limit = frameLimit(codec, s.Room)
+	return &callStream{
+		ObjectStream: jsonrpc2.NewBufferedStream(conn, codec),
+		server:       s, conn: c, codec: codec, r: bufio.NewReader(conn),
+	}
+}
+
+// call is a request or notification whose params are not decoded.
+type call struct {
+	Version string          `json:"jsonrpc"`
+	Method  string          `json:"method"`
+	ID      json.RawMessage `json:"id,omitempty"`
+	Params  json.RawMessage `json:"params,omitempty"`
+}
+
+// ReadObject implements jsonrpc2.ObjectStream. It keeps the params from jsonrpc2, which
+// decodes and encodes them once more and takes a multiple of their size.
+func (s *callStream) ReadObject(v any) error {
+	s.claim = s.server.Room.Claim(s.conn.interrupt)
+	data, err := s.codec.Read(s.r, s.reserve)
+	if err != nil {
+		s.claim.Release()
+		s.report(err)
+		return err
+	}
+	s.claim.Whole()
+	if err := s.decode(data, v); err != nil {
+		s.claim.Release()
+		s.report(err)
+		return errors.Wrap(err, "decode frame")
+	}
+	return nil
+}
+
+func (s *callStream) reserve(n int) error {
+	s.conn.receive()
+	if s.claim.Bytes() <= widenBytes && s.claim.Bytes()+int64(n) > widenBytes {
+		s.conn.widen()
+	}
+	return s.claim.Await(n, roomTimeout)
+}
+
+func (s *callStream) decode(data []byte, v any) error {
+	var c call
+	if err := json.Unmarshal(data, &c); err != nil {
+		return err
+	}
+	if c.Method == "" {
+		return errNoCall
+	}
+	s.params = c.Params
+	c.Params = nil
+	head, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	return errwrap.Wrap(json.Unmarshal(head, v), "head of the call")
+}
+
+// report reports frames that can't be read.
+func (s *callStream) report(err error) {
+	var syntax *json.SyntaxError
+	switch {
+	case errors.Is(err, frame.ErrTooLarge), errors.Is(err, frame.ErrTruncated),
+		errors.Is(err, intake.ErrFull), errors.Is(err, intake.ErrStalled), errors.As(err, &syntax):
+		s.server.reportError(err)
+	}
+}
+
+// take returns the params of the call that was read last, and the function that
+// returns its room.
+func (s *callStream) take() (params *json.RawMessage, release func()) {
+	if s.params != nil {
+		own := s.params
+		params = &own
+	}
+	return params, s.claim.Release
+}
+
+// interrupt ends the read that waits for more of a frame.
+func (c *serverConn) interrupt() { _ = c.SetReadDeadline(time.Unix(1, 0)) }
+
+// widen lengthens the receive buffer if the process has room.
+func (c *serverConn) widen() {
+	raw := socket.Raw(c.Conn)
+	if raw == nil || !intake.Process().Widen(c) {
+		return
+	}
+	// Without it the frame only takes longer.
+	_ = socket.RaiseUnread(raw, intake.WideBytes)
+}
