connpool: bound an entry's connections to targets by its descriptors

480 callers that each sent a whole request of 60 KB made an entry open more descriptors than it has: 375 connections of callers, the bound of the intake, and as many to targets as requests run at once. Beyond the descriptors, accepts and dials fail for all.

Cause: the intake leaves a quarter of the descriptors to all other uses, but nothing kept the pool of connections to it. What targets take at once bounds it only while targets are few.

The pool has a limit now, which the intake works out: what callers leave without 32 for files, listeners and other processes. A request that gets none was not sent and blames no target.

--- a/internal/admission/intake/intake.go
+++ b/internal/admission/intake/intake.go
@@ -54,6 +54,9 @@
 	Queue int
 	// Wide limits the connections with WideBytes in place of UnreadBytes.
 	Wide int
+	// Outgoing is how many connections to targets the descriptors allow beside Conns.
+	// It is for those who open them.
+	Outgoing int
 	// OnRefuse is called with the reason when a request or a connection is given
 	// up. It may be nil, must not block, and must not call the intake.
 	OnRefuse func(reason string)
--- a/internal/admission/intake/process.go
+++ b/internal/admission/intake/process.go
@@ -36,6 +36,8 @@
 	queueLength = 256
 	// listenersPerProcess is the largest number in any role.
 	listenersPerProcess = 4
+	// otherDescriptors are for files, listeners and connections to other processes.
+	otherDescriptors = 32
 	// wideFraction is the fraction of the memory for the longer receive buffers of
 	// long requests, WideBytes each.
 	wideFraction = 1.0 / 16
@@ -55,7 +57,8 @@
 	return &Intake{
 		Bytes: int64(bytesFraction * float64(memory)), Conns: conns,
 		UnreadBytes: int(min(max(unread, minUnread), maxUnread)), Queue: queueLength,
-		Wide: int(wideFraction * float64(memory) / WideBytes),
+		Wide:     int(wideFraction * float64(memory) / WideBytes),
+		Outgoing: max(descriptors-conns-otherDescriptors, minConns),
 	}
 }
 
--- a/internal/exchange/connpool/connpool.go
+++ b/internal/exchange/connpool/connpool.go
@@ -52,6 +52,8 @@
 	exchanges int
 	// reuseUntil is the time after which the connection must not be reused.
 	reuseUntil time.Time
+	pool       *Pool
+	closeOnce  sync.Once
 }
 
 // Pool keeps the connections to all targets. The zero value is an empty pool.
@@ -59,8 +61,16 @@
 type Pool struct {
 	// OnDial, if set, is called after each connection attempt.
 	OnDial func(address string, took time.Duration, err error)
+	// Limit bounds the connections to all targets, idle ones included. 0 means that
+	// there is no limit.
+	Limit int
 
 	mu sync.Mutex
+	// open counts the connections that are open or about to be.
+	open int
+	// waiting holds a channel for each exchange that needs a connection beyond the
+	// limit, in order. It is closed when its turn comes.
+	waiting []chan struct{}
 	// idle holds the unused connections by address, the most recently used
 	// one last.
 	idle map[string][]*persistConn
@@ -81,7 +91,7 @@
 		if c.usable() {
 			return c
 		}
-		_ = c.conn.Close()
+		c.close()
 	}
 }
 
@@ -129,7 +139,15 @@
 	if tcp, ok := c.conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
-	_ = c.conn.Close()
+	c.close()
+}
+
+// close closes the connection and returns its place in the pool.
+func (c *persistConn) close() {
+	c.closeOnce.Do(func() {
+		_ = c.conn.Close()
+		c.pool.release()
+	})
 }
 
 // awaitArrived waits until the bytes that have arrived by now are read.
@@ -148,15 +166,19 @@
 func (p *Pool) dial(ctx context.Context, address string) (*persistConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	if err := p.reserve(ctx); err != nil {
+		return nil, err
+	}
 	began := time.Now()
 	c, err := dialHedged(ctx, address)
 	if p.OnDial != nil {
 		p.OnDial(address, time.Since(began), err)
 	}
 	if err != nil {
+		p.release()
 		return nil, err
 	}
-	return newPersistConn(c), nil
+	return newPersistConn(c, p), nil
 }
 
 // Refuses reports whether nothing accepts connections at the address any more. A
@@ -170,8 +192,8 @@
 	return false
 }
 
-func newPersistConn(c net.Conn) *persistConn {
-	out := &persistConn{conn: c}
+func newPersistConn(c net.Conn, p *Pool) *persistConn {
+	out := &persistConn{conn: c, pool: p}
 	out.limit = &limitedReader{r: out}
 	out.br = bufio.NewReaderSize(out.limit, readBufferBytes)
 	return out
@@ -225,12 +247,23 @@
 
 func (p *Pool) put(address string, c *persistConn, idle time.Duration) {
 	c.reuseUntil = time.Now().Add(idle)
+	if !p.keep(address, c) {
+		c.close()
+	}
+}
+
+// keep adds an idle connection, unless an exchange waits for a place.
+func (p *Pool) keep(address string, c *persistConn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if len(p.waiting) > 0 {
+		return false
+	}
 	if p.idle == nil {
 		p.idle = map[string][]*persistConn{}
 	}
 	p.idle[address] = append(p.idle[address], c)
+	return true
 }
 
 // putUnused returns a connection that was taken and not used. The target's idle
@@ -264,7 +297,7 @@
 	}
 	p.mu.Unlock()
 	for _, c := range closing {
-		_ = c.conn.Close()
+		c.close()
 	}
 }
 
@@ -275,6 +308,6 @@
 	delete(p.idle, address)
 	p.mu.Unlock()
 	for _, c := range conns {
-		_ = c.conn.Close()
+		c.close()
 	}
 }
--- a/internal/exchange/connpool/connpool_test.go
+++ b/internal/exchange/connpool/connpool_test.go
@@ -227,7 +227,7 @@
 	}
 	stalled := stalledConn{conn.(*net.TCPConn), make(chan struct{})}
 	var p Pool
-	p.put(s.Addr().String(), newPersistConn(stalled), time.Hour)
+	p.put(s.Addr().String(), newPersistConn(stalled, &p), time.Hour)
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() {
 		for raw := socket.Raw(stalled.TCPConn); !socket.Readable(raw); {
@@ -259,7 +259,7 @@
 		t.Fatal(err)
 	}
 	var p Pool
-	c := newPersistConn(conn)
+	c := newPersistConn(conn, &Pool{})
 	p.put(address, c, time.Hour)
 	expiry := c.reuseUntil
 	withdrawn := errors.New("withdrawn")
--- a/internal/exchange/connpool/exchange.go
+++ b/internal/exchange/connpool/exchange.go
@@ -17,7 +17,8 @@
 	// ErrNotSent means that no byte of the request was sent.
 	ErrNotSent = errors.New("request was not sent")
 	// ErrCancelled means that the request was not sent because the caller
-	// cancelled it or could not build it.
+	// cancelled it or could not build it, or since the pool has no connection
+	// for it.
 	ErrCancelled = errors.New("request was withdrawn")
 	// ErrInterrupted means that the request was sent, at least in part, but
 	// no complete response was received. The target may have executed it.
@@ -130,7 +131,11 @@
 	c := p.take(address)
 	if c == nil {
 		var err error
-		if c, err = p.dial(ctx, address); err != nil {
+		c, err = p.dial(ctx, address)
+		if errors.Is(err, errNoSlot) {
+			return nil, errors.Wrap(ErrCancelled, err.Error())
+		}
+		if err != nil {
 			return nil, errors.Wrap(ErrNotSent, err.Error())
 		}
 	}
@@ -276,7 +281,7 @@
 		return
 	}
 	if response.close || cancelled || response.conn.br.Buffered() > 0 || response.idleTimeout <= 0 {
-		_ = response.conn.conn.Close()
+		response.conn.close()
 		return
 	}
 	response.pool.put(response.address, response.conn, response.idleTimeout)
--- a/internal/standin/crowd/crowd.go
+++ b/internal/standin/crowd/crowd.go
@@ -40,6 +40,12 @@
 	FrameBytes int
 	// Piecewise sends the request in pieces of 16 KiB.
 	Piecewise bool
+	// Text is a body in place of one of BodyBytes, Count how often it is repeated
+	// between Start and End.
+	Start, Text, End string
+	Count            int
+	// Whole lets all callers send the whole request.
+	Whole bool
 }
 
 // Crowd is a number of open connections. Create one with Open.
@@ -56,7 +62,7 @@
 	var sent sync.WaitGroup
 	for i := range size {
 		data := short
-		if i%10 == 9 {
+		if r.Whole || i%10 == 9 {
 			data = whole
 		}
 		sent.Go(func() { c.call(address, data, r.Piecewise) })
@@ -119,6 +125,10 @@
 		b.WriteString("0\r\n\r\n")
 		// The chunk that ends the body is left out, with the last byte before it.
 		b.Truncate(b.Len() - missing*len("a\r\n0\r\n\r\n"))
+	case r.Count > 0:
+		body := r.Start + strings.Repeat(r.Text, r.Count) + r.End
+		fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n", len(body))
+		b.WriteString(body[:len(body)-missing])
 	case r.BodyBytes > 0:
 		fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n", r.BodyBytes)
 		b.WriteString(strings.Repeat("a", r.BodyBytes-missing))
--- a/internal/system/crowdkinds_test.go
+++ b/internal/system/crowdkinds_test.go
@@ -40,6 +40,16 @@
 	}
 }
 
+// wholeKinds are crowds that send requests of legal size, all of them whole, which
+// targets run.
+func wholeKinds(head string) []crowdKind {
+	return []crowdKind{
+		{"all whole", manyCallers, crowd.Request{Head: head, BodyBytes: longestBody, Whole: true}},
+		{"all whole, 1 MiB", manyCallers, crowd.Request{Head: head, BodyBytes: mib, Whole: true}},
+		{"all whole, short", manyCallers, crowd.Request{Head: head, BodyBytes: longestHead, Whole: true}},
+	}
+}
+
 // endureKinds opens crowds in turn at an address of a process, and checks the process
 // and that ordinary requests are answered while each of them stays and at the end.
 func (f *fleet) endureKinds(name, address string, kinds []crowdKind, ordinary func() bool) {
@@ -80,6 +90,16 @@
 	f.waitUntil("a request with a long body is answered", func() bool { return f.post(longestBody) })
 }
 
+func TestCrowdWholeAtServiceEntry(t *testing.T) {
+	f := newCrowdFleet(t)
+	f.endureKinds("entry-0", f.addresses["entry-0"], wholeKinds(entryHead), f.postShort)
+}
+
+func TestCrowdWholeAtAgent(t *testing.T) {
+	f := newCrowdFleet(t)
+	f.endureKinds("agent-inventory-0", f.addresses["agent-inventory-0"], wholeKinds(agentHead), f.postShort)
+}
+
 // TestCrowdKindsAtServiceEntryWithoutKey has requests that are refused before their
 // body is read.
 func TestCrowdKindsAtServiceEntryWithoutKey(t *testing.T) {
