jsonlimit: bound what a document takes once it is decoded

One order of 8 MiB, a body of legal size, ended a keeper: a configuration with 2.8 million empty routes, services, tenants or keys took 0.3 to 1.8 GB on an instance with 96 MB. Twenty whole calls between processes of 4 MiB did the same with 0.1 to 0.8 GB.

Cause: a list element of three bytes becomes a structure of up to 200 bytes, twice, in slices that grow by doubling, and is refused only after that. The intake counts the text.

Package jsonlimit estimates from the text, without memory of its own, what the elements take. The params of a call take room as the call does, up to a quarter of the memory.

--- a/internal/admission/intake/intake.go
+++ b/internal/admission/intake/intake.go
@@ -54,6 +54,9 @@
 	Queue int
 	// Wide limits the connections with WideBytes in place of UnreadBytes.
 	Wide int
+	// Decoded limits what one document takes once it is decoded. It is for those who
+	// decode documents. 0 means that there is no limit.
+	Decoded int64
 	// Outgoing is how many connections to targets the descriptors allow beside Conns.
 	// It is for those who open them.
 	Outgoing int
--- a/internal/admission/intake/process.go
+++ b/internal/admission/intake/process.go
@@ -38,6 +38,8 @@
 	listenersPerProcess = 4
 	// otherDescriptors are for files, listeners and connections to other processes.
 	otherDescriptors = 32
+	// decodedFraction is the fraction of the memory for one document that is decoded.
+	decodedFraction = 0.25
 	// wideFraction is the fraction of the memory for the longer receive buffers of
 	// long requests, WideBytes each.
 	wideFraction = 1.0 / 16
@@ -57,6 +59,7 @@
 	return &Intake{
 		Bytes: int64(bytesFraction * float64(memory)), Conns: conns,
 		UnreadBytes: int(min(max(unread, minUnread), maxUnread)), Queue: queueLength,
+		Decoded:  int64(decodedFraction * float64(memory)),
 		Wide:     int(wideFraction * float64(memory) / WideBytes),
 		Outgoing: max(descriptors-conns-otherDescriptors, minConns),
 	}
@@ -79,7 +82,7 @@
 // forPeers returns the room for long calls of other processes, which callers' requests
 // must not take: it is as large as that for callers, and their refusals count alike.
 func (in *Intake) forPeers() *Intake {
-	return &Intake{Bytes: in.Bytes, OnRefuse: in.OnRefuse}
+	return &Intake{Bytes: in.Bytes, Decoded: in.Decoded, OnRefuse: in.OnRefuse}
 }
 
 // Process returns the intake that all listeners of the process share.
--- a/internal/standin/crowd/crowd.go
+++ b/internal/standin/crowd/crowd.go
@@ -40,8 +40,8 @@
 	FrameBytes int
 	// Piecewise sends the request in pieces of 16 KiB.
 	Piecewise bool
-	// Text is a body in place of one of BodyBytes, Count how often it is repeated
-	// between Start and End.
+	// Text is a body in place of one of BodyBytes, or a frame if there is no head.
+	// Count is how often it is repeated between Start and End.
 	Start, Text, End string
 	Count            int
 	// Whole lets all callers send the whole request.
@@ -111,9 +111,9 @@
 	b.WriteString(r.Head)
 	switch {
 	case r.FrameBytes > 0:
-		call := `{"jsonrpc":"2.0","id":1,"method":"crowd","params":"` + strings.Repeat("a", r.FrameBytes) + `"}`
-		_ = binary.Write(&b, binary.BigEndian, uint32(len(call)))
-		b.WriteString(call[:len(call)-missing])
+		writeFrame(&b, `{"jsonrpc":"2.0","id":1,"method":"crowd","params":"`+strings.Repeat("a", r.FrameBytes)+`"}`, missing)
+	case r.Count > 0 && r.Head == "":
+		writeFrame(&b, r.text(), missing)
 	case r.HeadBytes > 0:
 		b.WriteString("X-Padding: " + strings.Repeat("a", r.HeadBytes))
 	case r.ChunkBytes > 0:
@@ -126,7 +126,7 @@
 		// The chunk that ends the body is left out, with the last byte before it.
 		b.Truncate(b.Len() - missing*len("a\r\n0\r\n\r\n"))
 	case r.Count > 0:
-		body := r.Start + strings.Repeat(r.Text, r.Count) + r.End
+		body := r.text()
 		fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n", len(body))
 		b.WriteString(body[:len(body)-missing])
 	case r.BodyBytes > 0:
@@ -135,3 +135,10 @@
 	}
 	return b.Bytes()
 }
+
+func (r Request) text() string { return r.Start + strings.Repeat(r.Text, r.Count) + r.End }
+
+func writeFrame(b *bytes.Buffer, call string, missing int) {
+	_ = binary.Write(b, binary.BigEndian, uint32(len(call)))
+	b.WriteString(call[:len(call)-missing])
+}
--- a/internal/wire/rpc/room_test.go
+++ b/internal/wire/rpc/room_test.go
@@ -14,6 +14,7 @@
 
 	"egretproxy/internal/admission/intake"
 	"egretproxy/internal/wire/frame"
+	"egretproxy/internal/wire/jsonlimit"
 )
 
 const roomBytes = 1 << 20
@@ -183,3 +184,24 @@
 		<-ended
 	}
 }
+
+// TestCallOfManyValuesIsRefused has params that take much more than their length once
+// they are decoded.
+func TestCallOfManyValuesIsRefused(t *testing.T) {
+	refused := make(chan error, 1)
+	address := startEcho(t, &Server{
+		Room: &intake.Intake{Bytes: roomBytes, Decoded: roomBytes}, OnConnError: func(err error) { refused <- err },
+	})
+	if _, err := echo(t, address, json.RawMessage("["+strings.Repeat("{},", 100)+"{}]")); err != nil {
+		t.Errorf("a call of a few values: %v", err)
+	}
+	if _, err := echo(t, address, strings.Repeat("{},", roomBytes)); err != nil {
+		t.Errorf("a long text: %v", err)
+	}
+	if _, err := echo(t, address, json.RawMessage("["+strings.Repeat("{},", 10_000)+"{}]")); err == nil {
+		t.Error("a call of many values was answered")
+	}
+	if err := <-refused; !errors.Is(err, jsonlimit.ErrTooLarge) {
+		t.Errorf("refused with %v, want ErrTooLarge", err)
+	}
+}
--- a/internal/wire/rpc/stream.go
+++ b/internal/wire/rpc/stream.go
@@ -13,6 +13,7 @@
 	"egretproxy/internal/kernel/errwrap"
 	"egretproxy/internal/kernel/socket"
 	"egretproxy/internal/wire/frame"
+	"egretproxy/internal/wire/jsonlimit"
 )
 
 const (
@@ -86,7 +87,11 @@
 		return err
 	}
 	s.claim.Whole()
-	if err := s.decode(data, v); err != nil {
+	err = s.reserveDecoded(data)
+	if err == nil {
+		err = s.decode(data, v)
+	}
+	if err != nil {
 		s.claim.Release()
 		s.report(err)
 		return errors.Wrap(err, "decode frame")
@@ -94,6 +99,19 @@
 	return nil
 }
 
+// reserveDecoded takes the room for the params once the handler has decoded them.
+func (s *callStream) reserveDecoded(data []byte) error {
+	limit := s.server.Room.Decoded
+	if limit <= 0 {
+		return nil
+	}
+	n, err := jsonlimit.Bytes(data, limit)
+	if err != nil {
+		return err
+	}
+	return s.claim.Await(int(n), roomTimeout)
+}
+
 func (s *callStream) reserve(n int) error {
 	s.conn.receive()
 	if s.claim.Bytes() <= widenBytes && s.claim.Bytes()+int64(n) > widenBytes {
@@ -124,7 +142,8 @@
 	var syntax *json.SyntaxError
 	switch {
 	case errors.Is(err, frame.ErrTooLarge), errors.Is(err, frame.ErrTruncated),
-		errors.Is(err, intake.ErrFull), errors.Is(err, intake.ErrStalled), errors.As(err, &syntax):
+		errors.Is(err, intake.ErrFull), errors.Is(err, intake.ErrStalled),
+		errors.Is(err, jsonlimit.ErrTooLarge), errors.As(err, &syntax):
 		s.server.reportError(err)
 	}
 }
