intake: close connections whose callers don't read, if others need them

Callers that send requests and don't read the responses kept their connections for good where the response has no time limit, such as at the metrics, the control plane or a request without a route. Once they had all connections that the process allows, everyone else's were closed at once.

Cause: the intake never closes a connection whose request is being served, and a response that waits for its caller counted as that.

A connection whose write has waited for a second now gives way after those of unfinished requests and before idle ones; others keep theirs, however slowly they read, while there is room.

Evidence: TestNewConnectionReplacesUnread failed before (an ordinary request was not answered for 20 s), passes now.

--- a/internal/admission/intake/conns.go
+++ b/internal/admission/intake/conns.go
@@ -14,7 +14,8 @@
 
 const (
 	// Serving means that a whole request has arrived on the connection and has no
-	// whole response yet. Such a connection is never closed for another one.
+	// whole response yet. Such a connection is never closed for another one, unless
+	// its caller doesn't read.
 	Serving Use = iota
 	// Idle means that the connection has its last response.
 	Idle
@@ -22,6 +23,8 @@
 	Expired
 	// Receiving means that the next request, or the first, is not there as a whole.
 	Receiving
+	// Unread means that a part of the response waits for the caller to read it.
+	Unread
 )
 
 // Conn is an open connection. Its identity is that of the interface value.
@@ -109,7 +112,8 @@
 
 // leastUse returns the connection to be closed for a new one, or nil if all are in
 // use. A request that has been on its way for a while comes first, then what has
-// expired, then a younger request, then an idle connection; of equals the oldest.
+// expired, then a response that nobody has read for a while, then a younger request,
+// then an idle connection; of equals the oldest.
 func leastUse(conns []Conn) Conn {
 	var out Conn
 	var least int
@@ -117,13 +121,16 @@
 	now := time.Now()
 	for _, c := range conns {
 		use, since := c.Use()
+		stalled := now.Sub(since) >= stallTime
 		rank := 0
 		switch {
-		case use == Serving:
+		case use == Serving, use == Unread && !stalled:
 			continue
-		case use == Receiving && now.Sub(since) >= stallTime:
-			rank = 3
+		case use == Receiving && stalled:
+			rank = 4
 		case use == Expired:
+			rank = 3
+		case use == Unread:
 			rank = 2
 		case use == Receiving:
 			rank = 1
--- a/internal/admission/intake/intake_test.go
+++ b/internal/admission/intake/intake_test.go
@@ -107,17 +107,19 @@
 		expired := &fakeConn{use: Expired, since: ago(time.Minute)}
 		slow := &fakeConn{use: Receiving, since: ago(stallTime)}
 		slower := &fakeConn{use: Receiving, since: ago(2 * stallTime)}
-		all := []*fakeConn{serving, idle, young, expired, slow, slower}
+		reading := &fakeConn{use: Unread, since: ago(stallTime / 2)}
+		deaf := &fakeConn{use: Unread, since: ago(stallTime)}
+		all := []*fakeConn{serving, reading, idle, young, expired, slow, deaf, slower}
 		in := &Intake{Conns: len(all)}
 		for _, c := range all {
 			in.Open(c)
 		}
-		for i, want := range []*fakeConn{slower, slow, expired, young, idle} {
+		for i, want := range []*fakeConn{slower, slow, expired, deaf, young, idle} {
 			if !in.Open(&fakeConn{use: Serving}) || !want.dropped {
 				t.Errorf("connection %d over the limit did not replace the one with the least use", i)
 			}
 		}
-		if in.Open(&fakeConn{use: Receiving}) || serving.dropped {
+		if in.Open(&fakeConn{use: Receiving}) || serving.dropped || reading.dropped {
 			t.Error("a connection replaced one that is served")
 		}
 	})
--- a/internal/kernel/httpserver/conn.go
+++ b/internal/kernel/httpserver/conn.go
@@ -47,6 +47,9 @@
 	receivingFrom time.Time
 	// keepAlive is how long the caller may leave the connection idle.
 	keepAlive time.Duration
+	// writing is set while a part of the response is written, since writingFrom.
+	writing     bool
+	writingFrom time.Time
 	// writeLimited is set while the response has a time limit.
 	writeLimited bool
 }
@@ -134,6 +137,7 @@
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	c.unanswered, c.lastUsed = false, time.Now()
+	c.writing, c.writingFrom = true, c.lastUsed
 	c.mu.Unlock()
 	n, err := c.Conn.Write(p)
 	if c.intake != nil && errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/kernel/httpserver/intake.go
+++ b/internal/kernel/httpserver/intake.go
@@ -129,6 +129,8 @@
 	switch {
 	case c.receiving:
 		return intake.Receiving, c.receivingFrom
+	case c.writing:
+		return intake.Unread, c.writingFrom
 	case c.state == http.StateActive || c.unanswered:
 		return intake.Serving, c.lastUsed
 	case c.keepAlive == 0 || time.Since(c.lastUsed) < c.expiry(c.keepAlive):
--- a/internal/kernel/httpserver/unread_test.go
+++ b/internal/kernel/httpserver/unread_test.go
@@ -1,8 +1,12 @@
 package httpserver
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -41,3 +45,49 @@
 		t.Errorf("refused as %s", reason)
 	}
 }
+
+// TestNewConnectionReplacesUnread has as many callers that don't read their responses as
+// there may be connections.
+func TestNewConnectionReplacesUnread(t *testing.T) {
+	const conns = 3
+	var begun sync.WaitGroup
+	begun.Add(conns)
+	ts := startServer(t, &Server{
+		HTTP: &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/long" {
+				begun.Done()
+				_, _ = w.Write(make([]byte, 64<<20))
+				return
+			}
+			echo(w, r)
+		})},
+		Intake: &intake.Intake{Conns: conns}, Grace: time.Second,
+	})
+	for range conns {
+		ts.connect(t).send(t, "GET /long HTTP/1.1\r\nHost: h\r\n\r\n")
+	}
+	begun.Wait()
+	for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		if ts.answers(t) {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("an ordinary request is not answered")
+		}
+	}
+}
+
+// answers reports whether a request on a connection of its own is answered.
+func (ts *testServer) answers(t *testing.T) bool {
+	t.Helper()
+	c, err := net.Dial("tcp", ts.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := io.WriteString(c, testRequest); err != nil {
+		return false
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	return err == nil && resp.StatusCode == http.StatusOK
+}
