--- a/internal/admission/intake/process.go
+++ b/internal/admission/intake/process.go
@@ -33,7 +33,7 @@
 	minUnread, maxUnread = 8 << 10, 128 << 10
 	// queueLength is many times the connections that arrive while a process doesn't
 	// run for a second.
-	queueLength = 256
+	queueLength = 512
 	// listenersPerProcess is the largest number in any role.
 	listenersPerProcess = 4
 	// otherDescriptors are for files, listeners and connections to other processes.
