rpc: leave the limit of responses as it was, and take short calls without room

The limit for calls, which follows from the memory, was applied to responses too. A keeper with little memory could not have sent a state or bundle of more than 24 MiB to its watchers, which get up to 64 MiB (TestResponsesMayBeLongerThanCalls failed before).

A short call with a list took room for its decoded params, so that long calls without end could have delayed it for seconds. Calls of up to 8 KiB need none.

--- a/internal/wire/rpc/room_test.go
+++ b/internal/wire/rpc/room_test.go
@@ -94,7 +94,7 @@
 // TestLongCallsPassBesideUnfinishedOnes has more frames that stop short of their end
 // than there is room for, and a sound call that is longer than the room.
 func TestLongCallsPassBesideUnfinishedOnes(t *testing.T) {
-	s := &Server{}
+	s := &Server{Room: &intake.Intake{Bytes: roomBytes, Decoded: 2 * roomBytes}}
 	address := startEcho(t, s)
 	for range 8 {
 		partOfFrame(t, address, roomBytes/4)
@@ -113,6 +113,9 @@
 	if _, err := echo(t, address, "short"); err != nil {
 		t.Errorf("a short call: %v", err)
 	}
+	if _, err := echo(t, address, json.RawMessage("["+strings.Repeat("{},", shortFrame/4)+"{}]")); err != nil {
+		t.Errorf("a short call with a long list: %v", err)
+	}
 	long := strings.Repeat("a", 4*roomBytes)
 	for deadline := time.Now().Add(hangTimeout); ; time.Sleep(10 * time.Millisecond) {
 		if out, err := echo(t, address, long); err == nil && len(out) == len(long)+2 {
@@ -205,3 +208,16 @@
 		t.Errorf("refused with %v, want ErrTooLarge", err)
 	}
 }
+
+// TestResponsesMayBeLongerThanCalls checks that the limit is for callers only.
+func TestResponsesMayBeLongerThanCalls(t *testing.T) {
+	address := startEcho(t, &Server{Handlers: map[string]Handler{
+		"Long": func(context.Context, json.RawMessage) (any, error) { return strings.Repeat("a", longestFrame+1), nil },
+	}})
+	c := &Client{Address: address}
+	defer c.Close()
+	var out string
+	if err := c.Call(t.Context(), "Long", nil, &out); err != nil || len(out) != longestFrame+1 {
+		t.Errorf("a response of %d bytes: %v, want %d", len(out), err, longestFrame+1)
+	}
+}
--- a/internal/wire/rpc/stream.go
+++ b/internal/wire/rpc/stream.go
@@ -23,6 +23,9 @@
 	// roomTimeout limits the wait for room for a long frame. It is longer than the
 	// time after which those without progress are given up.
 	roomTimeout = 3 * time.Second
+	// shortFrame is the length in bytes up to which a call is decoded whatever room
+	// there is, so that others can't keep it out.
+	shortFrame = 8 << 10
 	// widenBytes is the length of a frame beyond which its connection gets a longer
 	// receive buffer, if there is room.
 	widenBytes = 64 << 10
@@ -50,8 +53,9 @@
 	jsonrpc2.ObjectStream
 	server *Server
 	conn   *serverConn
-	codec  frame.Codec
-	r      *bufio.Reader
+	// codec reads calls from r. Responses may be longer.
+	codec frame.Codec
+	r     *bufio.Reader
 
 	// claim and params are those of the latest call. They are used by the goroutine
 	// that reads, which also calls the handler.
@@ -60,11 +64,11 @@
 }
 
 func newCallStream(s *Server, c *serverConn, conn net.Conn) *callStream {
-	codec := s.Codec
-	codec.Limit = frameLimit(codec, s.Room)
+	calls := s.Codec
+	calls.Limit = frameLimit(calls, s.Room)
 	return &callStream{
-		ObjectStream: jsonrpc2.NewBufferedStream(conn, codec),
-		server:       s, conn: c, codec: codec, r: bufio.NewReader(conn),
+		ObjectStream: jsonrpc2.NewBufferedStream(conn, s.Codec),
+		server:       s, conn: c, codec: calls, r: bufio.NewReader(conn),
 	}
 }
 
@@ -99,10 +103,10 @@
 	return nil
 }
 
-// reserveDecoded takes the room for the params once the handler has decoded them.
+// reserveDecoded takes the room that a long call's params take once they are decoded.
 func (s *callStream) reserveDecoded(data []byte) error {
 	limit := s.server.Room.Decoded
-	if limit <= 0 {
+	if limit <= 0 || len(data) <= shortFrame {
 		return nil
 	}
 	n, err := jsonlimit.Bytes(data, limit)
