rpc: close connections whose callers don't read, if others need them

The same fault as at the HTTP listeners: callers that don't read the responses to their calls kept their connections, and once they had all that the process allows, everyone else's were closed at once. A connection whose write has waited for a second counts as unread now, as there.

Evidence: TestNewConnectionReplacesUnread in internal/wire/rpc failed before (an ordinary call was not answered for 30 s), passes now.

--- a/internal/wire/rpc/room_test.go
+++ b/internal/wire/rpc/room_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -221,3 +222,38 @@
 		t.Errorf("a response of %d bytes: %v, want %d", len(out), err, longestFrame+1)
 	}
 }
+
+// TestNewConnectionReplacesUnread has as many callers that don't read their responses as
+// there may be connections.
+func TestNewConnectionReplacesUnread(t *testing.T) {
+	const conns = 2
+	var begun sync.WaitGroup
+	begun.Add(conns)
+	s := &Server{Intake: &intake.Intake{Conns: conns}, Handlers: map[string]Handler{
+		"Long": func(context.Context, json.RawMessage) (any, error) {
+			begun.Done()
+			return strings.Repeat("a", 16<<20), nil
+		},
+	}}
+	address := startEcho(t, s)
+	const call = `{"jsonrpc":"2.0","id":1,"method":"Long"}`
+	for range conns {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		if _, err := c.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(call))), call...)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	begun.Wait()
+	for deadline := time.Now().Add(hangTimeout); ; time.Sleep(10 * time.Millisecond) {
+		if _, err := echo(t, address, "ordinary"); err == nil {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("an ordinary call is not answered")
+		}
+	}
+}
--- a/internal/wire/rpc/server.go
+++ b/internal/wire/rpc/server.go
@@ -83,6 +83,9 @@
 	// ended.
 	receiving bool
 	since     time.Time
+	// writing is set while a response is written, since writingFrom.
+	writing     bool
+	writingFrom time.Time
 }
 
 // hasUnread reports whether bytes have arrived that were not read.
@@ -96,6 +99,8 @@
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
 	switch {
+	case c.writing:
+		return intake.Unread, c.writingFrom
 	case c.pending > 0:
 		return intake.Serving, c.since
 	case c.receiving:
@@ -107,6 +112,19 @@
 // Drop implements intake.Conn.
 func (c *serverConn) Drop() { _ = c.Close() }
 
+// Write implements io.Writer.
+func (c *serverConn) Write(p []byte) (int, error) {
+	c.setWriting(true)
+	defer c.setWriting(false)
+	return c.Conn.Write(p)
+}
+
+func (c *serverConn) setWriting(writing bool) {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.writing, c.writingFrom = writing, time.Now()
+}
+
 // receive records that a call has begun to arrive.
 func (c *serverConn) receive() {
 	c.server.mu.Lock()
