--- a/internal/admission/intake/conns.go
+++ b/internal/admission/intake/conns.go
@@ -41,14 +41,14 @@
 	if raw == nil {
 		return
 	}
-	if in.UnreadBytes > 0 {
-		if err := socket.LimitUnread(raw, in.UnreadBytes); err != nil {
+	if in.BufferBytes > 0 {
+		if err := socket.SetReceiveBuffer(raw, in.BufferBytes); err != nil {
 			klog.ErrorS(err, "Receive buffers can't be limited", "Listener", l.Addr().String())
 		}
 	}
-	if in.Queue > 0 {
-		if err := socket.LimitQueue(raw, in.Queue); err != nil {
-			klog.ErrorS(err, "Listen queue can't be limited", "Listener", l.Addr().String())
+	if in.Backlog > 0 {
+		if err := socket.SetBacklog(raw, in.Backlog); err != nil {
+			klog.ErrorS(err, "Backlog can't be limited", "Listener", l.Addr().String())
 		}
 	}
 }
@@ -91,16 +91,16 @@
 	delete(in.wide, c)
 }
 
-// WideBytes is what the system may keep unread of a connection with a long request,
-// so that one from afar arrives at a good rate.
-const WideBytes = 256 << 10
+// WideBufferBytes is the receive buffer of a connection with a long request, so that one
+// from afar arrives at a good rate.
+const WideBufferBytes = 256 << 10
 
-// Widen reports whether WideBytes may wait unread at an open connection from now on
-// until it is closed, as a receive buffer can't be shortened safely.
+// Widen reports whether an open connection may have WideBufferBytes from now on. They
+// count until it is closed, as a receive buffer can't be shortened safely.
 func (in *Intake) Widen(c Conn) bool {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	if _, open := in.conns[c]; !open || in.UnreadBytes >= WideBytes || len(in.wide) >= in.Wide {
+	if _, open := in.conns[c]; !open || in.BufferBytes >= WideBufferBytes || len(in.wide) >= in.WideBuffers {
 		return false
 	}
 	if in.wide == nil {
--- a/internal/admission/intake/intake.go
+++ b/internal/admission/intake/intake.go
@@ -46,14 +46,14 @@
 	Bytes int64
 	// Conns limits the open connections.
 	Conns int
-	// UnreadBytes limits the bytes that the system keeps of a connection until they are
-	// read. 0 leaves it to the system.
-	UnreadBytes int
-	// Queue limits the connections that wait at a listener to be accepted. 0 leaves
+	// BufferBytes is the receive buffer of a connection, which limits what arrives and
+	// waits to be read. 0 leaves it to the system.
+	BufferBytes int
+	// Backlog limits the connections that wait at a listener to be accepted. 0 leaves
 	// it to the system.
-	Queue int
-	// Wide limits the connections with WideBytes in place of UnreadBytes.
-	Wide int
+	Backlog int
+	// WideBuffers limits the connections with WideBufferBytes in place of BufferBytes.
+	WideBuffers int
 	// Decoded limits what one document takes once it is decoded. It is for those who
 	// decode documents. 0 means that there is no limit.
 	Decoded int64
@@ -70,7 +70,7 @@
 	// claims holds those with counted bytes.
 	claims map[*Claim]struct{}
 	conns  map[Conn]struct{}
-	// wide are those of conns with WideBytes.
+	// wide are those of conns with WideBufferBytes.
 	wide map[Conn]struct{}
 }
 
--- a/internal/admission/intake/intake_test.go
+++ b/internal/admission/intake/intake_test.go
@@ -127,7 +127,7 @@
 
 // TestWideBuffersAreBounded has connections that end in time and ones that are unknown.
 func TestWideBuffersAreBounded(t *testing.T) {
-	in := &Intake{UnreadBytes: minUnread, Wide: 2}
+	in := &Intake{BufferBytes: minBuffer, WideBuffers: 2}
 	var conns []*fakeConn
 	for range 4 {
 		c := &fakeConn{}
@@ -146,17 +146,17 @@
 	}
 }
 
-// TestUnreadBytesFitTheMemory checks the sum of all that may wait in the system for the
+// TestReceiveBuffersFitTheMemory checks the sum of all that may wait in the system for the
 // instances that the users run.
-func TestUnreadBytesFitTheMemory(t *testing.T) {
+func TestReceiveBuffersFitTheMemory(t *testing.T) {
 	for _, c := range []struct {
 		memoryMb    int64
 		descriptors int
 	}{{96, 500}, {152, 1848}, {184, 3900}, {264, 5950}, {284, 3900}, {544, 8000}, {24 << 10, 1 << 20}, {24 << 10, 1024}} {
 		in := New(c.memoryMb<<20, c.descriptors)
-		sum := int64(in.UnreadBytes)*int64(in.Conns+listenersPerProcess*in.Queue) + int64(in.Wide)*WideBytes
-		if limit := int64((unreadFraction + wideFraction) * float64(c.memoryMb<<20)); sum > limit || in.UnreadBytes < minUnread {
-			t.Errorf("%d MiB and %d descriptors: %d bytes each, %d in all, want at most %d", c.memoryMb, c.descriptors, in.UnreadBytes, sum, limit)
+		sum := int64(in.BufferBytes)*int64(in.Conns+listenersPerProcess*in.Backlog) + int64(in.WideBuffers)*WideBufferBytes
+		if limit := int64((bufferFraction + wideFraction) * float64(c.memoryMb<<20)); sum > limit || in.BufferBytes < minBuffer {
+			t.Errorf("%d MiB and %d descriptors: %d bytes each, %d in all, want at most %d", c.memoryMb, c.descriptors, in.BufferBytes, sum, limit)
 		}
 	}
 }
--- a/internal/admission/intake/process.go
+++ b/internal/admission/intake/process.go
@@ -25,15 +25,14 @@
 	// runtime is taken for.
 	runtimeFraction = 0.6
 	minConns        = 16
-	// unreadFraction is the fraction of the memory for bytes that have arrived at
-	// connections, accepted or not, and wait in the system.
-	unreadFraction = 0.25
-	// minUnread is room for a short request, and maxUnread what most systems begin
-	// with.
-	minUnread, maxUnread = 8 << 10, 128 << 10
-	// queueLength is many times the connections that arrive while a process doesn't
+	// bufferFraction is the fraction of the memory for the receive buffers of all
+	// connections, accepted or not.
+	bufferFraction = 0.25
+	// minBuffer holds a short request, and maxBuffer is what most systems begin with.
+	minBuffer, maxBuffer = 8 << 10, 128 << 10
+	// backlog is many times the connections that arrive while a process doesn't
 	// run for a second.
-	queueLength = 512
+	backlog = 512
 	// listenersPerProcess is the largest number in any role.
 	listenersPerProcess = 4
 	// otherDescriptors are for files, listeners and connections to other processes.
@@ -41,7 +40,7 @@
 	// decodedFraction is the fraction of the memory for one document that is decoded.
 	decodedFraction = 0.25
 	// wideFraction is the fraction of the memory for the longer receive buffers of
-	// long requests, WideBytes each.
+	// long requests, WideBufferBytes each.
 	wideFraction = 1.0 / 16
 )
 
@@ -55,13 +54,13 @@
 		descriptors = systemDescriptors()
 	}
 	conns := max(min(int(connsFraction*float64(descriptors)), int(memory/memoryPerConn)), minConns)
-	unread := int64(unreadFraction*float64(memory)) / int64(conns+listenersPerProcess*queueLength)
+	buffer := int64(bufferFraction*float64(memory)) / int64(conns+listenersPerProcess*backlog)
 	return &Intake{
 		Bytes: int64(bytesFraction * float64(memory)), Conns: conns,
-		UnreadBytes: int(min(max(unread, minUnread), maxUnread)), Queue: queueLength,
-		Decoded:  int64(decodedFraction * float64(memory)),
-		Wide:     int(wideFraction * float64(memory) / WideBytes),
-		Outgoing: max(descriptors-conns-otherDescriptors, minConns),
+		BufferBytes: int(min(max(buffer, minBuffer), maxBuffer)), Backlog: backlog,
+		Decoded:     int64(decodedFraction * float64(memory)),
+		WideBuffers: int(wideFraction * float64(memory) / WideBufferBytes),
+		Outgoing:    max(descriptors-conns-otherDescriptors, minConns),
 	}
 }
 
--- a/internal/kernel/httpserver/intake.go
+++ b/internal/kernel/httpserver/intake.go
@@ -98,7 +98,7 @@
 	if c.raw == nil || !c.intake.Widen(c) {
 		return
 	}
-	if err := socket.RaiseUnread(c.raw, intake.WideBytes); err != nil {
+	if err := socket.RaiseReceiveBuffer(c.raw, intake.WideBufferBytes); err != nil {
 		klog.V(1).InfoS("Receive buffer can't be lengthened", "Error", err.Error())
 	}
 }
--- a/internal/kernel/socket/socket.go
+++ b/internal/kernel/socket/socket.go
@@ -50,29 +50,29 @@
 	return n
 }
 
-// LimitUnread bounds the bytes that the system keeps unread of a TCP connection, or of
-// those that arrive at a listener. The system rounds it up to a few kilobytes. The bound
-// of a connection must not be lowered: its peer may stop for seconds then.
-func LimitUnread(raw syscall.RawConn, bytes int) error {
+// SetReceiveBuffer bounds the bytes that wait to be read from a TCP connection, or from each
+// of those that arrive at a listener. The system rounds it up to a few kilobytes. It must
+// not be lowered for an open connection, whose peer may stop for seconds then.
+func SetReceiveBuffer(raw syscall.RawConn, bytes int) error {
 	return control(raw, func(fd int) error {
 		// The system doubles the value, to have room for its own data.
 		return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, bytes/2)
 	})
 }
 
-// RaiseUnread raises the bound that LimitUnread has set for an open TCP connection.
-func RaiseUnread(raw syscall.RawConn, bytes int) error {
+// RaiseReceiveBuffer raises the bound of an open TCP connection.
+func RaiseReceiveBuffer(raw syscall.RawConn, bytes int) error {
+	if err := SetReceiveBuffer(raw, bytes); err != nil {
+		return err
+	}
+	// The window stays within the buffer that the connection began with otherwise.
 	return control(raw, func(fd int) error {
-		if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, bytes/2); err != nil {
-			return err
-		}
-		// The window stays within the buffer that the connection began with otherwise.
 		return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, bytes/2)
 	})
 }
 
-// LimitQueue bounds the connections that wait at a listener to be accepted.
-func LimitQueue(raw syscall.RawConn, length int) error {
+// SetBacklog bounds the connections that wait at a listener to be accepted.
+func SetBacklog(raw syscall.RawConn, length int) error {
 	return control(raw, func(fd int) error { return unix.Listen(fd, length) })
 }
 
--- a/internal/kernel/socket/socket_test.go
+++ b/internal/kernel/socket/socket_test.go
@@ -131,16 +131,16 @@
 	}
 }
 
-// TestUnreadIsLimited checks what waits at a connection before it is accepted, with the
+// TestReceiveBufferBoundsUnreadBytes checks what waits at a connection before it is accepted, with the
 // limit of its listener, and after the limit was raised.
-func TestUnreadIsLimited(t *testing.T) {
+func TestReceiveBufferBoundsUnreadBytes(t *testing.T) {
 	const limit, raised = 16 << 10, 256 << 10
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = l.Close() }()
-	if err := LimitUnread(Raw(l), limit); err != nil {
+	if err := SetReceiveBuffer(Raw(l), limit); err != nil {
 		t.Fatal(err)
 	}
 	c, err := net.Dial("tcp", l.Addr().String())
@@ -161,7 +161,7 @@
 	if n := Unread(Raw(s)); n == 0 || n > limit {
 		t.Errorf("%d bytes wait at a connection that was not accepted, want at most %d", n, limit)
 	}
-	if err := RaiseUnread(Raw(s), raised); err != nil {
+	if err := RaiseReceiveBuffer(Raw(s), raised); err != nil {
 		t.Fatal(err)
 	}
 	go fill()
--- a/internal/wire/rpc/stream.go
+++ b/internal/wire/rpc/stream.go
@@ -172,5 +172,5 @@
 		return
 	}
 	// Without it the frame only takes longer.
-	_ = socket.RaiseUnread(raw, intake.WideBytes)
+	_ = socket.RaiseReceiveBuffer(raw, intake.WideBufferBytes)
 }
