--- a/internal/admission/intake/intake.go
+++ b/internal/admission/intake/intake.go
@@ -54,9 +54,10 @@
 	Backlog int
 	// WideBuffers limits the connections with WideBufferBytes in place of BufferBytes.
 	WideBuffers int
-	// Decoded limits what one document takes once it is decoded. It is for those who
-	// decode documents. 0 means that there is no limit.
-	Decoded int64
+	// Document limits one call of another process, and what one document or call takes
+	// once it is decoded. It is for those who decode them. 0 means that there is no
+	// limit.
+	Document int64
 	// Outgoing is how many connections to targets the descriptors allow beside Conns.
 	// It is for those who open them.
 	Outgoing int
--- a/internal/admission/intake/process.go
+++ b/internal/admission/intake/process.go
@@ -37,8 +37,8 @@
 	listenersPerProcess = 4
 	// otherDescriptors are for files, listeners and connections to other processes.
 	otherDescriptors = 32
-	// decodedFraction is the fraction of the memory for one document that is decoded.
-	decodedFraction = 0.25
+	// documentFraction is the fraction of the memory for one document or call.
+	documentFraction = 0.25
 	// wideFraction is the fraction of the memory for the longer receive buffers of
 	// long requests, WideBufferBytes each.
 	wideFraction = 1.0 / 16
@@ -58,7 +58,7 @@
 	return &Intake{
 		Bytes: int64(bytesFraction * float64(memory)), Conns: conns,
 		BufferBytes: int(min(max(buffer, minBuffer), maxBuffer)), Backlog: backlog,
-		Decoded:     int64(decodedFraction * float64(memory)),
+		Document:    int64(documentFraction * float64(memory)),
 		WideBuffers: int(wideFraction * float64(memory) / WideBufferBytes),
 		Outgoing:    max(descriptors-conns-otherDescriptors, minConns),
 	}
@@ -81,7 +81,7 @@
 // forPeers returns the room for long calls of other processes, which callers' requests
 // must not take: it is as large as that for callers, and their refusals count alike.
 func (in *Intake) forPeers() *Intake {
-	return &Intake{Bytes: in.Bytes, Decoded: in.Decoded, OnRefuse: in.OnRefuse}
+	return &Intake{Bytes: in.Bytes, Document: in.Document, OnRefuse: in.OnRefuse}
 }
 
 // Process returns the intake that all listeners of the process share.
--- a/internal/standin/crowdkind/crowdkind.go
+++ b/internal/standin/crowdkind/crowdkind.go
@@ -20,6 +20,8 @@
 	frameCallers = 20
 	// longFrame is just within the limit of the codec.
 	longFrame = 60 * mib
+	// wholeFrame is just within the limit of processes with little memory.
+	wholeFrame = 24*mib - 1<<10
 )
 
 // Kind is a number of callers that all send the same.
@@ -74,5 +76,6 @@
 		{"in pieces", fewCallers, crowd.Request{FrameBytes: longestBody, Piecewise: true}},
 		{"short", manyCallers, crowd.Request{FrameBytes: longestHead}},
 		{"over the limit", endlessCallers, crowd.Request{FrameBytes: endlessBody + mib}},
+		{"all whole", frameCallers, crowd.Request{FrameBytes: wholeFrame, Whole: true}},
 	}
 }
--- a/internal/wire/rpc/stream.go
+++ b/internal/wire/rpc/stream.go
@@ -18,7 +18,8 @@
 
 const (
 	// longestFrame is the least limit of a frame in bytes, whatever the memory. A
-	// configuration of 8 MiB that can't be compressed takes 11 MiB in a frame.
+	// configuration of 8 MiB that can't be compressed takes 11 MiB in a frame, and the
+	// snapshot of 100,000 claims 18 MiB.
 	longestFrame = 24 << 20
 	// roomTimeout limits the wait for room for a long frame. It is longer than the
 	// time after which those without progress are given up.
@@ -41,10 +42,10 @@
 	if limit == 0 {
 		limit = frame.DefaultLimit
 	}
-	if room.Bytes <= 0 {
+	if room.Document <= 0 {
 		return limit
 	}
-	return int(min(int64(limit), max(room.Bytes, longestFrame)))
+	return int(min(int64(limit), max(room.Document, longestFrame)))
 }
 
 // callStream reads calls from a connection. A long frame takes room of the process
@@ -105,7 +106,7 @@
 
 // reserveDecoded takes the room that a long call's params take once they are decoded.
 func (s *callStream) reserveDecoded(data []byte) error {
-	limit := s.server.Room.Decoded
+	limit := s.server.Room.Document
 	if limit <= 0 || len(data) <= shortFrame {
 		return nil
 	}
