footprint: fail a test if the unread bytes can't be read

A sample whose table of sockets could not be opened or read counted as no unread bytes, so that a crowd test could have passed without looking at them. Peak returns the error now, and the tests that use it fail.

--- a/internal/standin/footprint/footprint.go
+++ b/internal/standin/footprint/footprint.go
@@ -26,6 +26,8 @@
 	mu sync.Mutex
 	// resident and unread in bytes belong to the sample with the largest sum.
 	resident, unread int64
+	// err is the first error with which the unread bytes could not be read.
+	err error
 }
 
 // Watch samples a process that listens on the addresses, each an IPv4 address and a
@@ -45,11 +47,12 @@
 	f.stopped.Wait()
 }
 
-// Peak returns the sample with the largest sum, in bytes.
-func (f *Footprint) Peak() (resident, unread int64) {
+// Peak returns the sample with the largest sum, in bytes, or an error if the unread bytes
+// of a sample are not known.
+func (f *Footprint) Peak() (resident, unread int64, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.resident, f.unread
+	return f.resident, f.unread, f.err
 }
 
 func (f *Footprint) run() {
@@ -66,7 +69,7 @@
 }
 
 func (f *Footprint) sample() {
-	unread := f.unreadBytes()
+	unread, unreadErr := f.unreadBytes()
 	resident, err := residentBytes(f.pid)
 	if err != nil {
 		// The process has ended, which the test checks.
@@ -74,6 +77,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.err == nil {
+		f.err = unreadErr
+	}
 	if resident+unread > f.resident+f.unread {
 		f.resident, f.unread = resident, unread
 	}
@@ -97,14 +103,15 @@
 const listening = "0A"
 
 // unreadBytes returns what waits at the addresses, accepted connections or not.
-func (f *Footprint) unreadBytes() int64 {
+func (f *Footprint) unreadBytes() (int64, error) {
 	table, err := os.Open("/proc/net/tcp")
 	if err != nil {
-		return 0
+		return 0, err
 	}
 	defer func() { _ = table.Close() }()
 	sum := int64(0)
-	for lines := bufio.NewScanner(table); lines.Scan(); {
+	lines := bufio.NewScanner(table)
+	for lines.Scan() {
 		// The fields are number, local and remote address, state, and the lengths
 		// of the send and receive queues.
 		fields := strings.Fields(lines.Text())
@@ -112,10 +119,13 @@
 			continue
 		}
 		_, queue, _ := strings.Cut(fields[4], ":")
-		n, _ := strconv.ParseInt(queue, 16, 64)
+		n, err := strconv.ParseInt(queue, 16, 64)
+		if err != nil {
+			return 0, err
+		}
 		sum += n
 	}
-	return sum
+	return sum, lines.Err()
 }
 
 // decodeAddress returns an address of /proc/net/tcp, whose bytes are in the order of
--- a/internal/standin/footprint/footprint_test.go
+++ b/internal/standin/footprint/footprint_test.go
@@ -25,11 +25,18 @@
 	if _, err := c.Write(make([]byte, sent)); err != nil {
 		t.Fatal(err)
 	}
-	for f.unreadBytes() != sent {
+	for {
+		n, err := f.unreadBytes()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n == sent {
+			break
+		}
 		time.Sleep(time.Millisecond)
 	}
 	f.sample()
-	if resident, unread := f.Peak(); resident <= 0 || unread > sent {
-		t.Errorf("resident %d, unread %d, want some and at most %d", resident, unread, sent)
+	if resident, unread, err := f.Peak(); err != nil || resident <= 0 || unread > sent {
+		t.Errorf("resident %d, unread %d, %v, want some and at most %d", resident, unread, err, sent)
 	}
 }
--- a/internal/system/crowd_test.go
+++ b/internal/system/crowd_test.go
@@ -98,7 +98,10 @@
 // count that arrived and were not read.
 func (f *fleet) checkFootprint(name string, fp *footprint.Footprint) {
 	f.t.Helper()
-	resident, unread := fp.Peak()
+	resident, unread, err := fp.Peak()
+	if err != nil {
+		f.t.Fatal(err)
+	}
 	f.t.Logf("%s: largest footprint %d KiB, of which %d KiB unread", name, (resident+unread)>>10, unread>>10)
 	if resident+unread > crowdMemoryBytes {
 		f.t.Errorf("%s has taken %d KiB with %d KiB unread, want at most %d", name, (resident+unread)>>10, unread>>10, crowdMemoryBytes>>10)
