sitestate: log what decides whether an order has an effect

Three causes fitted what callers saw: the second evacuation changed nothing and so left no trace; the withdrawal was dated too late; it went on for longer than its order may. The logs named only orders that were acknowledged, by the keeper that did so, without positions.

Each keeper now logs each order for a failure domain that it applies: its position, After, the position of the domain's last change, and its effect (Changed, None or Outdated).

--- a/internal/site/sitestate/sitestate.go
+++ b/internal/site/sitestate/sitestate.go
@@ -7,11 +7,13 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
+	"k8s.io/klog/v2"
 
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/kernel/boottime"
@@ -180,6 +182,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if in.Withdraw != nil {
+		m.state.logOrder(index, *in.Withdraw)
+	}
 	if in.Withdraw != nil && m.state.isOutdated(*in.Withdraw) {
 		return []byte(ErrOutdated.Error())
 	}
@@ -194,6 +199,24 @@
 	return nil
 }
 
+// logOrder logs what decides whether an order for a failure domain has an effect. It is
+// called before the order is applied.
+func (s *State) logOrder(index uint64, c DomainChange) {
+	effect := "None"
+	switch {
+	case s.isOutdated(c):
+		effect = "Outdated"
+	case s.Withdrawn[c.Domain] != c.Out:
+		effect = "Changed"
+	}
+	after := "unknown"
+	if c.After != nil {
+		after = strconv.FormatUint(*c.After, 10)
+	}
+	klog.InfoS("Order for a failure domain was applied", "Domain", c.Domain, "Out", c.Out, "Position", index,
+		"After", after, "DomainPosition", s.DomainIndex[c.Domain], "Effect", effect)
+}
+
 // isOutdated reports whether a change would undo one that may be newer than its
 // order. A change that is already in effect is not outdated, since an order that was
 // accepted may come again.
