sitestate: record orders that change nothing, so that older ones don't undo them

Cause: an order is dropped if its domain changed after the position that it names. The second evacuation found its domain as it wanted it; it was acknowledged without a change, and nothing was left that dated it.

Change: each acknowledged order records its position (State.OrderIndex), also one that changes nothing, and also one that may itself be old, as its acknowledgement is a promise all the same. An order to the contrary that names an earlier position gets 503 and has no effect. Machine.Position counts these positions: an order that follows would name one before its domain's otherwise, and get 503 for good. Watchers are not woken and Index stays. DomainChange.Tracked keeps logs of earlier versions at the state that they had.

Why it works: an order that its operator gave up was sent before the one that it sent then, so its position is before that of the acknowledgement, whatever keeper, leader or socket it lies in, and however long.

--- a/internal/role/sitekeeper/leave_test.go
+++ b/internal/role/sitekeeper/leave_test.go
@@ -6,13 +6,11 @@
 	"testing"
 	"time"
 
-	"egretproxy/internal/agreement/node"
-	"egretproxy/internal/kernel/metrics"
 	"egretproxy/internal/site/discovery"
 )
 
-// startKeepers runs a group of keepers until the test ends.
-func startKeepers(t *testing.T, n int) []*Keeper {
+// listenAddresses returns n addresses on which nothing listens.
+func listenAddresses(t *testing.T, n int) []string {
 	t.Helper()
 	var addresses []string
 	for range n {
@@ -23,24 +21,15 @@
 		addresses = append(addresses, l.Addr().String())
 		_ = l.Close()
 	}
+	return addresses
+}
+
+// startKeepers runs a group of keepers until the test ends.
+func startKeepers(t *testing.T, n int) []*Keeper {
+	t.Helper()
 	var out []*Keeper
-	for _, a := range addresses {
-		k, err := New(node.Config{
-			Address: a, InitialMembers: addresses, DataDir: t.TempDir(), Peers: func() []string { return nil }, Voters: n, Durable: true,
-		}, "r", metrics.New("Keeper"))
-		if err != nil {
-			t.Fatal(err)
-		}
-		ctx, cancel := context.WithCancel(t.Context())
-		ended := make(chan error, 1)
-		go func() { ended <- k.Run(ctx) }()
-		t.Cleanup(func() {
-			cancel()
-			if err := <-ended; err != nil {
-				t.Error(err)
-			}
-		})
-		out = append(out, k)
+	for _, k := range startRestartableKeepers(t, n) {
+		out = append(out, k.Keeper)
 	}
 	return out
 }
--- a/internal/role/sitekeeper/sitekeeper.go
+++ b/internal/role/sitekeeper/sitekeeper.go
@@ -137,7 +137,7 @@
 	}
 	if c.Withdraw != nil {
 		after := k.positionOf(ctx)
-		c.Withdraw.After = &after
+		c.Withdraw.After, c.Withdraw.Tracked = &after, true
 	}
 	data, err := sitestate.Encode(c)
 	if err != nil {
--- a/internal/site/sitestate/sitestate.go
+++ b/internal/site/sitestate/sitestate.go
@@ -45,11 +45,14 @@
 	// the domain has changed since, the order may be older than that change and
 	// has no effect. It is nil in logs of versions that did not store it.
 	After *uint64 `cbor:",omitempty"`
+	// Tracked records the order in State.OrderIndex. It is false in logs of versions
+	// that did not have it, so that these lead to the same state as before.
+	Tracked bool `cbor:",omitempty"`
 }
 
 // ErrOutdated is the response to a DomainChange that may be older than the domain's
-// last change.
-var ErrOutdated = errors.New("failure domain has changed since the order may have been sent")
+// last order.
+var ErrOutdated = errors.New("failure domain had another order since this one may have been sent")
 
 // WeightsChange publishes a version of a model's weights. A version that is not
 // higher than the newest has no effect.
@@ -74,7 +77,11 @@
 	Withdrawn map[id.Domain]bool
 	// DomainIndex is the position of the last change of each failure domain.
 	DomainIndex map[id.Domain]uint64
-	Weights     map[id.Model]int64
+	// OrderIndex is the position of the last tracked order for each failure domain that
+	// was acknowledged, also if it found the domain as it wanted it. It may be higher
+	// than Index.
+	OrderIndex map[id.Domain]uint64
+	Weights    map[id.Model]int64
 	// NamedMs is when those versions were published, as in WeightsChange.
 	NamedMs map[id.Model]int64
 	// Quarantine holds the verdicts on parts of prompts and on requests, oldest first.
@@ -151,17 +158,23 @@
 	out := m.state
 	out.Withdrawn = maps.Clone(out.Withdrawn)
 	out.DomainIndex = maps.Clone(out.DomainIndex)
+	out.OrderIndex = maps.Clone(out.OrderIndex)
 	out.Weights = maps.Clone(out.Weights)
 	out.NamedMs = maps.Clone(out.NamedMs)
 	out.Quarantine = slices.Clone(out.Quarantine)
 	return out
 }
 
-// Position returns the position of the last change that had an effect.
+// Position returns the position of the last change that had an effect or order that
+// was acknowledged.
 func (m *Machine) Position() uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.state.Index
+	position := m.state.Index
+	for _, index := range m.state.OrderIndex {
+		position = max(position, index)
+	}
+	return position
 }
 
 // Changed returns a channel that is closed at the next effect.
@@ -184,9 +197,10 @@
 	defer m.mu.Unlock()
 	if in.Withdraw != nil {
 		m.state.logOrder(index, *in.Withdraw)
-	}
-	if in.Withdraw != nil && m.state.isOutdated(*in.Withdraw) {
-		return []byte(ErrOutdated.Error())
+		if m.state.isOutdated(*in.Withdraw) {
+			return []byte(ErrOutdated.Error())
+		}
+		m.state.trackOrder(index, *in.Withdraw)
 	}
 	if !m.state.apply(index, in) {
 		return nil
@@ -214,14 +228,32 @@
 		after = strconv.FormatUint(*c.After, 10)
 	}
 	klog.InfoS("Order for a failure domain was applied", "Domain", c.Domain, "Out", c.Out, "Position", index,
-		"After", after, "DomainPosition", s.DomainIndex[c.Domain], "Effect", effect)
+		"After", after, "DomainPosition", s.domainPosition(c.Domain), "Effect", effect)
 }
 
-// isOutdated reports whether a change would undo one that may be newer than its
-// order. A change that is already in effect is not outdated, since an order that was
-// accepted may come again.
+// domainPosition returns the position of the last order for a failure domain that was
+// acknowledged.
+func (s *State) domainPosition(d id.Domain) uint64 { return max(s.DomainIndex[d], s.OrderIndex[d]) }
+
+// isOutdated reports whether a change would undo an order that was acknowledged and may
+// be newer than its own. A change that is already in effect is not outdated, since an
+// order that was accepted may come again.
 func (s *State) isOutdated(c DomainChange) bool {
-	return c.After != nil && s.Withdrawn[c.Domain] != c.Out && s.DomainIndex[c.Domain] > *c.After
+	return c.After != nil && s.Withdrawn[c.Domain] != c.Out && s.domainPosition(c.Domain) > *c.After
+}
+
+// trackOrder records an order that is acknowledged. One that changes nothing counts as
+// well: an older order to the contrary may still be on its way. So does one that may
+// itself be old, as its operator may have sent it just now on a connection that has long
+// been open.
+func (s *State) trackOrder(index uint64, c DomainChange) {
+	if !c.Tracked {
+		return
+	}
+	if s.OrderIndex == nil {
+		s.OrderIndex = map[id.Domain]uint64{}
+	}
+	s.OrderIndex[c.Domain] = index
 }
 
 // apply reports whether the command had an effect.
