sitekeeper: date orders by time as well as by position

A connection's orders are dated by the log position at which it was accepted or the last response on it was sent, and by that before a pause of the process. The departures of targets are not in the log.

TestHoldsPauseDatesConnections checks the same positions as before.

--- a/internal/role/sitekeeper/ordertime.go
+++ b/internal/role/sitekeeper/ordertime.go
@@ -22,19 +22,25 @@
 	pauseSettleTime = time.Second
 )
 
+// orderDate is a moment that an order can't precede.
+type orderDate struct {
+	// position is that of the log.
+	position uint64
+	// at is by the boottime clock.
+	at time.Duration
+}
+
 // pauseLog detects that the process did not run for a while: its instance was frozen
 // or suspended, or had no processor time. Connections and orders that arrived
 // meanwhile wait in the system's buffers and look new afterwards. It is safe for
 // concurrent use. The zero value is ready to use.
 type pauseLog struct {
 	mu sync.Mutex
-	// at is the time of the last entry by the boottime clock, position the log
-	// position at that time.
-	at       time.Duration
-	position uint64
-	// beforePause is the position before the last pause, which counts until
-	// settledAt.
-	beforePause uint64
+	// last is the last entry.
+	last orderDate
+	// beforePause is the entry before the last pause, which counts until settledAt
+	// of the boottime clock.
+	beforePause orderDate
 	settledAt   time.Duration
 }
 
@@ -52,36 +58,37 @@
 	}
 }
 
-// record makes an entry. It returns a position that no connection precedes which is
+// record makes an entry. It returns a date that no connection precedes which is
 // accepted at that time.
-func (p *pauseLog) record(now time.Duration, position uint64) uint64 {
+func (p *pauseLog) record(now time.Duration, position uint64) orderDate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.at > 0 && now-p.at > pauseLimit {
-		if p.at >= p.settledAt {
-			p.beforePause = p.position
+	if p.last.at > 0 && now-p.last.at > pauseLimit {
+		if p.last.at >= p.settledAt {
+			p.beforePause = p.last
 		}
 		p.settledAt = now + pauseSettleTime
 	}
-	p.at, p.position = now, position
+	p.last = orderDate{position, now}
 	if now < p.settledAt {
 		return p.beforePause
 	}
-	return position
+	return p.last
 }
 
-// orderPosition is a log position that the next order on a connection can't precede:
-// the one at which it was accepted or the last response was sent.
-type orderPosition struct{ atomic.Uint64 }
+// connDate is a date that the next order on a connection can't precede: the one at
+// which it was accepted or the last response was sent.
+type connDate struct{ atomic.Pointer[orderDate] }
 
-type orderPositionKey struct{}
+type connDateKey struct{}
 
-// ConnContext is the ConnContext of a server of orders. It records the position at
-// which a connection is accepted.
+// ConnContext is the ConnContext of a server of orders. It records the date at which a
+// connection is accepted.
 func (k *Keeper) ConnContext(ctx context.Context, _ net.Conn) context.Context {
-	position := &orderPosition{}
-	position.Store(k.pauses.record(boottime.Now(), k.Machine.Position()))
-	return context.WithValue(ctx, orderPositionKey{}, position)
+	accepted := k.pauses.record(boottime.Now(), k.Machine.Position())
+	date := &connDate{}
+	date.Store(&accepted)
+	return context.WithValue(ctx, connDateKey{}, date)
 }
 
 // TrackOrders wraps a handler of orders whose server uses ConnContext. An order may
@@ -90,16 +97,20 @@
 func (k *Keeper) TrackOrders(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		h.ServeHTTP(w, r)
-		if position, ok := r.Context().Value(orderPositionKey{}).(*orderPosition); ok {
-			position.Store(k.Machine.Position())
+		if date, ok := r.Context().Value(connDateKey{}).(*connDate); ok {
+			now := k.now()
+			date.Store(&now)
 		}
 	})
 }
 
-// positionOf returns a log position that the order of a request can't precede.
-func (k *Keeper) positionOf(ctx context.Context) uint64 {
-	if position, ok := ctx.Value(orderPositionKey{}).(*orderPosition); ok {
-		return position.Load()
+// now returns the present date.
+func (k *Keeper) now() orderDate { return orderDate{k.Machine.Position(), boottime.Now()} }
+
+// dateOf returns a date that the order of a request can't precede.
+func (k *Keeper) dateOf(ctx context.Context) orderDate {
+	if date, ok := ctx.Value(connDateKey{}).(*connDate); ok {
+		return *date.Load()
 	}
-	return k.Machine.Position()
+	return k.now()
 }
--- a/internal/role/sitekeeper/sitekeeper.go
+++ b/internal/role/sitekeeper/sitekeeper.go
@@ -136,7 +136,7 @@
 		c.Weights.NamedMs = time.Now().UnixMilli()
 	}
 	if c.Withdraw != nil {
-		after := k.positionOf(ctx)
+		after := k.dateOf(ctx).position
 		c.Withdraw.After, c.Withdraw.Tracked = &after, true
 	}
 	data, err := sitestate.Encode(c)
