sitekeeper: a departure is that of the youngest incarnation at any keeper

What callers would see: an engine starts again under its id, and announces itself to one keeper. That one freezes or is cut off, and the engine says to another one that it leaves. This one holds an earlier incarnation, as gone or crashed, and acknowledges; entries send requests to the engine until it exits (DRAIN).

Cause: DELETE names an id and no incarnation, and the keeper applied it to the one that it held. That one had left, so nothing changed, or the others dropped it, as they knew a younger one. The acknowledgement left no trace.

Evidence: TestHoldsDepartureIsThatOfTheRunningIncarnation on the code before, for an earlier incarnation that left and one that crashed: "0 keepers know that the running incarnation has left, want a quorum". TestHoldsDepartureOfUnknownIncarnationIsRecorded: the stage of the earlier incarnation is all that is recorded. Both pass with the change.

Change: the keeper asks the others which incarnation is live there (site.target, for 250 ms at most), and the youngest leaves, by its start time. If none is known, the departure is recorded without a start time also beside an earlier incarnation, which entries apply to the youngest that they know; one that is repeated within 10 s changes nothing. Departures without a start time are told to the others each time.

Calls that a keeper asks go on after the wait: one that is given up closes its connection, on which proposals travel too.

--- a/internal/agreement/node/calls.go
+++ b/internal/agreement/node/calls.go
@@ -90,21 +90,12 @@
 // a quorum, this member included, has answered without an error. A member of a version
 // that lacks the method counts as one that has answered.
 func (n *Node) CallOthers(ctx context.Context, method string, params any) error {
-	m := n.Status().Membership
-	need := m.Quorum() - 1
-	results := make(chan error, len(m.Members))
-	calls := 0
-	for _, c := range m.Members {
-		if c.Address == n.cfg.Address {
-			continue
-		}
-		calls++
-		go func() { results <- n.client(c.Address).Call(ctx, method, params, nil) }()
-	}
+	need := n.Status().Membership.Quorum() - 1
+	calls, results := n.callOthers(ctx, method, params)
 	var last error
 	for ; need > 0 && calls > 0; calls-- {
-		if err := <-results; err != nil && rpc.ErrorCode(err) != jsonrpc2.CodeMethodNotFound {
-			last = err
+		if r := <-results; r.err != nil && rpc.ErrorCode(r.err) != jsonrpc2.CodeMethodNotFound {
+			last = r.err
 			continue
 		}
 		need--
@@ -115,6 +106,65 @@
 	return nil
 }
 
+// AskOthers calls a method of the other members at once and returns the results of those
+// that answer without an error in time. The other calls go on, since a call that is given
+// up closes its connection.
+func (n *Node) AskOthers(ctx context.Context, method string, params any, wait time.Duration) []json.RawMessage {
+	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), forwardTimeout)
+	calls, results := n.callOthers(callCtx, method, params)
+	answered := make(chan json.RawMessage, calls)
+	go func() {
+		defer cancel()
+		defer close(answered)
+		for range calls {
+			if r := <-results; r.err == nil {
+				answered <- r.data
+			}
+		}
+	}()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	var out []json.RawMessage
+	for {
+		select {
+		case answer, ok := <-answered:
+			if !ok {
+				return out
+			}
+			out = append(out, answer)
+		case <-timer.C:
+			return out
+		case <-ctx.Done():
+			return out
+		}
+	}
+}
+
+// otherResult is the result of a call of another member.
+type otherResult struct {
+	data json.RawMessage
+	err  error
+}
+
+// callOthers calls a method of the other members at once. It returns the number of
+// results that follow.
+func (n *Node) callOthers(ctx context.Context, method string, params any) (calls int, results <-chan otherResult) {
+	members := n.Status().Membership.Members
+	out := make(chan otherResult, len(members))
+	for _, c := range members {
+		if c.Address == n.cfg.Address {
+			continue
+		}
+		calls++
+		go func() {
+			var r otherResult
+			r.err = n.client(c.Address).Call(ctx, method, params, &r.data)
+			out <- r
+		}()
+	}
+	return calls, out
+}
+
 // callLeader runs the call for the leader's address, or for an empty address if
 // this member leads. It retries until the call succeeds, the context ends or this
 // member stops, as the caller can then try another keeper.
--- a/internal/role/sitekeeper/leave.go
+++ b/internal/role/sitekeeper/leave.go
@@ -16,6 +16,10 @@
 const (
 	// leaveMethod tells a keeper that a target leaves.
 	leaveMethod = "site.leave"
+	// lookupMethod returns what a keeper knows of a target.
+	lookupMethod = "site.target"
+	// lookupTimeout limits the wait for the others' answers.
+	lookupTimeout = 250 * time.Millisecond
 	// spreadTimeout limits the time for a quorum to learn of it. Targets wait for one
 	// second for a response.
 	spreadTimeout = 600 * time.Millisecond
@@ -36,10 +40,12 @@
 	stage discovery.Stage
 }
 
+// has reports whether a quorum has been told of the stage. Incarnations without a start
+// time can't be told apart.
 func (s *spreadLog) has(t discovery.Target) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.told[t.ID] == leaving{t.Born, t.Stage}
+	return t.Born != 0 && s.told[t.ID] == leaving{t.Born, t.Stage}
 }
 
 func (s *spreadLog) add(t discovery.Target) {
@@ -63,12 +69,52 @@
 	return changed, k.spread(ctx, t)
 }
 
-// Leave records that a target has left, as Announce does.
+// Leave records that a target has left, as Announce does. The target may have started
+// anew under its id and announced that to another keeper only. The youngest incarnation
+// that is live at any keeper leaves, or one that none knows which answers.
 func (k *Keeper) Leave(ctx context.Context, target id.Target) (changed bool, err error) {
+	if t, ok := k.youngest(ctx, target); ok {
+		t.Stage = discovery.Gone
+		return k.Targets.Announce(t), k.spread(ctx, t)
+	}
 	changed = k.Targets.Leave(target)
 	return changed, k.spread(ctx, k.Targets.Record(target))
 }
 
+// youngest returns the youngest incarnation of a target that is live at a keeper which
+// answers. It returns false if there is none.
+func (k *Keeper) youngest(ctx context.Context, target id.Target) (t discovery.Target, ok bool) {
+	t, ok = k.Targets.Live(target)
+	for _, answer := range k.raftNode.AskOthers(ctx, lookupMethod, lookupParams{ID: target}, lookupTimeout) {
+		var other lookupResponse
+		if err := json.Unmarshal(answer, &other); err != nil {
+			klog.InfoS("Answer of another keeper can't be read", "Target", target, "Error", err.Error())
+			continue
+		}
+		if other.Live != nil && (!ok || other.Live.Born > t.Born) {
+			t, ok = *other.Live, true
+		}
+	}
+	return t, ok
+}
+
+type lookupParams struct{ ID id.Target }
+
+// lookupResponse holds the incarnation of a target that is live at a keeper, or nil.
+type lookupResponse struct{ Live *discovery.Target }
+
+// handleLookup returns the incarnation of a target that is live here.
+func (k *Keeper) handleLookup(_ context.Context, params json.RawMessage) (any, error) {
+	var in lookupParams
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, rpc.InvalidParams(err)
+	}
+	if t, ok := k.Targets.Live(in.ID); ok {
+		return lookupResponse{Live: &t}, nil
+	}
+	return lookupResponse{}, nil
+}
+
 // spread tells the other keepers of a target that leaves, once for each stage.
 func (k *Keeper) spread(ctx context.Context, t discovery.Target) error {
 	if k.left.has(t) {
--- a/internal/role/sitekeeper/leave_test.go
+++ b/internal/role/sitekeeper/leave_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/site/discovery"
 )
 
@@ -81,3 +82,54 @@
 		}
 	}
 }
+
+// leave sends the departure of a target to a keeper until it is acknowledged.
+func leave(ctx context.Context, t *testing.T, k *Keeper, target id.Target) {
+	t.Helper()
+	for {
+		_, err := k.Leave(ctx, target)
+		if err == nil {
+			return
+		}
+		if ctx.Err() != nil {
+			t.Fatalf("departure: %v", err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// TestHoldsDepartureIsThatOfTheRunningIncarnation guards against requests to a target
+// that has left: it had started anew under its id and announced that to one keeper, and
+// said that it leaves to another, which held an earlier incarnation. That one had left or
+// changed nothing, and the departure was acknowledged without an effect.
+func TestHoldsDepartureIsThatOfTheRunningIncarnation(t *testing.T) {
+	first := discovery.Target{ID: "t", Service: "s", Address: "10.0.0.1:80", Domain: "z", Stage: discovery.Ready, Born: 5, Sequence: 9}
+	next := first
+	next.Born, next.Sequence = 8, 1
+	for name, leaves := range map[string]bool{"the earlier one left": true, "the earlier one crashed": false} {
+		t.Run(name, func(t *testing.T) {
+			keepers := startKeepers(t, 3)
+			ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+			defer cancel()
+			if _, err := keepers[0].Announce(ctx, first); err != nil {
+				t.Fatal(err)
+			}
+			if leaves {
+				leave(ctx, t, keepers[0], "t")
+			}
+			if _, err := keepers[1].Announce(ctx, next); err != nil {
+				t.Fatal(err)
+			}
+			leave(ctx, t, keepers[0], "t")
+			informed := 0
+			for _, k := range keepers {
+				if got := k.Targets.Record("t"); got.Stage == discovery.Gone && got.Born == next.Born {
+					informed++
+				}
+			}
+			if informed < 2 {
+				t.Errorf("%d keepers know that the running incarnation has left, want a quorum", informed)
+			}
+		})
+	}
+}
--- a/internal/role/sitekeeper/sitekeeper.go
+++ b/internal/role/sitekeeper/sitekeeper.go
@@ -94,7 +94,7 @@
 	k := &Keeper{metrics: set, region: region, epoch: hex.EncodeToString(b[:]), watchers: map[watcher]watcherState{}}
 	cfg.Machine = &k.Machine
 	cfg.Handlers = map[string]rpc.Handler{
-		watch.Method: k.handleWatch, leaveMethod: k.handleLeave, evidence.ReportMethod: k.handleEvidence,
+		watch.Method: k.handleWatch, leaveMethod: k.handleLeave, lookupMethod: k.handleLookup, evidence.ReportMethod: k.handleEvidence,
 		evidence.TestMethod: k.handleTest, evidence.QuarantineMethod: k.handleQuarantine,
 	}
 	cfg.OnLeadershipChange = func(leads bool) {
--- a/internal/site/discovery/discovery.go
+++ b/internal/site/discovery/discovery.go
@@ -56,9 +56,16 @@
 	ColdMs int64
 }
 
+// isLive reports whether an announced target has not left or fallen silent.
+func (a Target) isLive() bool { return a.Stage == Ready || a.Stage == Draining }
+
 // supersedes reports whether a is newer than b, an announcement of the same
-// target.
+// target. A departure without a start time is that of an incarnation which announced
+// itself elsewhere, if none is live here.
 func (a Target) supersedes(b Target) bool {
+	if a.Stage == Gone && a.Born == 0 && !b.isLive() {
+		return true
+	}
 	if a.Born != b.Born {
 		return a.Born > b.Born
 	}
@@ -77,7 +84,7 @@
 }
 
 // lateArrivalWindow is how late an announcement may arrive after its target has
-// left.
+// left, and for how long the target may repeat that it leaves.
 const lateArrivalWindow = 10 * time.Second
 
 // leftWithoutStart reports whether the target left recently without having
@@ -121,23 +128,37 @@
 	return false
 }
 
-// Leave marks a target as gone and reports whether that is a change. A target
-// that announced itself to other keepers only is recorded without a start time.
+// Leave marks a target as gone and reports whether that is a change. If no incarnation
+// of the target is live here, one that announced itself elsewhere has left, and the
+// target is recorded without a start time, unless it says so again.
 func (r *Registry) Leave(k id.Target) bool {
 	r.mu.Lock()
 	rec := r.targets[k]
+	repeated := rec != nil && rec.Stage == Gone && time.Since(rec.lastSeen) < lateArrivalWindow
 	t := Target{ID: k}
-	if rec != nil {
+	if rec != nil && rec.isLive() {
 		t = rec.Target
 	}
 	r.mu.Unlock()
-	if t.Stage == Gone {
+	if repeated {
 		return false
 	}
 	t.Stage = Gone
 	return r.Announce(t)
 }
 
+// Live returns the incarnation of a target that is live here. It returns false if none
+// is.
+func (r *Registry) Live(k id.Target) (t Target, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rec := r.targets[k]
+	if rec == nil || !rec.isLive() {
+		return Target{}, false
+	}
+	return rec.Target, true
+}
+
 // Record returns what is known of a target, or only its id.
 func (r *Registry) Record(k id.Target) Target {
 	r.mu.Lock()
--- a/internal/site/discovery/discovery_test.go
+++ b/internal/site/discovery/discovery_test.go
@@ -77,3 +77,27 @@
 		}
 	})
 }
+
+// TestHoldsDepartureOfUnknownIncarnationIsRecorded guards against the departure of an
+// incarnation that announced itself elsewhere, at a keeper that holds an earlier one: it
+// must be recorded without a start time, so that entries apply it to the one that they
+// know. A departure that is repeated changes nothing.
+func TestHoldsDepartureOfUnknownIncarnationIsRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, left := range []bool{true, false} {
+			var r Registry
+			r.Announce(Target{ID: "a", Address: "x", Born: 100, Sequence: 5})
+			if left {
+				r.Leave("a")
+				if r.Leave("a") || r.Record("a").Born != 100 {
+					t.Errorf("repeated departure was recorded: %+v", r.Record("a"))
+				}
+			}
+			time.Sleep(lateArrivalWindow + time.Second)
+			r.Since(0)
+			if !r.Leave("a") || r.Record("a") != (Target{ID: "a", Stage: Gone}) {
+				t.Errorf("departure of an incarnation that is not known, left %t: %+v", left, r.Record("a"))
+			}
+		}
+	})
+}
