sitekeeper: a departure that is read late takes no later incarnation out of service

What callers would see: an engine says that it leaves to a keeper that is frozen, has that acknowledged by another one, and starts again under its id. The frozen keeper wakes and reads the departure: the new incarnation, whose announcement had been acknowledged, gets no requests for a minute.

Change: a departure is as old as its connection, the last response on it, or the time before a pause of the keeper. Keepers remember when an incarnation was first announced, and tell that with it. If the youngest one is younger than the departure may be, or none is known and the departure may be older than its sender waits, it has no effect and gets 503; its sender sends it anew. A keeper that is told of a departure without a start time (site.leave with the new, optional Age) refuses it likewise.

TestHoldsLateDepartureLeavesNextIncarnationInService: three keepers, read by the one that knows the new incarnation and by one that knows none.

--- a/internal/role/sitekeeper/leave.go
+++ b/internal/role/sitekeeper/leave.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/boottime"
 	"egretproxy/internal/site/discovery"
 	"egretproxy/internal/wire/rpc"
 )
@@ -20,6 +21,9 @@
 	lookupMethod = "site.target"
 	// lookupTimeout limits the wait for the others' answers.
 	lookupTimeout = 250 * time.Millisecond
+	// callerPatience is how long a target waits for a response before it calls another
+	// keeper.
+	callerPatience = time.Second
 	// spreadTimeout limits the time for a quorum to learn of it. Targets wait for one
 	// second for a response.
 	spreadTimeout = 600 * time.Millisecond
@@ -66,42 +70,77 @@
 	if t.Stage != discovery.Draining {
 		return changed, nil
 	}
-	return changed, k.spread(ctx, t)
+	return changed, k.spread(ctx, leaveParams{Target: t})
 }
 
 // Leave records that a target has left, as Announce does. The target may have started
 // anew under its id and announced that to another keeper only. The youngest incarnation
-// that is live at any keeper leaves, or one that none knows which answers.
+// that is live at any keeper leaves, or one that none knows which answers. Leave returns
+// discovery.ErrLateDeparture, and has no effect, if an earlier incarnation may have said
+// so.
 func (k *Keeper) Leave(ctx context.Context, target id.Target) (changed bool, err error) {
-	if t, ok := k.youngest(ctx, target); ok {
+	youngest := k.youngest(ctx, target)
+	age := boottime.Now() - k.dateOf(ctx).at
+	if t := youngest.Live; t != nil && youngest.KnownFor >= age {
 		t.Stage = discovery.Gone
-		return k.Targets.Announce(t), k.spread(ctx, t)
+		return k.Targets.Announce(*t), k.spread(ctx, leaveParams{Target: *t})
 	}
-	changed = k.Targets.Leave(target)
-	return changed, k.spread(ctx, k.Targets.Record(target))
+	if youngest.Live != nil || age > callerPatience {
+		klog.InfoS("Departure was not recorded", "Target", target, "AgeMs", age.Milliseconds(),
+			"Known", youngest.Live != nil, "KnownForMs", youngest.KnownFor.Milliseconds())
+		return false, discovery.ErrLateDeparture
+	}
+	if changed, err = k.Targets.Leave(target, age); err != nil {
+		return false, err
+	}
+	return changed, k.spread(ctx, leaveParams{Target: k.Targets.Record(target), Age: age})
 }
 
 // youngest returns the youngest incarnation of a target that is live at a keeper which
-// answers. It returns false if there is none.
-func (k *Keeper) youngest(ctx context.Context, target id.Target) (t discovery.Target, ok bool) {
-	t, ok = k.Targets.Live(target)
+// answers.
+func (k *Keeper) youngest(ctx context.Context, target id.Target) lookupResponse {
+	out := k.lookup(target)
 	for _, answer := range k.raftNode.AskOthers(ctx, lookupMethod, lookupParams{ID: target}, lookupTimeout) {
 		var other lookupResponse
 		if err := json.Unmarshal(answer, &other); err != nil {
 			klog.InfoS("Answer of another keeper can't be read", "Target", target, "Error", err.Error())
 			continue
 		}
-		if other.Live != nil && (!ok || other.Live.Born > t.Born) {
-			t, ok = *other.Live, true
-		}
+		out = out.younger(other)
 	}
-	return t, ok
+	return out
 }
 
 type lookupParams struct{ ID id.Target }
 
 // lookupResponse holds the incarnation of a target that is live at a keeper, or nil.
-type lookupResponse struct{ Live *discovery.Target }
+type lookupResponse struct {
+	Live *discovery.Target
+	// KnownFor is the time since it was first announced, in nanoseconds.
+	KnownFor time.Duration
+}
+
+// younger returns the response with the younger incarnation, or that of the keeper which
+// has known it for longer.
+func (r lookupResponse) younger(other lookupResponse) lookupResponse {
+	switch {
+	case other.Live == nil:
+		return r
+	case r.Live == nil || other.Live.Born > r.Live.Born:
+		return other
+	case other.Live.Born == r.Live.Born:
+		r.KnownFor = max(r.KnownFor, other.KnownFor)
+	}
+	return r
+}
+
+func (k *Keeper) lookup(target id.Target) lookupResponse {
+	t, knownFor, ok := k.Targets.Live(target)
+	if !ok {
+		return lookupResponse{}
+	}
+	return lookupResponse{Live: &t, KnownFor: knownFor}
+}
 
 // handleLookup returns the incarnation of a target that is live here.
 func (k *Keeper) handleLookup(_ context.Context, params json.RawMessage) (any, error) {
@@ -109,15 +148,21 @@
 	if err := json.Unmarshal(params, &in); err != nil {
 		return nil, rpc.InvalidParams(err)
 	}
-	if t, ok := k.Targets.Live(in.ID); ok {
-		return lookupResponse{Live: &t}, nil
-	}
-	return lookupResponse{}, nil
+	return k.lookup(in.ID), nil
+}
+
+// leaveParams tells a keeper that a target leaves.
+type leaveParams struct {
+	discovery.Target
+	// Age is how long ago the target said so at most, in nanoseconds. Keepers need it if
+	// the start time of the target is unknown. It is 0 from keepers of versions that did
+	// not send it.
+	Age time.Duration
 }
 
 // spread tells the other keepers of a target that leaves, once for each stage.
-func (k *Keeper) spread(ctx context.Context, t discovery.Target) error {
-	if k.left.has(t) {
+func (k *Keeper) spread(ctx context.Context, t leaveParams) error {
+	if k.left.has(t.Target) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, spreadTimeout)
@@ -126,21 +171,25 @@
 		klog.InfoS("Other keepers were not told of a target that leaves", "Target", t.ID, "Stage", t.Stage, "Error", err.Error())
 		return err
 	}
-	k.left.add(t)
+	k.left.add(t.Target)
 	return nil
 }
 
 // handleLeave records what another keeper was told by a target that leaves.
 func (k *Keeper) handleLeave(_ context.Context, params json.RawMessage) (any, error) {
-	var t discovery.Target
-	if err := json.Unmarshal(params, &t); err != nil {
+	var in leaveParams
+	if err := json.Unmarshal(params, &in); err != nil {
 		return nil, rpc.InvalidParams(err)
 	}
-	changed := false
+	t, changed := in.Target, false
 	switch {
 	case t.Stage == discovery.Gone && t.Born == 0:
 		// The other keeper knows no incarnation of the target.
-		changed = k.Targets.Leave(t.ID)
+		var err error
+		if changed, err = k.Targets.Leave(t.ID, k.ageOfCall(in.Age)); err != nil {
+			klog.InfoS("Departure was not recorded", "Target", t.ID, "Error", err.Error())
+			return nil, rpc.NewError(rpc.CodeUnavailable, err.Error())
+		}
 	case t.Stage == discovery.Gone || t.Stage == discovery.Draining:
 		changed = k.Targets.Announce(t)
 	}
@@ -149,3 +198,10 @@
 	}
 	return struct{}{}, nil
 }
+
+// ageOfCall returns the age, at most, of what another keeper tells, if it had the given
+// age when the call was sent. The call may have waited here while this process did not run.
+func (k *Keeper) ageOfCall(age time.Duration) time.Duration {
+	now := boottime.Now()
+	return now - k.pauses.record(now, k.Machine.Position()).at + age
+}
--- a/internal/role/sitekeeper/leave_test.go
+++ b/internal/role/sitekeeper/leave_test.go
@@ -6,6 +6,9 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
+	"github.com/google/go-cmp/cmp"
+
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/site/discovery"
 )
@@ -133,3 +136,45 @@
 		})
 	}
 }
+
+// TestHoldsLateDepartureLeavesNextIncarnationInService guards against the departure of an
+// incarnation that lies in the socket of a keeper until the target has started anew under
+// its id: the new incarnation got no requests for a minute. It must have no effect, at the
+// keeper that knows the new incarnation and at one to which the target never announced
+// itself, and the departure of the new one must be taken.
+func TestHoldsLateDepartureLeavesNextIncarnationInService(t *testing.T) {
+	first := discovery.Target{ID: "t", Service: "s", Address: "10.0.0.1:80", Domain: "z", Stage: discovery.Ready, Born: 5, Sequence: 9}
+	next := first
+	next.Born, next.Sequence = 8, 1
+	for reader, name := range []string{"known", "unknown"} {
+		t.Run(name, func(t *testing.T) {
+			keepers := startKeepers(t, 3)
+			ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+			defer cancel()
+			announce := func(target discovery.Target) {
+				t.Helper()
+				if _, err := keepers[0].Announce(ctx, target); err != nil {
+					t.Fatal(err)
+				}
+			}
+			announce(first)
+			if _, err := keepers[0].Confirmed(ctx); err != nil {
+				t.Fatal(err)
+			}
+			late := keepers[reader].ConnContext(ctx, nil)
+			announce(next)
+			if _, err := keepers[reader].Leave(late, "t"); !errors.Is(err, discovery.ErrLateDeparture) {
+				t.Errorf("late departure: error %v, want %v", err, discovery.ErrLateDeparture)
+			}
+			if diff := cmp.Diff(next, keepers[0].Targets.Record("t")); diff != "" {
+				t.Errorf("after a late departure (-want +got):\n%s", diff)
+			}
+			leave(keepers[reader].ConnContext(ctx, nil), t, keepers[reader], "t")
+			want := next
+			want.Stage = discovery.Gone
+			if diff := cmp.Diff(want, keepers[0].Targets.Record("t")); diff != "" {
+				t.Errorf("after the departure of the next incarnation (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/site/discovery/discovery.go
+++ b/internal/site/discovery/discovery.go
@@ -9,7 +9,10 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/boottime"
 )
 
 const (
@@ -75,9 +78,15 @@
 	return a.Sequence > b.Sequence
 }
 
+// ErrLateDeparture is returned for a departure that an earlier incarnation of a target
+// may have sent.
+var ErrLateDeparture = errors.New("target may have started anew since it said that it leaves")
+
 type record struct {
 	Target
-	lastSeen time.Time
+	// firstSeen is when the incarnation was first announced here.
+	firstSeen boottime.Moment
+	lastSeen  time.Time
 	// position is the registry's position at the last change relevant to
 	// entries.
 	position uint64
@@ -120,6 +129,9 @@
 		r.targets[t.ID] = rec
 	}
 	old := rec.Target
+	if old.ID == "" || old.Born != t.Born {
+		rec.firstSeen = boottime.Mark()
+	}
 	rec.Target, rec.lastSeen = t, now
 	if old == (Target{}) || !equivalent(old, t) {
 		r.recordChange(rec)
@@ -128,35 +140,41 @@
 	return false
 }
 
-// Leave marks a target as gone and reports whether that is a change. If no incarnation
-// of the target is live here, one that announced itself elsewhere has left, and the
-// target is recorded without a start time, unless it says so again.
-func (r *Registry) Leave(k id.Target) bool {
-	r.mu.Lock()
-	rec := r.targets[k]
-	repeated := rec != nil && rec.Stage == Gone && time.Since(rec.lastSeen) < lateArrivalWindow
-	t := Target{ID: k}
-	if rec != nil && rec.isLive() {
-		t = rec.Target
-	}
-	r.mu.Unlock()
-	if repeated {
-		return false
+// Leave marks a target as gone and reports whether that is a change. The target said so
+// the age ago at most. Leave returns ErrLateDeparture if the incarnation that is live
+// here was first announced since. If none is live, one that announced itself elsewhere
+// has left, and the target is recorded without a start time, unless it says so again.
+func (r *Registry) Leave(k id.Target, age time.Duration) (changed bool, err error) {
+	t, knownFor, live := r.Live(k)
+	switch {
+	case live && knownFor < age:
+		return false, ErrLateDeparture
+	case !live && r.leftRecently(k):
+		return false, nil
+	case !live:
+		t = Target{ID: k}
 	}
 	t.Stage = Gone
-	return r.Announce(t)
+	return r.Announce(t), nil
+}
+
+func (r *Registry) leftRecently(k id.Target) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rec := r.targets[k]
+	return rec != nil && rec.Stage == Gone && time.Since(rec.lastSeen) < lateArrivalWindow
 }
 
-// Live returns the incarnation of a target that is live here. It returns false if none
-// is.
-func (r *Registry) Live(k id.Target) (t Target, ok bool) {
+// Live returns the incarnation of a target that is live here, and the time since it was
+// first announced. It returns false if none is.
+func (r *Registry) Live(k id.Target) (t Target, knownFor time.Duration, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rec := r.targets[k]
 	if rec == nil || !rec.isLive() {
-		return Target{}, false
+		return Target{}, 0, false
 	}
-	return rec.Target, true
+	return rec.Target, rec.firstSeen.Age(), true
 }
 
 // Record returns what is known of a target, or only its id.
--- a/internal/site/discovery/discovery_test.go
+++ b/internal/site/discovery/discovery_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 func stageOf(r *Registry, k string) (Stage, bool) {
@@ -27,7 +29,7 @@
 		if s, _ := stageOf(&r, "a"); s != Draining {
 			t.Errorf("older announcement ended draining: stage %d", s)
 		}
-		r.Leave("a")
+		r.Leave("a", 0)
 		r.Announce(Target{ID: "a", Address: "x", Born: 100, Sequence: 9})
 		if s, _ := stageOf(&r, "a"); s != Gone {
 			t.Errorf("late announcement brought a target back: stage %d", s)
@@ -42,7 +44,7 @@
 func TestLeaveOfUnknownTargetIsRecorded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var r Registry
-		r.Leave("a")
+		r.Leave("a", 0)
 		if s, ok := stageOf(&r, "a"); !ok || s != Gone {
 			t.Fatalf("stage %d, known %v", s, ok)
 		}
@@ -88,16 +90,42 @@
 			var r Registry
 			r.Announce(Target{ID: "a", Address: "x", Born: 100, Sequence: 5})
 			if left {
-				r.Leave("a")
-				if r.Leave("a") || r.Record("a").Born != 100 {
-					t.Errorf("repeated departure was recorded: %+v", r.Record("a"))
+				r.Leave("a", 0)
+				if changed, err := r.Leave("a", 0); changed || err != nil || r.Record("a").Born != 100 {
+					t.Errorf("repeated departure was recorded: %+v, error %v", r.Record("a"), err)
 				}
 			}
 			time.Sleep(lateArrivalWindow + time.Second)
 			r.Since(0)
-			if !r.Leave("a") || r.Record("a") != (Target{ID: "a", Stage: Gone}) {
-				t.Errorf("departure of an incarnation that is not known, left %t: %+v", left, r.Record("a"))
+			if changed, err := r.Leave("a", 0); !changed || err != nil || r.Record("a") != (Target{ID: "a", Stage: Gone}) {
+				t.Errorf("departure of an incarnation that is not known, left %t: %+v, error %v", left, r.Record("a"), err)
 			}
 		}
 	})
 }
+
+// TestHoldsLateDepartureIsRefused guards against a departure that is read late, for
+// example by a keeper that was frozen, after the target has started anew under its id:
+// the new incarnation got no requests for a minute.
+func TestHoldsLateDepartureIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var r Registry
+		r.Announce(Target{ID: "a", Address: "x", Born: 100, Sequence: 5})
+		time.Sleep(4 * time.Second)
+		r.Announce(Target{ID: "a", Address: "x", Born: 200, Sequence: 1})
+		time.Sleep(time.Second)
+		r.Announce(Target{ID: "a", Address: "x", Born: 200, Sequence: 2})
+		if _, err := r.Leave("a", 3*time.Second); !errors.Is(err, ErrLateDeparture) {
+			t.Errorf("departure that may be that of the first incarnation: error %v, want %v", err, ErrLateDeparture)
+		}
+		if s, _ := stageOf(&r, "a"); s != Ready {
+			t.Errorf("stage %d after it, want ready", s)
+		}
+		if changed, err := r.Leave("a", time.Second); !changed || err != nil {
+			t.Errorf("departure of the second incarnation: changed %t, error %v", changed, err)
+		}
+		if s, _ := stageOf(&r, "a"); s != Gone {
+			t.Errorf("stage %d after it, want gone", s)
+		}
+	})
+}
