sitestate: a verdict found before a part was cleared has no effect

Cause: several keepers find the same verdict. Evidence: TestHoldsClearedPartIsNotShutOutAgain applies the changes in this order; without the check "verdict that was found before is in force", and "test of the verdict before was granted" to a caller that gave up. By reading that keepers propose so; not played with processes.

Change: verdicts and requests for tests name the position of the state by which they were found (QuarantineChange.After); the state holds at which position a verdict on a part ended, for the latest 256, and drops what was found before. Only what had an effect is recorded, so that a keeper whose verdict is dropped is woken and judges anew. Logs without After lead to the same state as before.

--- a/internal/role/sitekeeper/quarantine.go
+++ b/internal/role/sitekeeper/quarantine.go
@@ -57,11 +57,11 @@
 	if err := json.Unmarshal(params, &in); err != nil {
 		return nil, rpc.InvalidParams(err)
 	}
-	now := time.Now()
-	if !isTestDue(k.Machine.State().Quarantine, in, now) {
+	now, known := time.Now(), k.Machine.State()
+	if !isTestDue(known.Quarantine, in, now) {
 		return evidence.TestResponse{}, nil
 	}
-	change := sitestate.QuarantineChange{Test: &in, ChangedMs: now.UnixMilli()}
+	change := sitestate.QuarantineChange{Test: &in, ChangedMs: now.UnixMilli(), After: &known.Index}
 	if err := k.Propose(ctx, sitestate.Command{Quarantine: &change}); err != nil {
 		return nil, rpc.NewError(rpc.CodeUnavailable, err.Error())
 	}
@@ -112,14 +112,15 @@
 	var dueSince time.Time
 	for ctx.Err() == nil {
 		reported, stateChanged := k.judge.Reported(), k.Machine.Changed()
-		v, pending := k.judge.Verdict(k.Machine.State().Quarantine)
+		known := k.Machine.State()
+		v, pending := k.judge.Verdict(known.Quarantine)
 		if v == nil {
 			dueSince = time.Time{}
 		} else {
 			if dueSince.IsZero() {
 				dueSince = time.Now()
 			}
-			k.submit(ctx, v, dueSince)
+			k.submit(ctx, v, known.Index, dueSince)
 		}
 		var wait <-chan time.Time
 		if pending {
@@ -136,14 +137,15 @@
 	}
 }
 
-// submit proposes a verdict, unless that is left to the leader for now.
-func (k *Keeper) submit(ctx context.Context, v *quarantine.Verdict, dueSince time.Time) {
+// submit proposes a verdict that was found by the state at a position, unless that is
+// left to the leader for now.
+func (k *Keeper) submit(ctx context.Context, v *quarantine.Verdict, position uint64, dueSince time.Time) {
 	if !k.raftNode.Status().IsLeader && time.Since(dueSince) < followerDelay {
 		return
 	}
 	klog.InfoS("Parts of prompts or a request are shut out", "Parts", v.Parts, "Ends", v.Ends)
 	k.metrics.Count("PartsShutOut")
-	change := sitestate.QuarantineChange{Verdict: v}
+	change := sitestate.QuarantineChange{Verdict: v, After: &position}
 	if err := k.Propose(ctx, sitestate.Command{Quarantine: &change}); err != nil {
 		klog.InfoS("Failed to shut out parts of prompts or a request", "Parts", v.Parts, "Error", err.Error())
 	}
--- a/internal/site/sitestate/quarantine.go
+++ b/internal/site/sitestate/quarantine.go
@@ -1,6 +1,7 @@
 package sitestate
 
 import (
+	"maps"
 	"slices"
 
 	"egretproxy/internal/fleet/id"
@@ -13,6 +14,10 @@
 // that come in numbers can't push out the verdicts on parts.
 const maxVerdicts, maxRequestVerdicts = 64, 64
 
+// maxCleared limits the parts and requests of which the state knows when a verdict on
+// them ended. They matter for as long as a keeper tries to propose a change.
+const maxCleared = 256
+
 // QuarantineChange changes the verdicts. Exactly one of its fields is set.
 type QuarantineChange struct {
 	// Verdict is added, unless one that shuts out as much is in force.
@@ -23,30 +28,61 @@
 	Lift id.PromptPart `cbor:",omitempty"`
 	// Test is granted if its number is the next one.
 	Test *evidence.Test `cbor:",omitempty"`
+	// After is the position of the state by which a verdict was found or a test is due.
+	// Neither has an effect if a part of it was cleared since. It is nil in logs of
+	// versions that did not store it.
+	After *uint64 `cbor:",omitempty"`
 	// ChangedMs is the wall clock time in Unix milliseconds.
 	ChangedMs int64
 }
 
 // applyQuarantine reports whether the change had an effect. It replaces the
 // slice, since copies of the state share it.
-func (s *State) applyQuarantine(c QuarantineChange) bool {
+func (s *State) applyQuarantine(index uint64, c QuarantineChange) bool {
 	switch {
 	case c.Verdict != nil:
-		return s.addVerdict(*c.Verdict)
+		return !s.wasCleared(c.Verdict.Parts, c.After) && s.addVerdict(*c.Verdict)
 	case c.Harmless != "":
-		return s.removePart(c.Harmless)
+		return s.removePart(c.Harmless) && s.clear(index, c.Harmless)
 	case c.Lift != "":
 		n := len(s.Quarantine)
 		s.Quarantine = slices.DeleteFunc(slices.Clone(s.Quarantine), func(v quarantine.Verdict) bool {
 			return slices.Contains(v.Parts, c.Lift)
 		})
-		return len(s.Quarantine) < n
+		return len(s.Quarantine) < n && s.clear(index, c.Lift)
 	case c.Test != nil:
-		return s.grantTest(*c.Test, c.ChangedMs)
+		i := quarantine.Index(s.Quarantine, c.Test.Key)
+		return i >= 0 && !s.wasCleared(s.Quarantine[i].Parts, c.After) && s.grantTest(*c.Test, c.ChangedMs)
 	}
 	return false
 }
 
+// clear records the position at which a verdict on a part or a request ended, and
+// returns true. It replaces the map, since copies of the state share it.
+func (s *State) clear(index uint64, p id.PromptPart) bool {
+	cleared := maps.Clone(s.ClearedIndex)
+	if cleared == nil {
+		cleared = map[id.PromptPart]uint64{}
+	}
+	cleared[p] = index
+	if len(cleared) > maxCleared {
+		oldest := p
+		for q, at := range cleared {
+			if at < cleared[oldest] {
+				oldest = q
+			}
+		}
+		delete(cleared, oldest)
+	}
+	s.ClearedIndex = cleared
+	return true
+}
+
+// wasCleared reports whether a verdict on one of the parts has ended after a position.
+func (s *State) wasCleared(parts []id.PromptPart, after *uint64) bool {
+	return after != nil && slices.ContainsFunc(parts, func(p id.PromptPart) bool { return s.ClearedIndex[p] > *after })
+}
+
 func (s *State) addVerdict(v quarantine.Verdict) bool {
 	if len(v.Parts) == 0 || slices.ContainsFunc(s.Quarantine, func(old quarantine.Verdict) bool { return old.Matches(v.Parts) }) {
 		return false
--- a/internal/site/sitestate/quarantine_test.go
+++ b/internal/site/sitestate/quarantine_test.go
@@ -96,3 +96,60 @@
 		t.Errorf("%d verdicts, the first on %v", len(s.Quarantine), s.Quarantine[0].Parts)
 	}
 }
+
+// TestHoldsClearedPartIsNotShutOutAgain guards against a verdict that a keeper found
+// before its parts were cleared and proposed late, for example while the leader was
+// frozen: it was in force again after the operator had lifted it, or a response had shown
+// the part to be harmless. A test of the verdict before uses up none of the next one.
+func TestHoldsClearedPartIsNotShutOutAgain(t *testing.T) {
+	for name, clears := range map[string][]QuarantineChange{
+		"lifted":   {{Lift: "a"}},
+		"harmless": {{Harmless: "a"}, {Harmless: "b"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var m Machine
+			index := uint64(0)
+			step := func(c QuarantineChange, after uint64) {
+				index++
+				c.After = &after
+				applyQuarantine(t, &m, index, c)
+			}
+			step(verdictOn("a", "b"), 0)
+			found := index
+			for _, c := range clears {
+				step(c, index)
+			}
+			step(verdictOn("a", "b"), found)
+			if got := m.State().Quarantine; len(got) > 0 {
+				t.Errorf("verdict that was found before is in force: %+v", got)
+			}
+			step(verdictOn("a", "b"), index)
+			if got := m.State().Quarantine; len(got) != 1 {
+				t.Errorf("verdict that was found after is not in force: %+v", got)
+			}
+			test := QuarantineChange{Test: &evidence.Test{Key: m.State().Quarantine[0].Key(), Number: 1, Holder: "h"}}
+			step(test, found)
+			if got := m.State().Quarantine[0].Holder; got != "" {
+				t.Errorf("test of the verdict before was granted to %q", got)
+			}
+			step(test, index)
+			if got := m.State().Quarantine[0].Holder; got != "h" {
+				t.Errorf("test was granted to %q", got)
+			}
+		})
+	}
+}
+
+// TestClearedPartsAreBounded checks that the state forgets those cleared first.
+func TestClearedPartsAreBounded(t *testing.T) {
+	var m Machine
+	for i := range maxCleared + 10 {
+		p := id.PromptPart(fmt.Sprint(i))
+		applyQuarantine(t, &m, uint64(2*i+1), verdictOn(p))
+		applyQuarantine(t, &m, uint64(2*i+2), QuarantineChange{Lift: p})
+	}
+	cleared := m.State().ClearedIndex
+	if len(cleared) != maxCleared || cleared["9"] != 0 || cleared["10"] == 0 {
+		t.Errorf("%d parts, the tenth at %d, the eleventh at %d", len(cleared), cleared["9"], cleared["10"])
+	}
+}
--- a/internal/site/sitestate/sitestate.go
+++ b/internal/site/sitestate/sitestate.go
@@ -86,6 +86,9 @@
 	NamedMs map[id.Model]int64
 	// Quarantine holds the verdicts on parts of prompts and on requests, oldest first.
 	Quarantine []quarantine.Verdict
+	// ClearedIndex is the position at which the last verdict on a part of prompts or a
+	// request ended, for the latest of them.
+	ClearedIndex map[id.PromptPart]uint64
 }
 
 // Machine is the replicated state machine. It is safe for concurrent use. The
@@ -292,7 +295,7 @@
 		s.Weights[in.Weights.Model] = in.Weights.Version
 		s.NamedMs[in.Weights.Model] = in.Weights.NamedMs
 	case in.Quarantine != nil:
-		return s.applyQuarantine(*in.Quarantine)
+		return s.applyQuarantine(index, *in.Quarantine)
 	default:
 		return false
 	}
