siteentry: a success without its target's signature is no answer

Cause: entries checked that a response echoes the request's id and is whole. The field is named in platform/headers.go and nothing read it. Evidence: that, and the spoilt name in what the client got, so that it was not the entry that dropped the field.

Change: where a deployment names the field, a success without it counts as broken. A request that may be repeated goes to another target, the others get 502, since the target may have run them.

--- a/internal/role/siteentry/attempt.go
+++ b/internal/role/siteentry/attempt.go
@@ -71,6 +71,9 @@
 		j.lastError = "target failed with " + strconv.Itoa(response.Status)
 		return tryNext, dispatch.Failed, true
 	}
+	if j.isUnsigned(response) {
+		return j.rejectUnsigned()
+	}
 	if j.route.Kind == plan.Streaming && response.Status < 300 {
 		return j.forwardStream(ctx, response, timer, grant)
 	}
@@ -135,6 +138,26 @@
 	return response.Status == http.StatusMisdirectedRequest || response.Header.Get(j.entry.Settings.Headers.NotRun) != ""
 }
 
+// isUnsigned reports whether a success lacks the signature of its target. Its other
+// bytes may be wrong as well.
+func (j *job) isUnsigned(response *connpool.Response) bool {
+	name := j.entry.Settings.Headers.Signature
+	return name != "" && response.Status < 300 && response.Header.Get(name) == ""
+}
+
+// rejectUnsigned handles a success without a signature. The target may have run the
+// request.
+func (j *job) rejectUnsigned() (decision, dispatch.Outcome, bool) {
+	j.mayHaveRun = true
+	j.lastError = "target's success has no signature"
+	j.entry.Metrics.Count("UnsignedResponse")
+	if j.route.Repeatable() {
+		return tryNext, dispatch.Broken, true
+	}
+	j.abandonSent()
+	return done, dispatch.Broken, true
+}
+
 // forwardBuffered buffers the complete response before the caller sees any of
 // it, so that a truncated response is never taken for a complete one.
 func (j *job) forwardBuffered(response *connpool.Response, grant *dispatch.Grant) (decision, dispatch.Outcome, bool) {
