siteentry: check the end of responses without a length at engines that leave

Cause: whether an engine has ended with its response was checked only while it could get requests, to spare one that has closed its listener and finishes its answers. The users' engines serve until they exit.

--- a/internal/role/siteentry/unframed_test.go
+++ b/internal/role/siteentry/unframed_test.go
@@ -3,15 +3,20 @@
 import (
 	"bufio"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"testing"
 	"time"
+
+	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/site/discovery"
+	"egretproxy/internal/site/siteclient"
 )
 
 // startEndingTarget starts a target that ends, with its listener, after a response
-// without a length to its first request.
-func startEndingTarget(t *testing.T, sent string) string {
+// without a length to its first request. beforeEnd is called before, if it is not nil.
+func startEndingTarget(t *testing.T, sent string, beforeEnd func()) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -26,37 +31,88 @@
 			_, _ = io.Copy(io.Discard, r.Body)
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nAttempt: "+r.Header.Get("Attempt")+"\r\nSignature: s\r\n\r\n"+sent)
 		}
+		if beforeEnd != nil {
+			beforeEnd()
+		}
 		_ = l.Close()
 		_ = c.Close()
 	}()
 	return l.Addr().String()
 }
 
+// endings are responses without a length whose target ends before they are whole.
+var endings = map[string]struct{ host, sent, rest, want string }{
+	"stream": {"stream", event(1) + event(2), event(3), event(1) + event(2) + event(3)},
+	"plain":  {"read", "first part", "whole body", "whole body"},
+}
+
 // TestHoldsEndOfTargetEndsNoResponse guards against a response without a length
 // that looks complete because its target ended between two events, or within a
 // plain body.
 func TestHoldsEndOfTargetEndsNoResponse(t *testing.T) {
-	for name, c := range map[string]struct{ host, sent, rest, want string }{
-		"stream": {"stream", event(1) + event(2), event(3), event(1) + event(2) + event(3)},
-		"plain":  {"read", "first part", "whole body", "whole body"},
-	} {
+	for name, c := range endings {
 		t.Run(name, func(t *testing.T) {
-			ending := startEndingTarget(t, c.sent)
-			second, a2 := startTarget(t, func(w io.Writer, r *http.Request) {
-				_, _ = io.WriteString(w, head(r, "200 OK", "Transfer-Encoding: chunked")+chunk(c.rest)+"0\r\n\r\n")
-			})
-			te := startEntry(t, ending, a2)
-			res, body, err := te.call(t, c.host)
-			if err != nil || res.StatusCode != http.StatusOK || body != c.want {
-				t.Errorf("got response %v, body %q, error %v", res, body, err)
-			}
-			if n := len(second.requests()); n != 1 {
-				t.Errorf("the second target got %d requests", n)
-			}
+			ending := startEndingTarget(t, c.sent, nil)
+			checkAnsweredBySecond(t, c.host, c.rest, c.want, ending, nil)
 		})
 	}
 }
 
+// TestHoldsEndOfLeavingTargetEndsNoResponse guards against the same of a target that is
+// no longer in service when it ends (review case 8): it leaves as planned, has left, or
+// its failure domain is out of service.
+func TestHoldsEndOfLeavingTargetEndsNoResponse(t *testing.T) {
+	changes := map[string]func(*siteclient.View){
+		"leaving": func(v *siteclient.View) {
+			leaving := v.Targets["t0"]
+			leaving.Stage = discovery.Draining
+			v.Targets["t0"] = leaving
+		},
+		"gone":      func(v *siteclient.View) { delete(v.Targets, "t0") },
+		"evacuated": func(v *siteclient.View) { v.Withdrawn = map[id.Domain]bool{"z0": true} },
+	}
+	for name, c := range endings {
+		for change, apply := range changes {
+			t.Run(name+", "+change, func(t *testing.T) {
+				started := make(chan *testEntry, 1)
+				ending := startEndingTarget(t, c.sent, func() {
+					te := <-started
+					v := *te.views.view
+					v.Targets = maps.Clone(v.Targets)
+					apply(&v)
+					te.entry.OnView(&v)
+				})
+				checkAnsweredBySecond(t, c.host, c.rest, c.want, ending, started)
+			})
+		}
+	}
+}
+
+// checkAnsweredBySecond checks that a request whose first target ends is answered by the
+// second one, which responds with the rest. The entry is sent to started, if that is not
+// nil.
+func checkAnsweredBySecond(t *testing.T, host, rest, want, ending string, started chan<- *testEntry) {
+	t.Helper()
+	second, a2 := startTarget(t, func(w io.Writer, r *http.Request) {
+		_, _ = io.WriteString(w, head(r, "200 OK", "Transfer-Encoding: chunked")+chunk(rest)+"0\r\n\r\n")
+	})
+	te := startEntry(t, ending, a2)
+	first := te.views.view.Targets["t0"]
+	first.Domain = "z0"
+	te.views.view.Targets["t0"] = first
+	te.entry.OnView(te.views.view)
+	if started != nil {
+		started <- te
+	}
+	res, body, err := te.call(t, host)
+	if err != nil || res.StatusCode != http.StatusOK || body != want {
+		t.Errorf("got response %v, body %q, error %v", res, body, err)
+	}
+	if n := len(second.requests()); n != 1 {
+		t.Errorf("the second target got %d requests", n)
+	}
+}
+
 // reset resets the connection.
 func reset(w io.Writer) { _ = w.(*net.TCPConn).SetLinger(0) }
 
