connpool: a connection must last to show that a target has not ended

Cause: at the end of such a response the entry connects to the engine, and took an established connection for the proof that it runs. The system closes the connections of a process that is killed before its listener, and takes connections until then. Evidence: TestHoldsEndIsSeenWhileListenerEnds closes the listener once that connection is established, as the system does; the part counted as the whole both times.

Change: Pool.HasEnded (Refuses before) reads from the new connection for 100 ms. The system resets it when the listener goes. One that lasts is kept as before; the response ends 100 ms later for it, its events don't wait.

--- a/internal/exchange/connpool/connpool.go
+++ b/internal/exchange/connpool/connpool.go
@@ -181,15 +181,31 @@
 	return newPersistConn(c, p), nil
 }
 
-// Refuses reports whether nothing accepts connections at the address any more. A
-// connection that is established is kept for the next request.
-func (p *Pool) Refuses(ctx context.Context, address string) bool {
+// endTime is how long a new connection to a target must last to show that the target has
+// not ended. The system of a process that ends closes its connections before its
+// listener, which takes connections until then.
+const endTime = 100 * time.Millisecond
+
+// HasEnded reports whether the target at the address has ended: nothing accepts
+// connections there any more, or one that is established ends at once. One that lasts is
+// kept for the next request.
+func (p *Pool) HasEnded(ctx context.Context, address string) bool {
 	c, err := p.dial(ctx, address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 	}
-	p.putUnused(address, c)
-	return false
+	var b [1]byte
+	_ = c.conn.SetReadDeadline(time.Now().Add(endTime))
+	n, err := c.conn.Read(b[:])
+	_ = c.conn.SetReadDeadline(time.Time{})
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		p.putUnused(address, c)
+		return false
+	}
+	// Bytes that belong to no request make the connection useless.
+	c.reset()
+	return n == 0
 }
 
 func newPersistConn(c net.Conn, p *Pool) *persistConn {
--- a/internal/role/siteentry/attempt.go
+++ b/internal/role/siteentry/attempt.go
@@ -184,11 +184,11 @@
 var errTargetEnded = errors.Wrap(io.ErrUnexpectedEOF, "target ended")
 
 // targetEnded reports whether the end of a response without a length may be that
-// of its target: nothing accepts connections there. A target that leaves does until it
+// of its target: no connection to it lasts. A target that leaves does until it
 // ends, and cuts the responses in progress then. The connection that tells is needed
 // anyway, since such a response uses up its own.
 func (j *job) targetEnded(grant *dispatch.Grant) bool {
-	return j.entry.Pool.Refuses(j.r.Context(), grant.Address)
+	return j.entry.Pool.HasEnded(j.r.Context(), grant.Address)
 }
 
 // forwardLong forwards a response as it arrives. Its declared length shows the
--- a/internal/role/siteentry/unframed_test.go
+++ b/internal/role/siteentry/unframed_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/socket"
 	"egretproxy/internal/site/discovery"
 	"egretproxy/internal/site/siteclient"
 )
@@ -88,6 +89,38 @@
 	}
 }
 
+// TestHoldsEndIsSeenWhileListenerEnds guards against the same while the system still takes
+// connections for a process that ends (review case 6): it closes the listener last, and
+// resets those that were not accepted.
+func TestHoldsEndIsSeenWhileListenerEnds(t *testing.T) {
+	for name, c := range endings {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() {
+				defer func() { _ = l.Close() }()
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				r, err := http.ReadRequest(bufio.NewReader(conn))
+				if err == nil {
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nAttempt: "+r.Header.Get("Attempt")+"\r\nSignature: s\r\n\r\n"+c.sent)
+				}
+				_ = conn.Close()
+				// The connection that the entry opens is established, and not accepted.
+				for raw := socket.Raw(l); !socket.Readable(raw) && t.Context().Err() == nil; {
+					time.Sleep(time.Millisecond)
+				}
+			}()
+			checkAnsweredBySecond(t, c.host, c.rest, c.want, l.Addr().String(), nil)
+		})
+	}
+}
+
 // checkAnsweredBySecond checks that a request whose first target ends is answered by the
 // second one, which responds with the rest. The entry is sent to started, if that is not
 // nil.
