intake: lengthen receive buffers in one place

The listeners for HTTP and for calls between processes had each the length beyond which a request gets a longer receive buffer, and the same steps to lengthen it. The intake has both now.

--- a/internal/admission/intake/conns.go
+++ b/internal/admission/intake/conns.go
@@ -91,6 +91,26 @@
 	delete(in.wide, c)
 }
 
+// longBytes is the length of a request beyond which its connection gets a longer receive
+// buffer, if there is room. Nearly all are shorter.
+const longBytes = 64 << 10
+
+// Grow lengthens the receive buffer of a connection whose request has grown from a number
+// of bytes to another one, if that makes it a long one and there is room. Without a longer
+// buffer the request only takes longer.
+func (in *Intake) Grow(c Conn, nc net.Conn, from, to int64) {
+	if from > longBytes || to <= longBytes {
+		return
+	}
+	raw := socket.Raw(nc)
+	if raw == nil || !in.Widen(c) {
+		return
+	}
+	if err := socket.RaiseReceiveBuffer(raw, WideBufferBytes); err != nil {
+		klog.V(1).InfoS("Receive buffer can't be lengthened", "Error", err.Error())
+	}
+}
+
 // WideBufferBytes is the receive buffer of a connection with a long request, so that one
 // from afar arrives at a good rate.
 const WideBufferBytes = 256 << 10
--- a/internal/kernel/httpserver/intake.go
+++ b/internal/kernel/httpserver/intake.go
@@ -6,10 +6,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"k8s.io/klog/v2"
 
 	"egretproxy/internal/admission/intake"
-	"egretproxy/internal/kernel/socket"
 )
 
 // Refusal is the response to a request whose body was not taken. Both statuses
@@ -42,10 +40,6 @@
 	bytes int
 }
 
-// widenBytes is the length of a body beyond which its connection gets a longer receive
-// buffer, if there is room. Nearly all are shorter.
-const widenBytes = 64 << 10
-
 // Read implements io.Reader. Its errors include those of an intake.
 func (b *body) Read(p []byte) (int, error) {
 	if b.refused != nil {
@@ -63,8 +57,8 @@
 			n, err = 0, refused
 		}
 	}
-	if b.bytes <= widenBytes && b.bytes+n > widenBytes && err == nil {
-		b.conn.widen()
+	if err == nil {
+		b.conn.intake.Grow(b.conn, b.conn.Conn, int64(b.bytes), int64(b.bytes+n))
 	}
 	b.bytes += n
 	if errors.Is(err, intake.ErrFull) || errors.Is(err, intake.ErrStalled) {
@@ -93,16 +87,6 @@
 	return &body{ReadCloser: r.Body, conn: c, claim: c.claim}
 }
 
-// widen lengthens the receive buffer if the process has room.
-func (c *conn) widen() {
-	if c.raw == nil || !c.intake.Widen(c) {
-		return
-	}
-	if err := socket.RaiseReceiveBuffer(c.raw, intake.WideBufferBytes); err != nil {
-		klog.V(1).InfoS("Receive buffer can't be lengthened", "Error", err.Error())
-	}
-}
-
 // received records that the whole request has arrived.
 func (c *conn) received() {
 	c.mu.Lock()
--- a/internal/wire/rpc/stream.go
+++ b/internal/wire/rpc/stream.go
@@ -11,7 +11,6 @@
 
 	"egretproxy/internal/admission/intake"
 	"egretproxy/internal/kernel/errwrap"
-	"egretproxy/internal/kernel/socket"
 	"egretproxy/internal/wire/frame"
 	"egretproxy/internal/wire/jsonlimit"
 )
@@ -27,9 +26,6 @@
 	// shortFrame is the length in bytes up to which a call is decoded whatever room
 	// there is, so that others can't keep it out.
 	shortFrame = 8 << 10
-	// widenBytes is the length of a frame beyond which its connection gets a longer
-	// receive buffer, if there is room.
-	widenBytes = 64 << 10
 )
 
 // errNoCall means that a frame is another object than a call.
@@ -119,9 +115,7 @@
 
 func (s *callStream) reserve(n int) error {
 	s.conn.receive()
-	if s.claim.Bytes() <= widenBytes && s.claim.Bytes()+int64(n) > widenBytes {
-		s.conn.widen()
-	}
+	intake.Process().Grow(s.conn, s.conn.Conn, s.claim.Bytes(), s.claim.Bytes()+int64(n))
 	return s.claim.Await(n, roomTimeout)
 }
 
@@ -165,13 +159,3 @@
 
 // interrupt ends the read that waits for more of a frame.
 func (c *serverConn) interrupt() { _ = c.SetReadDeadline(time.Unix(1, 0)) }
-
-// widen lengthens the receive buffer if the process has room.
-func (c *serverConn) widen() {
-	raw := socket.Raw(c.Conn)
-	if raw == nil || !intake.Process().Widen(c) {
-		return
-	}
-	// Without it the frame only takes longer.
-	_ = socket.RaiseReceiveBuffer(raw, intake.WideBufferBytes)
-}
