--- a/internal/system/crowdkinds_test.go
+++ b/internal/system/crowdkinds_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"egretproxy/internal/standin/crowd"
 	"egretproxy/internal/standin/crowdkind"
 	"egretproxy/internal/standin/footprint"
 )
@@ -19,16 +18,14 @@
 		f.waitUntil("another ordinary request is answered", ordinary)
 		f.checkProcess(name)
 	}
-	for _, k := range kinds {
+	crowdkind.Endure(address, kinds, func(k crowdkind.Kind) func() {
 		f.t.Logf("crowd: %s", k.Name)
 		fp := footprint.Watch(f.pid(name), address)
-		c := crowd.Open(address, k.Callers, k.Request)
-		check()
-		c.Close()
-		check()
-		fp.Stop()
-		f.checkFootprint(name, fp)
-	}
+		return func() {
+			fp.Stop()
+			f.checkFootprint(name, fp)
+		}
+	}, check)
 }
 
 // answers reports whether a call of an address is answered.
