sitekeeper: compare times of departures by one clock

Traced: the time for which the incarnation had been known was taken first, the age of the departure after that, and the process did not run for some milliseconds in between, so that the departure looked older than the announcement before it.

Departures now name the time after which they were sent, and the registry when an incarnation was first announced, both by the boottime clock of the same keeper.

--- a/internal/role/sitekeeper/leave.go
+++ b/internal/role/sitekeeper/leave.go
@@ -17,13 +17,6 @@
 const (
 	// leaveMethod tells a keeper that a target leaves.
 	leaveMethod = "site.leave"
-	// lookupMethod returns what a keeper knows of a target.
-	lookupMethod = "site.target"
-	// lookupTimeout limits the wait for the others' answers.
-	lookupTimeout = 250 * time.Millisecond
-	// callerPatience is how long a target waits for a response before it calls another
-	// keeper.
-	callerPatience = time.Second
 	// spreadTimeout limits the time for a quorum to learn of it. Targets wait for one
 	// second for a response.
 	spreadTimeout = 600 * time.Millisecond
@@ -73,84 +66,6 @@
 	return changed, k.spread(ctx, leaveParams{Target: t})
 }
 
-// Leave records that a target has left, as Announce does. The target may have started
-// anew under its id and announced that to another keeper only. The youngest incarnation
-// that is live at any keeper leaves, or one that none knows which answers. Leave returns
-// discovery.ErrLateDeparture, and has no effect, if an earlier incarnation may have said
-// so.
-func (k *Keeper) Leave(ctx context.Context, target id.Target) (changed bool, err error) {
-	youngest := k.youngest(ctx, target)
-	age := boottime.Now() - k.dateOf(ctx).at
-	if t := youngest.Live; t != nil && youngest.KnownFor >= age {
-		t.Stage = discovery.Gone
-		return k.Targets.Announce(*t), k.spread(ctx, leaveParams{Target: *t})
-	}
-	if youngest.Live != nil || age > callerPatience {
-		klog.InfoS("Departure was not recorded", "Target", target, "AgeMs", age.Milliseconds(),
-			"Known", youngest.Live != nil, "KnownForMs", youngest.KnownFor.Milliseconds())
-		return false, discovery.ErrLateDeparture
-	}
-	if changed, err = k.Targets.Leave(target, age); err != nil {
-		return false, err
-	}
-	return changed, k.spread(ctx, leaveParams{Target: k.Targets.Record(target), Age: age})
-}
-
-// youngest returns the youngest incarnation of a target that is live at a keeper which
-// answers.
-func (k *Keeper) youngest(ctx context.Context, target id.Target) lookupResponse {
-	out := k.lookup(target)
-	for _, answer := range k.raftNode.AskOthers(ctx, lookupMethod, lookupParams{ID: target}, lookupTimeout) {
-		var other lookupResponse
-		if err := json.Unmarshal(answer, &other); err != nil {
-			klog.InfoS("Answer of another keeper can't be read", "Target", target, "Error", err.Error())
-			continue
-		}
-		out = out.younger(other)
-	}
-	return out
-}
-
-type lookupParams struct{ ID id.Target }
-
-// lookupResponse holds the incarnation of a target that is live at a keeper, or nil.
-type lookupResponse struct {
-	Live *discovery.Target
-	// KnownFor is the time since it was first announced, in nanoseconds.
-	KnownFor time.Duration
-}
-
-// younger returns the response with the younger incarnation, or that of the keeper which
-// has known it for longer.
-func (r lookupResponse) younger(other lookupResponse) lookupResponse {
-	switch {
-	case other.Live == nil:
-		return r
-	case r.Live == nil || other.Live.Born > r.Live.Born:
-		return other
-	case other.Live.Born == r.Live.Born:
-		r.KnownFor = max(r.KnownFor, other.KnownFor)
-	}
-	return r
-}
-
-func (k *Keeper) lookup(target id.Target) lookupResponse {
-	t, knownFor, ok := k.Targets.Live(target)
-	if !ok {
-		return lookupResponse{}
-	}
-	return lookupResponse{Live: &t, KnownFor: knownFor}
-}
-
-// handleLookup returns the incarnation of a target that is live here.
-func (k *Keeper) handleLookup(_ context.Context, params json.RawMessage) (any, error) {
-	var in lookupParams
-	if err := json.Unmarshal(params, &in); err != nil {
-		return nil, rpc.InvalidParams(err)
-	}
-	return k.lookup(in.ID), nil
-}
-
 // leaveParams tells a keeper that a target leaves.
 type leaveParams struct {
 	discovery.Target
@@ -186,7 +101,7 @@
 	case t.Stage == discovery.Gone && t.Born == 0:
 		// The other keeper knows no incarnation of the target.
 		var err error
-		if changed, err = k.Targets.Leave(t.ID, k.ageOfCall(in.Age)); err != nil {
+		if changed, err = k.Targets.Leave(t.ID, k.callSentAfter()-in.Age); err != nil {
 			klog.InfoS("Departure was not recorded", "Target", t.ID, "Error", err.Error())
 			return nil, rpc.NewError(rpc.CodeUnavailable, err.Error())
 		}
@@ -199,9 +114,9 @@
 	return struct{}{}, nil
 }
 
-// ageOfCall returns the age, at most, of what another keeper tells, if it had the given
-// age when the call was sent. The call may have waited here while this process did not run.
-func (k *Keeper) ageOfCall(age time.Duration) time.Duration {
-	now := boottime.Now()
-	return now - k.pauses.record(now, k.Machine.Position()).at + age
+// callSentAfter returns a time of the boottime clock after which a call from another
+// keeper was sent that is read now. It may have waited here while this process did not
+// run.
+func (k *Keeper) callSentAfter() time.Duration {
+	return k.pauses.record(boottime.Now(), k.Machine.Position()).at
 }
--- a/internal/site/discovery/discovery.go
+++ b/internal/site/discovery/discovery.go
@@ -84,8 +84,8 @@
 
 type record struct {
 	Target
-	// firstSeen is when the incarnation was first announced here.
-	firstSeen boottime.Moment
+	// firstSeen is when the incarnation was first announced here, by the boottime clock.
+	firstSeen time.Duration
 	lastSeen  time.Time
 	// position is the registry's position at the last change relevant to
 	// entries.
@@ -130,7 +130,7 @@
 	}
 	old := rec.Target
 	if old.ID == "" || old.Born != t.Born {
-		rec.firstSeen = boottime.Mark()
+		rec.firstSeen = boottime.Now()
 	}
 	rec.Target, rec.lastSeen = t, now
 	if old == (Target{}) || !equivalent(old, t) {
@@ -141,13 +141,14 @@
 }
 
 // Leave marks a target as gone and reports whether that is a change. The target said so
-// the age ago at most. Leave returns ErrLateDeparture if the incarnation that is live
-// here was first announced since. If none is live, one that announced itself elsewhere
-// has left, and the target is recorded without a start time, unless it says so again.
-func (r *Registry) Leave(k id.Target, age time.Duration) (changed bool, err error) {
-	t, knownFor, live := r.Live(k)
+// after sentAfter of the boottime clock. Leave returns ErrLateDeparture if the
+// incarnation that is live here was first announced later. If none is live, one that
+// announced itself elsewhere has left, and the target is recorded without a start time,
+// unless it says so again.
+func (r *Registry) Leave(k id.Target, sentAfter time.Duration) (changed bool, err error) {
+	t, firstSeen, live := r.Live(k)
 	switch {
-	case live && knownFor < age:
+	case live && firstSeen > sentAfter:
 		return false, ErrLateDeparture
 	case !live && r.leftRecently(k):
 		return false, nil
@@ -165,16 +166,16 @@
 	return rec != nil && rec.Stage == Gone && time.Since(rec.lastSeen) < lateArrivalWindow
 }
 
-// Live returns the incarnation of a target that is live here, and the time since it was
-// first announced. It returns false if none is.
-func (r *Registry) Live(k id.Target) (t Target, knownFor time.Duration, ok bool) {
+// Live returns the incarnation of a target that is live here, and when it was first
+// announced, by the boottime clock. It returns false if none is.
+func (r *Registry) Live(k id.Target) (t Target, firstSeen time.Duration, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rec := r.targets[k]
 	if rec == nil || !rec.isLive() {
 		return Target{}, 0, false
 	}
-	return rec.Target, rec.firstSeen.Age(), true
+	return rec.Target, rec.firstSeen, true
 }
 
 // Record returns what is known of a target, or only its id.
--- a/internal/site/discovery/discovery_test.go
+++ b/internal/site/discovery/discovery_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"egretproxy/internal/kernel/boottime"
 )
 
 func stageOf(r *Registry, k string) (Stage, bool) {
@@ -29,7 +31,7 @@
 		if s, _ := stageOf(&r, "a"); s != Draining {
 			t.Errorf("older announcement ended draining: stage %d", s)
 		}
-		r.Leave("a", 0)
+		r.Leave("a", boottime.Now())
 		r.Announce(Target{ID: "a", Address: "x", Born: 100, Sequence: 9})
 		if s, _ := stageOf(&r, "a"); s != Gone {
 			t.Errorf("late announcement brought a target back: stage %d", s)
@@ -44,7 +46,7 @@
 func TestLeaveOfUnknownTargetIsRecorded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var r Registry
-		r.Leave("a", 0)
+		r.Leave("a", boottime.Now())
 		if s, ok := stageOf(&r, "a"); !ok || s != Gone {
 			t.Fatalf("stage %d, known %v", s, ok)
 		}
@@ -90,14 +92,14 @@
 			var r Registry
 			r.Announce(Target{ID: "a", Address: "x", Born: 100, Sequence: 5})
 			if left {
-				r.Leave("a", 0)
-				if changed, err := r.Leave("a", 0); changed || err != nil || r.Record("a").Born != 100 {
+				r.Leave("a", boottime.Now())
+				if changed, err := r.Leave("a", boottime.Now()); changed || err != nil || r.Record("a").Born != 100 {
 					t.Errorf("repeated departure was recorded: %+v, error %v", r.Record("a"), err)
 				}
 			}
 			time.Sleep(lateArrivalWindow + time.Second)
 			r.Since(0)
-			if changed, err := r.Leave("a", 0); !changed || err != nil || r.Record("a") != (Target{ID: "a", Stage: Gone}) {
+			if changed, err := r.Leave("a", boottime.Now()); !changed || err != nil || r.Record("a") != (Target{ID: "a", Stage: Gone}) {
 				t.Errorf("departure of an incarnation that is not known, left %t: %+v, error %v", left, r.Record("a"), err)
 			}
 		}
@@ -108,24 +110,22 @@
 // example by a keeper that was frozen, after the target has started anew under its id:
 // the new incarnation got no requests for a minute.
 func TestHoldsLateDepartureIsRefused(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		var r Registry
-		r.Announce(Target{ID: "a", Address: "x", Born: 100, Sequence: 5})
-		time.Sleep(4 * time.Second)
-		r.Announce(Target{ID: "a", Address: "x", Born: 200, Sequence: 1})
-		time.Sleep(time.Second)
-		r.Announce(Target{ID: "a", Address: "x", Born: 200, Sequence: 2})
-		if _, err := r.Leave("a", 3*time.Second); !errors.Is(err, ErrLateDeparture) {
-			t.Errorf("departure that may be that of the first incarnation: error %v, want %v", err, ErrLateDeparture)
-		}
-		if s, _ := stageOf(&r, "a"); s != Ready {
-			t.Errorf("stage %d after it, want ready", s)
-		}
-		if changed, err := r.Leave("a", time.Second); !changed || err != nil {
-			t.Errorf("departure of the second incarnation: changed %t, error %v", changed, err)
-		}
-		if s, _ := stageOf(&r, "a"); s != Gone {
-			t.Errorf("stage %d after it, want gone", s)
-		}
-	})
+	var r Registry
+	r.Announce(Target{ID: "a", Address: "x", Born: 100, Sequence: 5})
+	late := boottime.Now()
+	r.Announce(Target{ID: "a", Address: "x", Born: 200, Sequence: 1})
+	current := boottime.Now()
+	r.Announce(Target{ID: "a", Address: "x", Born: 200, Sequence: 2})
+	if _, err := r.Leave("a", late); !errors.Is(err, ErrLateDeparture) {
+		t.Errorf("departure that may be that of the first incarnation: error %v, want %v", err, ErrLateDeparture)
+	}
+	if s, _ := stageOf(&r, "a"); s != Ready {
+		t.Errorf("stage %d after it, want ready", s)
+	}
+	if changed, err := r.Leave("a", current); !changed || err != nil {
+		t.Errorf("departure of the second incarnation: changed %t, error %v", changed, err)
+	}
+	if s, _ := stageOf(&r, "a"); s != Gone {
+		t.Errorf("stage %d after it, want gone", s)
+	}
 }
--- a/internal/site/sitestate/quarantine.go
+++ b/internal/site/sitestate/quarantine.go
@@ -43,13 +43,9 @@
 	case c.Verdict != nil:
 		return !s.wasCleared(c.Verdict.Parts, c.After) && s.addVerdict(*c.Verdict)
 	case c.Harmless != "":
-		return s.removePart(c.Harmless) && s.clear(index, c.Harmless)
+		return s.recordCleared(index, c.Harmless, s.removePart(c.Harmless))
 	case c.Lift != "":
-		n := len(s.Quarantine)
-		s.Quarantine = slices.DeleteFunc(slices.Clone(s.Quarantine), func(v quarantine.Verdict) bool {
-			return slices.Contains(v.Parts, c.Lift)
-		})
-		return len(s.Quarantine) < n && s.clear(index, c.Lift)
+		return s.recordCleared(index, c.Lift, s.lift(c.Lift))
 	case c.Test != nil:
 		i := quarantine.Index(s.Quarantine, c.Test.Key)
 		return i >= 0 && !s.wasCleared(s.Quarantine[i].Parts, c.After) && s.grantTest(*c.Test, c.ChangedMs)
@@ -57,9 +53,12 @@
 	return false
 }
 
-// clear records the position at which a verdict on a part or a request ended, and
-// returns true. It replaces the map, since copies of the state share it.
-func (s *State) clear(index uint64, p id.PromptPart) bool {
+// recordCleared records the position at which a verdict on a part or a request ended, if
+// one did, and returns ended. It replaces the map, since copies of the state share it.
+func (s *State) recordCleared(index uint64, p id.PromptPart, ended bool) bool {
+	if !ended {
+		return false
+	}
 	cleared := maps.Clone(s.ClearedIndex)
 	if cleared == nil {
 		cleared = map[id.PromptPart]uint64{}
@@ -116,6 +115,15 @@
 	})
 }
 
+// lift removes the verdicts that contain a part and reports whether there were any.
+func (s *State) lift(p id.PromptPart) bool {
+	n := len(s.Quarantine)
+	s.Quarantine = slices.DeleteFunc(slices.Clone(s.Quarantine), func(v quarantine.Verdict) bool {
+		return slices.Contains(v.Parts, p)
+	})
+	return len(s.Quarantine) < n
+}
+
 func (s *State) removePart(p id.PromptPart) bool {
 	var out []quarantine.Verdict
 	changed := false
--- a/internal/site/sitestate/sitestate.go
+++ b/internal/site/sitestate/sitestate.go
@@ -41,9 +41,9 @@
 type DomainChange struct {
 	Domain id.Domain
 	Out    bool
-	// After is a position of the log that the operator's order can't precede. If
-	// the domain has changed since, the order may be older than that change and
-	// has no effect. It is nil in logs of versions that did not store it.
+	// After is a position of the log that the operator's order can't precede. If an
+	// order to the contrary was acknowledged since, this one may be older and has no
+	// effect. It is nil in logs of versions that did not store it.
 	After *uint64 `cbor:",omitempty"`
 	// Tracked records the order in State.OrderIndex. It is false in logs of versions
 	// that did not have it, so that these lead to the same state as before.
