sitekeeper: departures that keepers read late mark the running incarnation

TestHoldsDepartureIsThatOfTheRunningIncarnation failed in 3 of 8 processes with 16 test processes at once: "0 keepers know that the running incarnation has left". Traced: the others answered later than 250 ms, and a departure within 10 s of another one counted as its repetition: acknowledged, and without an effect, which is the fault that it guards against.

A departure counts as repeated only if all keepers have answered and none knows a live incarnation. The others are told how old it is (site.leave, Age), and one that knows a later incarnation, announced before that, marks it, also if it reads the call late: TestHoldsLeaveMarksAnIncarnationThatTheSenderLacks.

With four processes of these tests under the race detector at once: all pass. One of TestHoldsGivenUpOrderUndoesNoRepeatedOne failed beside 16: two processes of the same test had drawn the same port ("address already in use"), so that it spoke to the other's keeper.

--- a/internal/agreement/node/calls.go
+++ b/internal/agreement/node/calls.go
@@ -107,10 +107,10 @@
 }
 
 // AskOthers calls a method of the other members at once and returns the results of those
-// that answer without an error in time. The other calls go on, since a call that is given
-// up closes its connection.
-func (n *Node) AskOthers(ctx context.Context, method string, params any, wait time.Duration) []json.RawMessage {
-	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), forwardTimeout)
+// that answer without an error in time, and whether all have. The other calls go on, since
+// a call that is given up closes its connection.
+func (n *Node) AskOthers(ctx context.Context, method string, params any, wait time.Duration) (answers []json.RawMessage, complete bool) {
+	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(wait, forwardTimeout))
 	calls, results := n.callOthers(callCtx, method, params)
 	answered := make(chan json.RawMessage, calls)
 	go func() {
@@ -124,18 +124,17 @@
 	}()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	var out []json.RawMessage
 	for {
 		select {
 		case answer, ok := <-answered:
 			if !ok {
-				return out
+				return answers, len(answers) == calls
 			}
-			out = append(out, answer)
+			answers = append(answers, answer)
 		case <-timer.C:
-			return out
+			return answers, false
 		case <-ctx.Done():
-			return out
+			return answers, false
 		}
 	}
 }
--- a/internal/role/sitekeeper/departure.go
+++ b/internal/role/sitekeeper/departure.go
@@ -1,6 +1,7 @@
 package sitekeeper
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"time"
@@ -16,8 +17,8 @@
 const (
 	// lookupMethod returns what a keeper knows of a target.
 	lookupMethod = "site.target"
-	// lookupTimeout limits the wait for the others' answers.
-	lookupTimeout = 250 * time.Millisecond
+	// defaultLookupTimeout limits the wait for the others' answers.
+	defaultLookupTimeout = 250 * time.Millisecond
 	// callerPatience is how long a target waits for a response before it calls another
 	// keeper.
 	callerPatience = time.Second
@@ -30,15 +31,20 @@
 // so.
 func (k *Keeper) Leave(ctx context.Context, target id.Target) (changed bool, err error) {
 	sentAfter := k.dateOf(ctx).at
-	t, firstSeen, live := k.youngest(ctx, target)
+	youngest := k.youngest(ctx, target)
 	age := boottime.Now() - sentAfter
+	known := k.Targets.Record(target)
 	switch {
-	case live && firstSeen <= sentAfter:
+	case youngest.live && youngest.firstSeen <= sentAfter:
+		t := youngest.Target
 		t.Stage = discovery.Gone
-		return k.Targets.Announce(t), k.spread(ctx, leaveParams{Target: t})
-	case live || age > callerPatience:
-		klog.InfoS("Departure was not recorded", "Target", target, "Known", live, "Born", t.Born,
-			"SentAfterMs", sentAfter.Milliseconds(), "FirstSeenMs", firstSeen.Milliseconds(), "AgeMs", age.Milliseconds())
+		return k.Targets.Announce(t), k.spread(ctx, leaveParams{Target: t, Age: age})
+	case !youngest.live && youngest.complete && known.Stage == discovery.Gone:
+		// It says so again.
+		return false, k.spread(ctx, leaveParams{Target: known, Age: age})
+	case youngest.live, age > callerPatience:
+		klog.InfoS("Departure was not recorded", "Target", target, "Known", youngest.live, "Born", youngest.Born,
+			"SentAfterMs", sentAfter.Milliseconds(), "FirstSeenMs", youngest.firstSeen.Milliseconds(), "AgeMs", age.Milliseconds())
 		return false, discovery.ErrLateDeparture
 	}
 	if changed, err = k.Targets.Leave(target, sentAfter); err != nil {
@@ -47,28 +53,40 @@
 	return changed, k.spread(ctx, leaveParams{Target: k.Targets.Record(target), Age: age})
 }
 
-// youngest returns the youngest incarnation of a target that is live at a keeper which
-// answers, and a time of the boottime clock by which it had been announced to one. It
-// returns false if there is none.
-func (k *Keeper) youngest(ctx context.Context, target id.Target) (t discovery.Target, firstSeen time.Duration, live bool) {
-	t, firstSeen, live = k.Targets.Live(target)
-	for _, answer := range k.raftNode.AskOthers(ctx, lookupMethod, lookupParams{ID: target}, lookupTimeout) {
+// incarnation is the youngest incarnation of a target that is live at a keeper.
+type incarnation struct {
+	discovery.Target
+	// live is false if there is none.
+	live bool
+	// firstSeen is a time by which it had been announced to a keeper, by the boottime
+	// clock.
+	firstSeen time.Duration
+	// complete is set if all keepers have answered.
+	complete bool
+}
+
+// youngest asks the other keepers for the youngest incarnation of a target.
+func (k *Keeper) youngest(ctx context.Context, target id.Target) incarnation {
+	var out incarnation
+	out.Target, out.firstSeen, out.live = k.Targets.Live(target)
+	answers, complete := k.raftNode.AskOthers(ctx, lookupMethod, lookupParams{ID: target}, cmp.Or(k.lookupTimeout, defaultLookupTimeout))
+	out.complete = complete
+	for _, answer := range answers {
 		var other lookupResponse
 		if err := json.Unmarshal(answer, &other); err != nil {
 			klog.InfoS("Answer of another keeper can't be read", "Target", target, "Error", err.Error())
 			continue
 		}
-		if other.Live == nil || live && other.Live.Born < t.Born {
-			continue
-		}
-		at := boottime.Now() - other.KnownFor
-		if live && other.Live.Born == t.Born {
-			firstSeen = min(firstSeen, at)
-			continue
+		firstSeen := boottime.Now() - other.KnownFor
+		switch {
+		case other.Live == nil || out.live && other.Live.Born < out.Born:
+		case out.live && other.Live.Born == out.Born:
+			out.firstSeen = min(out.firstSeen, firstSeen)
+		default:
+			out.Target, out.firstSeen, out.live = *other.Live, firstSeen, true
 		}
-		t, firstSeen, live = *other.Live, at, true
 	}
-	return t, firstSeen, live
+	return out
 }
 
 type lookupParams struct{ ID id.Target }
--- a/internal/role/sitekeeper/leave.go
+++ b/internal/role/sitekeeper/leave.go
@@ -70,8 +70,8 @@
 type leaveParams struct {
 	discovery.Target
 	// Age is how long ago the target said so at most, in nanoseconds. Keepers need it if
-	// the start time of the target is unknown. It is 0 from keepers of versions that did
-	// not send it.
+	// they know an incarnation that the sender doesn't. It is 0 from keepers of versions
+	// that did not send it.
 	Age time.Duration
 }
 
@@ -97,14 +97,19 @@
 		return nil, rpc.InvalidParams(err)
 	}
 	t, changed := in.Target, false
-	switch {
+	sentAfter := k.callSentAfter() - in.Age
+	switch live, firstSeen, ok := k.Targets.Live(t.ID); {
 	case t.Stage == discovery.Gone && t.Born == 0:
 		// The other keeper knows no incarnation of the target.
 		var err error
-		if changed, err = k.Targets.Leave(t.ID, k.callSentAfter()-in.Age); err != nil {
+		if changed, err = k.Targets.Leave(t.ID, sentAfter); err != nil {
 			klog.InfoS("Departure was not recorded", "Target", t.ID, "Error", err.Error())
 			return nil, rpc.NewError(rpc.CodeUnavailable, err.Error())
 		}
+	case t.Stage == discovery.Gone && in.Age > 0 && ok && live.Born > t.Born && firstSeen <= sentAfter:
+		// It knows an earlier one only.
+		live.Stage = discovery.Gone
+		changed = k.Targets.Announce(live)
 	case t.Stage == discovery.Gone || t.Stage == discovery.Draining:
 		changed = k.Targets.Announce(t)
 	}
--- a/internal/role/sitekeeper/sitekeeper.go
+++ b/internal/role/sitekeeper/sitekeeper.go
@@ -57,6 +57,8 @@
 	metrics  *metrics.Set
 	epoch    string
 	region   id.Region
+	// lookupTimeout replaces defaultLookupTimeout if it is not 0.
+	lookupTimeout time.Duration
 	// stopping is set when Run is asked to stop or has failed.
 	stopping atomic.Bool
 
--- a/internal/site/discovery/discovery.go
+++ b/internal/site/discovery/discovery.go
@@ -93,7 +93,7 @@
 }
 
 // lateArrivalWindow is how late an announcement may arrive after its target has
-// left, and for how long the target may repeat that it leaves.
+// left.
 const lateArrivalWindow = 10 * time.Second
 
 // leftWithoutStart reports whether the target left recently without having
@@ -143,29 +143,19 @@
 // Leave marks a target as gone and reports whether that is a change. The target said so
 // after sentAfter of the boottime clock. Leave returns ErrLateDeparture if the
 // incarnation that is live here was first announced later. If none is live, one that
-// announced itself elsewhere has left, and the target is recorded without a start time,
-// unless it says so again.
+// announced itself elsewhere has left, and the target is recorded without a start time.
 func (r *Registry) Leave(k id.Target, sentAfter time.Duration) (changed bool, err error) {
 	t, firstSeen, live := r.Live(k)
-	switch {
-	case live && firstSeen > sentAfter:
+	if live && firstSeen > sentAfter {
 		return false, ErrLateDeparture
-	case !live && r.leftRecently(k):
-		return false, nil
-	case !live:
+	}
+	if !live {
 		t = Target{ID: k}
 	}
 	t.Stage = Gone
 	return r.Announce(t), nil
 }
 
-func (r *Registry) leftRecently(k id.Target) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	rec := r.targets[k]
-	return rec != nil && rec.Stage == Gone && time.Since(rec.lastSeen) < lateArrivalWindow
-}
-
 // Live returns the incarnation of a target that is live here, and when it was first
 // announced, by the boottime clock. It returns false if none is.
 func (r *Registry) Live(k id.Target) (t Target, firstSeen time.Duration, ok bool) {
