sitekeeper: date connections by their order in the listener's queue

What callers saw: a failure domain that an operator had taken out of service, with an acknowledgement, was back in service for good, and requests went to it. A withdrawal that its operator had given up had come on a connection that the keeper accepted after it had applied the evacuation. In the same way the departure of a target took its next incarnation out of service.

Cause: the first order of a connection was dated by the position of the log at its accept. The system completes connections without the process, so that one may be much older. Only a pause of the whole process of 0.4 s at once was noticed. The promise rested on a bound of time between sending and reading.

Change: a keeper opens connections to its own listener (marks), after it has noted its position. Connections accepted after a mark were opened after it, since the queue is in order. A mark follows each order that is applied, each departure that is refused as late, and 0.5 s without one. The response to an order waits for its mark, for 0.1 s at most. `Order for a failure domain was read` names what dated an order. pauseLog dates calls between keepers only.

Two tests of this package opened connections by ConnContext without a connection; they give the present date in its place, which is what it gave.

--- a/internal/role/sitekeeper/departure.go
+++ b/internal/role/sitekeeper/departure.go
@@ -45,6 +45,7 @@
 	case youngest.live, age > callerPatience:
 		klog.InfoS("Departure was not recorded", "Target", target, "Known", youngest.live, "Born", youngest.Born,
 			"SentAfterMs", sentAfter.Milliseconds(), "FirstSeenMs", youngest.firstSeen.Milliseconds(), "AgeMs", age.Milliseconds())
+		k.marks.freshen(ctx, boottime.Now())
 		return false, discovery.ErrLateDeparture
 	}
 	if changed, err = k.Targets.Leave(target, sentAfter); err != nil {
--- a/internal/role/sitekeeper/leave_test.go
+++ b/internal/role/sitekeeper/leave_test.go
@@ -194,7 +194,7 @@
 				}
 			}
 			announce(first)
-			late := keepers[reader].ConnContext(ctx, nil)
+			late := withDate(ctx, keepers[reader].now())
 			announce(next)
 			if _, err := keepers[reader].Leave(late, "t"); !errors.Is(err, discovery.ErrLateDeparture) {
 				t.Errorf("late departure: error %v, want %v", err, discovery.ErrLateDeparture)
@@ -202,7 +202,7 @@
 			if diff := cmp.Diff(next, keepers[0].Targets.Record("t")); diff != "" {
 				t.Errorf("after a late departure (-want +got):\n%s", diff)
 			}
-			leave(keepers[reader].ConnContext(ctx, nil), t, keepers[reader], "t")
+			leave(withDate(ctx, keepers[reader].now()), t, keepers[reader], "t")
 			awaitGone(ctx, t, keepers[0], next)
 		})
 	}
--- a/internal/role/sitekeeper/orders_test.go
+++ b/internal/role/sitekeeper/orders_test.go
@@ -60,7 +60,7 @@
 
 // connect returns the context of the orders on a connection that is opened now.
 func (k *restartableKeeper) connect(ctx context.Context) context.Context {
-	return k.ConnContext(ctx, nil)
+	return withDate(ctx, k.now())
 }
 
 // order sends an order on a connection.
--- a/internal/role/sitekeeper/ordertime.go
+++ b/internal/role/sitekeeper/ordertime.go
@@ -17,8 +17,7 @@
 	// pauseLimit is the time between two entries above which the process counts as
 	// paused. An operator waits much longer before it sends an order elsewhere.
 	pauseLimit = 4 * pauseInterval
-	// pauseSettleTime is how long after a pause connections are accepted that were
-	// opened during it.
+	// pauseSettleTime is how long after a pause calls are read that were sent during it.
 	pauseSettleTime = time.Second
 )
 
@@ -31,7 +30,7 @@
 }
 
 // pauseLog detects that the process did not run for a while: its instance was frozen
-// or suspended, or had no processor time. Connections and orders that arrived
+// or suspended, or had no processor time. Calls of other keepers that arrived
 // meanwhile wait in the system's buffers and look new afterwards. It is safe for
 // concurrent use. The zero value is ready to use.
 type pauseLog struct {
@@ -58,8 +57,8 @@
 	}
 }
 
-// record makes an entry. It returns a date that no connection precedes which is
-// accepted at that time.
+// record makes an entry. It returns a date that no call precedes which is read at that
+// time.
 func (p *pauseLog) record(now time.Duration, position uint64) orderDate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -76,18 +75,22 @@
 	return p.last
 }
 
-// connDate is a date that the next order on a connection can't precede: the one at
-// which it was accepted or the last response was sent.
+// connDate is a date that the next order on a connection can't precede: that of the
+// connection, or the one at which the last response was sent.
 type connDate struct{ atomic.Pointer[orderDate] }
 
 type connDateKey struct{}
 
-// ConnContext is the ConnContext of a server of orders. It records the date at which a
-// connection is accepted.
-func (k *Keeper) ConnContext(ctx context.Context, _ net.Conn) context.Context {
-	accepted := k.pauses.record(boottime.Now(), k.Machine.Position())
+// ConnContext is the ConnContext of a server of orders. It records a date that the
+// connection can't precede. net/http calls it before it accepts the next connection.
+func (k *Keeper) ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return withDate(ctx, k.marks.accept(c.RemoteAddr()))
+}
+
+// withDate returns the context of the orders on a connection.
+func withDate(ctx context.Context, opened orderDate) context.Context {
 	date := &connDate{}
-	date.Store(&accepted)
+	date.Store(&opened)
 	return context.WithValue(ctx, connDateKey{}, date)
 }
 
--- a/internal/role/sitekeeper/sitekeeper.go
+++ b/internal/role/sitekeeper/sitekeeper.go
@@ -45,7 +45,8 @@
 )
 
 // Keeper is one running keeper of a site. It is safe for concurrent use. Lock
-// order: mu before the locks of Machine, Targets, left and pauses, which never call back.
+// order: mu before the locks of Machine, Targets, left, pauses and marks, which never call
+// back.
 type Keeper struct {
 	// Machine holds the replicated state.
 	Machine sitestate.Machine
@@ -66,6 +67,8 @@
 	left spreadLog
 	// pauses detects times in which this process did not run.
 	pauses pauseLog
+	// marks dates the connections of the server of orders.
+	marks markLog
 
 	mu sync.Mutex
 	// confirmedAt is when the newest successful confirmation began, by the
@@ -138,8 +141,10 @@
 		c.Weights.NamedMs = time.Now().UnixMilli()
 	}
 	if c.Withdraw != nil {
-		after := k.dateOf(ctx).position
-		c.Withdraw.After, c.Withdraw.Tracked = &after, true
+		date := k.dateOf(ctx)
+		c.Withdraw.After, c.Withdraw.Tracked = &date.position, true
+		klog.InfoS("Order for a failure domain was read", "Domain", c.Withdraw.Domain, "Out", c.Withdraw.Out,
+			"After", date.position, "AgeMs", (boottime.Now() - date.at).Milliseconds(), "Position", k.Machine.Position())
 	}
 	data, err := sitestate.Encode(c)
 	if err != nil {
@@ -148,6 +153,10 @@
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	response, err := k.raftNode.Propose(ctx, data)
+	if c.Withdraw != nil && err == nil {
+		// The next order on a new connection must be dated after this one.
+		k.marks.freshen(ctx, boottime.Now())
+	}
 	if err == nil && string(response) == sitestate.ErrOutdated.Error() {
 		return sitestate.ErrOutdated
 	}
--- a/internal/site/sitestate/sitestate.go
+++ b/internal/site/sitestate/sitestate.go
@@ -96,8 +96,9 @@
 type Machine struct {
 	mu    sync.Mutex
 	state State
-	// changed is closed and reset at each effect.
-	changed chan struct{}
+	// changed is closed and reset at each effect, ordered at each order that is
+	// acknowledged.
+	changed, ordered chan struct{}
 	// weightsVersions holds the newest versions of weights in the order in
 	// which this keeper learnt of them. It is not part of the replicated state.
 	weightsVersions []weightsVersion
@@ -190,6 +191,17 @@
 	return m.changed
 }
 
+// Ordered returns a channel that is closed at the next order for a failure domain that is
+// acknowledged, whether it has an effect or not.
+func (m *Machine) Ordered() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.ordered == nil {
+		m.ordered = make(chan struct{})
+	}
+	return m.ordered
+}
+
 // Apply implements replica.StateMachine.
 func (m *Machine) Apply(index uint64, command []byte) []byte {
 	var in Command
@@ -204,6 +216,7 @@
 			return []byte(ErrOutdated.Error())
 		}
 		m.state.trackOrder(index, *in.Withdraw)
+		m.notifyOrdered()
 	}
 	if !m.state.apply(index, in) {
 		return nil
@@ -323,9 +336,18 @@
 		m.recordWeights(WeightsChange{Model: model, Version: v, NamedMs: s.NamedMs[model]})
 	}
 	m.notify()
+	m.notifyOrdered()
 	return nil
 }
 
+// notifyOrdered wakes the waiters of Ordered. The caller holds mu.
+func (m *Machine) notifyOrdered() {
+	if m.ordered != nil {
+		close(m.ordered)
+		m.ordered = nil
+	}
+}
+
 // notify wakes the waiters of Changed. The caller holds mu.
 func (m *Machine) notify() {
 	if m.changed != nil {
