build: log which program runs

Change: `Process starts` has Build, the linker's digest of the program's contents, besides Revision and Modified where there is a stamp. The roles of the own interface log the line as well.

--- a/internal/command/role/role.go
+++ b/internal/command/role/role.go
@@ -7,8 +7,10 @@
 
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
+	"k8s.io/klog/v2"
 
 	"egretproxy/internal/admission/intake"
+	"egretproxy/internal/kernel/build"
 	"egretproxy/internal/kernel/logs"
 	"egretproxy/internal/kernel/metrics"
 	"egretproxy/internal/settings/config"
@@ -37,6 +39,7 @@
 		return err
 	}
 	logs.Init(os.Stderr, cfg.Process.LogLevel)
+	klog.InfoS("Process starts", append(build.Read().Fields(), "Role", name)...)
 	set := metrics.New(name)
 	in := intake.New(0, 0)
 	in.Report(set)
--- a/internal/role/sitekeeper/marks_test.go
+++ b/internal/role/sitekeeper/marks_test.go
@@ -43,7 +43,7 @@
 		go func() { placed <- m.place(ctx, address, orderDate{position: position}) }()
 		select {
 		case err := <-placed:
-			t.Errorf("a mark counts before it is accepted, error %v", err)
+			t.Fatalf("a mark counts before it is accepted, error %v", err)
 		case <-time.After(100 * time.Millisecond):
 		}
 		return placed
--- a/main.go
+++ b/main.go
@@ -18,6 +18,7 @@
 	_ "egretproxy/internal/command/quarantine"
 	_ "egretproxy/internal/command/role"
 	_ "egretproxy/internal/command/target"
+	"egretproxy/internal/kernel/build"
 	"egretproxy/internal/kernel/registry"
 	_ "egretproxy/internal/routing/affinity"
 	_ "egretproxy/internal/routing/leastloaded"
@@ -34,6 +35,7 @@
 	defer stop()
 	app := &cli.Command{
 		Name: "egretproxy", Usage: "distribute model weights and route requests in bursts",
+		Version:  build.Read().String(),
 		Commands: registry.Commands(),
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
