--- a/internal/kernel/build/build.go
+++ b/internal/kernel/build/build.go
@@ -60,7 +60,9 @@
 }
 
 // Fields returns the fields of a log line that names the program.
-func (i Info) Fields() []any { return []any{"Revision", i.Revision, "Modified", i.Modified, "Build", i.ID} }
+func (i Info) Fields() []any {
+	return []any{"Revision", i.Revision, "Modified", i.Modified, "Build", i.ID}
+}
 
 // String returns the text of a version flag.
 func (i Info) String() string {
