--- a/internal/role/sitekeeper/marks.go
+++ b/internal/role/sitekeeper/marks.go
@@ -106,7 +106,8 @@
 }
 
 // arrived reports whether the mark on its way has been accepted, whose date it then takes,
-// and returns a channel that is closed when the next connection is accepted.
+// and otherwise returns a channel that is closed when the next connection is accepted. No
+// other connection has the mark's local address as long as the mark is open.
 func (m *markLog) arrived(local net.Addr, date orderDate) (done bool, accepted <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
