sitekeeper: date departures between keepers by the receiver's clock

What callers saw: none, shown by a test of the calls. A call by which a keeper tells another one of a departure, delayed between them, took an incarnation out of service that was announced meanwhile.

Cause: the receiver dated the call by when it read it, less its own pauses and the age that the sender names. The time on the way did not count.

Change: the answers of the lookup before it hold the receiver's clock, and the call carries it back, less the age of the departure. A receiver that did not answer dates the call as before.

--- a/internal/role/sitekeeper/departure.go
+++ b/internal/role/sitekeeper/departure.go
@@ -31,17 +31,17 @@
 // so.
 func (k *Keeper) Leave(ctx context.Context, target id.Target) (changed bool, err error) {
 	sentAfter := k.dateOf(ctx).at
-	youngest := k.youngest(ctx, target)
+	youngest := k.youngest(ctx, target, sentAfter)
 	age := boottime.Now() - sentAfter
 	known := k.Targets.Record(target)
 	switch {
 	case youngest.live && youngest.firstSeen <= sentAfter:
 		t := youngest.Target
 		t.Stage = discovery.Gone
-		return k.Targets.Announce(t), k.spread(ctx, leaveParams{Target: t, Age: age})
+		return k.Targets.Announce(t), k.spread(ctx, leaveParams{Target: t, Age: age, SentAfter: youngest.sentAfter})
 	case !youngest.live && youngest.complete && known.Stage == discovery.Gone:
 		// It says so again.
-		return false, k.spread(ctx, leaveParams{Target: known, Age: age})
+		return false, k.spread(ctx, leaveParams{Target: known, Age: age, SentAfter: youngest.sentAfter})
 	case youngest.live, age > callerPatience:
 		klog.InfoS("Departure was not recorded", "Target", target, "Known", youngest.live, "Born", youngest.Born,
 			"SentAfterMs", sentAfter.Milliseconds(), "FirstSeenMs", youngest.firstSeen.Milliseconds(), "AgeMs", age.Milliseconds())
@@ -51,7 +51,7 @@
 	if changed, err = k.Targets.Leave(target, sentAfter); err != nil {
 		return false, err
 	}
-	return changed, k.spread(ctx, leaveParams{Target: k.Targets.Record(target), Age: age})
+	return changed, k.spread(ctx, leaveParams{Target: k.Targets.Record(target), Age: age, SentAfter: youngest.sentAfter})
 }
 
 // incarnation is the youngest incarnation of a target that is live at a keeper.
@@ -64,11 +64,15 @@
 	firstSeen time.Duration
 	// complete is set if all keepers have answered.
 	complete bool
+	// sentAfter holds a time before the departure for each keeper that has answered, by
+	// its epoch and its boottime clock.
+	sentAfter map[string]time.Duration
 }
 
-// youngest asks the other keepers for the youngest incarnation of a target.
-func (k *Keeper) youngest(ctx context.Context, target id.Target) incarnation {
-	var out incarnation
+// youngest asks the other keepers for the youngest incarnation of a target that has said
+// that it leaves after a time of the boottime clock.
+func (k *Keeper) youngest(ctx context.Context, target id.Target, sentAfter time.Duration) incarnation {
+	out := incarnation{sentAfter: map[string]time.Duration{}}
 	out.Target, out.firstSeen, out.live = k.Targets.Live(target)
 	answers, complete := k.raftNode.AskOthers(ctx, lookupMethod, lookupParams{ID: target}, cmp.Or(k.lookupTimeout, defaultLookupTimeout))
 	out.complete = complete
@@ -78,18 +82,27 @@
 			klog.InfoS("Answer of another keeper can't be read", "Target", target, "Error", err.Error())
 			continue
 		}
-		firstSeen := boottime.Now() - other.KnownFor
-		switch {
-		case other.Live == nil || out.live && other.Live.Born < out.Born:
-		case out.live && other.Live.Born == out.Born:
-			out.firstSeen = min(out.firstSeen, firstSeen)
-		default:
-			out.Target, out.firstSeen, out.live = *other.Live, firstSeen, true
-		}
+		out.add(other, sentAfter)
 	}
 	return out
 }
 
+// add records the answer of another keeper.
+func (i *incarnation) add(other lookupResponse, sentAfter time.Duration) {
+	now := boottime.Now()
+	if other.Epoch != "" {
+		i.sentAfter[other.Epoch] = other.Now - (now - sentAfter)
+	}
+	firstSeen := now - other.KnownFor
+	switch {
+	case other.Live == nil || i.live && other.Live.Born < i.Born:
+	case i.live && other.Live.Born == i.Born:
+		i.firstSeen = min(i.firstSeen, firstSeen)
+	default:
+		i.Target, i.firstSeen, i.live = *other.Live, firstSeen, true
+	}
+}
+
 type lookupParams struct{ ID id.Target }
 
 // lookupResponse holds the incarnation of a target that is live at a keeper, or nil.
@@ -97,6 +110,10 @@
 	Live *discovery.Target
 	// KnownFor is the time since it was first announced, in nanoseconds.
 	KnownFor time.Duration
+	// Epoch and Now are those of the keeper that answers, Now by its boottime clock. Epoch
+	// is empty from keepers of versions that did not send it.
+	Epoch string
+	Now   time.Duration
 }
 
 // handleLookup returns the incarnation of a target that is live here.
@@ -107,7 +124,8 @@
 	}
 	t, firstSeen, ok := k.Targets.Live(in.ID)
 	if !ok {
-		return lookupResponse{}, nil
+		return lookupResponse{Epoch: k.epoch, Now: boottime.Now()}, nil
 	}
-	return lookupResponse{Live: &t, KnownFor: boottime.Now() - firstSeen}, nil
+	now := boottime.Now()
+	return lookupResponse{Live: &t, KnownFor: now - firstSeen, Epoch: k.epoch, Now: now}, nil
 }
--- a/internal/role/sitekeeper/leave.go
+++ b/internal/role/sitekeeper/leave.go
@@ -73,6 +73,9 @@
 	// they know an incarnation that the sender doesn't. It is 0 from keepers of versions
 	// that did not send it.
 	Age time.Duration
+	// SentAfter holds a time before the target said so for each keeper that the sender
+	// has asked since, by its epoch and its boottime clock.
+	SentAfter map[string]time.Duration
 }
 
 // spread tells the other keepers of a target that leaves, once for each stage.
@@ -97,7 +100,10 @@
 		return nil, rpc.InvalidParams(err)
 	}
 	t, changed := in.Target, false
-	sentAfter := k.callSentAfter() - in.Age
+	sentAfter, asked := in.SentAfter[k.epoch]
+	if !asked {
+		sentAfter = k.callSentAfter() - in.Age
+	}
 	switch live, firstSeen, ok := k.Targets.Live(t.ID); {
 	case t.Stage == discovery.Gone && t.Born == 0:
 		// The other keeper knows no incarnation of the target.
--- a/internal/role/sitekeeper/leave_test.go
+++ b/internal/role/sitekeeper/leave_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/boottime"
 	"egretproxy/internal/site/discovery"
 )
 
@@ -207,3 +208,56 @@
 		})
 	}
 }
+
+// TestHoldsDelayedLeaveLeavesNextIncarnationInService guards against a call by which a
+// keeper tells another one of a departure, and which is delayed between them: it took an
+// incarnation out of service that was announced meanwhile.
+func TestHoldsDelayedLeaveLeavesNextIncarnationInService(t *testing.T) {
+	next := discovery.Target{ID: "t", Service: "s", Address: "10.0.0.1:80", Domain: "z", Stage: discovery.Ready, Born: 7, Sequence: 1}
+	told := map[string]discovery.Target{
+		"none":    {ID: "t", Stage: discovery.Gone},
+		"earlier": {ID: "t", Service: "s", Address: "10.0.0.1:80", Domain: "z", Stage: discovery.Gone, Born: 5, Sequence: 9},
+	}
+	// tell plays a departure of which a keeper is told after it was asked for the target.
+	tell := func(k *Keeper, target discovery.Target, meanwhile func()) error {
+		t.Helper()
+		departure := boottime.Now()
+		answer, err := k.handleLookup(t.Context(), encode(t, lookupParams{ID: "t"}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		known := incarnation{sentAfter: map[string]time.Duration{}}
+		known.add(answer.(lookupResponse), departure)
+		age := boottime.Now() - departure
+		meanwhile()
+		_, err = k.handleLeave(t.Context(), encode(t, leaveParams{Target: target, Age: age, SentAfter: known.sentAfter}))
+		return err
+	}
+	for name, target := range told {
+		k := &Keeper{epoch: "receiver"}
+		err := tell(k, target, func() { k.Targets.Announce(next) })
+		if got := k.Targets.Record("t"); got != next {
+			t.Errorf("%s, announced meanwhile: %+v, error %v", name, got, err)
+		}
+		// One that was announced before leaves. A departure right after it is told again.
+		k.Targets = discovery.Registry{}
+		k.Targets.Announce(next)
+		deadline := time.Now().Add(30 * time.Second)
+		for k.Targets.Record("t").Stage != discovery.Gone && time.Now().Before(deadline) {
+			err = tell(k, target, func() {})
+			time.Sleep(time.Millisecond)
+		}
+		if got := k.Targets.Record("t"); got.Stage != discovery.Gone || got.Born != next.Born {
+			t.Errorf("%s, announced before: %+v, error %v", name, got, err)
+		}
+	}
+}
+
+func encode(t *testing.T, v any) json.RawMessage {
+	t.Helper()
+	data, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
