--- a/internal/role/sitekeeper/ordertime_test.go
+++ b/internal/role/sitekeeper/ordertime_test.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// TestHoldsPauseDatesConnections guards against orders that waited in the system's
-// buffers while the process did not run: a connection that is accepted right after
-// such a pause may have been opened before all that happened during it.
-func TestHoldsPauseDatesConnections(t *testing.T) {
+// TestHoldsPauseDatesCalls guards against calls of other keepers that waited in the
+// system's buffers while the process did not run: one that is read right after such a
+// pause may have been sent before all that happened during it.
+func TestHoldsPauseDatesCalls(t *testing.T) {
 	var p pauseLog
 	now := time.Hour
 	for range 20 {
