replica: keep the leader while disks sync slowly

Cause: a member of the group did nothing else while it synced. A leader sent its entries after its own sync, and while its followers synced them nobody answered it, so that it stepped down after 0.5 s, at each entry. A leader that synced sent no heartbeats. Candidates did not wait for voters that sync their vote. Two syncs in a row are also more than the second for which operators wait.

Ruled out: the network and the processor (the case holds with both as they are); longer election timeouts for all, as these delay the replacement of a lost leader.

Change: a leader sends entries before its own sync and counts its copy afterwards, but not before its term is on disk. During a sync, for a second at most, a leader sends heartbeats and a follower answers them with what is committed and on disk. A candidate waits for voters by the time of its own sync. Slow syncs are logged. The schedules of the replicated log play early entries and such heartbeats too.

--- a/internal/agreement/faultdisk/faultdisk.go
+++ b/internal/agreement/faultdisk/faultdisk.go
@@ -9,6 +9,7 @@
 	"slices"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"egretproxy/internal/agreement/disk"
 )
@@ -29,6 +30,8 @@
 	SyncCount int
 	// Full makes the disk refuse all writes. A write may leave a part behind.
 	Full atomic.Bool
+	// SyncNanos is the time in nanoseconds that each File.Sync takes.
+	SyncNanos atomic.Int64
 }
 
 func (d *Disk) init() {
@@ -92,6 +95,7 @@
 	if f.disk.Full.Load() {
 		return syscall.ENOSPC
 	}
+	time.Sleep(time.Duration(f.disk.SyncNanos.Load()))
 	f.disk.SyncCount++
 	f.content.synced = len(f.content.data)
 	return nil
--- a/internal/agreement/raft/cluster_test.go
+++ b/internal/agreement/raft/cluster_test.go
@@ -117,7 +117,8 @@
 	peer.disk.Crash(c.rand)
 }
 
-// process acts as the driver of a node: it persists, sends and applies.
+// process acts as the driver of a node: it persists, sends and applies. What may be sent
+// before the sync is sent even if the member crashes in it.
 func (c *cluster) process(peer *member) {
 	for !peer.down && peer.node.HasReady() {
 		r := peer.node.Ready()
@@ -126,14 +127,19 @@
 			peer.snap = r.Snapshot
 			peer.restore(r.Snapshot)
 		}
+		early, late := r.SplitMessages()
+		c.inFlight = append(c.inFlight, early...)
+		if len(r.Entries) > 0 && c.rand.IntN(4) == 0 {
+			c.slowSync(peer, r)
+		}
 		if !c.noCrashes && c.rand.IntN(200) == 0 {
-			// Crash before the sync: no message of this Ready was sent.
+			// Crash before the sync: no other message of this Ready was sent.
 			c.crash(peer.id)
 			return
 		}
 		c.must(peer.journal.Save(r.HardState, r.Truncate, r.Entries))
 		peer.node.Advance(r)
-		c.inFlight = append(c.inFlight, r.Messages...)
+		c.inFlight = append(c.inFlight, late...)
 		c.apply(peer, r)
 	}
 	if !peer.down && peer.node.IsLeader() {
@@ -141,6 +147,23 @@
 	}
 }
 
+// slowSync sends what a member may send while its disk syncs: a leader its heartbeats, a
+// follower the response to the next append that is on its way to it.
+func (c *cluster) slowSync(peer *member, r raft.Ready) {
+	c.inFlight = append(c.inFlight, peer.node.Heartbeats(r)...)
+	response, ok := peer.node.HeartbeatResponse(r)
+	if !ok {
+		return
+	}
+	for _, m := range c.inFlight {
+		if m.Kind == record.AppendRequest && m.To == response.From && m.From == response.To && m.Term == response.Term {
+			response.Round = m.Round
+			c.inFlight = append(c.inFlight, response)
+			return
+		}
+	}
+}
+
 func (c *cluster) must(err error) {
 	if err != nil {
 		c.t.Fatal(err)
--- a/internal/agreement/raft/replication.go
+++ b/internal/agreement/raft/replication.go
@@ -265,11 +265,13 @@
 
 // sendProbe sends a heartbeat at the base of the log, so that the member does
 // not start an election while a snapshot is in transfer.
-func (n *Node) sendProbe(k id.Keeper) {
-	n.send(record.Message{
-		Kind: record.AppendRequest, To: k, Term: n.hardState.Term,
+func (n *Node) sendProbe(k id.Keeper) { n.send(n.probe(k)) }
+
+func (n *Node) probe(k id.Keeper) record.Message {
+	return record.Message{
+		Kind: record.AppendRequest, From: n.cfg.ID, To: k, Term: n.hardState.Term,
 		Index: n.log.base, LogTerm: n.log.baseTerm, Commit: n.commit, Round: n.round,
-	})
+	}
 }
 
 // confirmReads releases the reads whose heartbeat round a quorum has
--- a/internal/agreement/replica/apply.go
+++ b/internal/agreement/replica/apply.go
@@ -13,16 +13,22 @@
 )
 
 // process handles the pending work of the Raft node: it persists, then sends,
-// then applies, until there is none left.
+// then applies, until there is none left. A leader's followers persist at the same time.
 func (r *Replica) process(ctx context.Context) error {
 	for r.node.HasReady() {
 		ready := r.node.Ready()
-		if err := r.retryStorage(ctx, func() error { return r.persist(ready) }); err != nil {
-			r.recordFailure(err)
-			return err
+		early, late := ready.SplitMessages()
+		r.sendAll(early)
+		if ready.MustSync() {
+			began := time.Now()
+			if err := r.save(ctx, ready, func() error { return r.persist(ready) }); err != nil {
+				r.recordFailure(err)
+				return err
+			}
+			r.node.SyncTook(int(time.Since(began) / r.cfg.Tick))
 		}
 		r.node.Advance(ready)
-		r.sendAll(ready.Messages)
+		r.sendAll(late)
 		if err := r.apply(ctx, ready); err != nil {
 			r.recordFailure(err)
 			return err
@@ -68,16 +74,58 @@
 	return r.journal.Save(ready.HardState, ready.Truncate, ready.Entries)
 }
 
+// save calls write until it succeeds. Meanwhile the member takes part in heartbeats, as
+// far as the work that write does not store yet allows.
+func (r *Replica) save(ctx context.Context, ready raft.Ready, write func() error) error {
+	r.syncing.begin(r.heartbeats(ready), r.heartbeatResponse(ready))
+	defer r.syncing.end()
+	began := time.Now()
+	err := r.retryStorage(ctx, write)
+	r.logSyncTime(time.Since(began))
+	return err
+}
+
+// logSyncTime logs when syncs begin and cease to take longer than a heartbeat.
+func (r *Replica) logSyncTime(took time.Duration) {
+	slow := took >= syncHeartbeat
+	if slow != r.slowSyncs {
+		r.slowSyncs = slow
+		klog.InfoS("Syncs of the journal changed", "Member", r.cfg.Raft.ID, "Slow", slow, "TookMs", took.Milliseconds())
+	}
+}
+
+func (r *Replica) heartbeats(ready raft.Ready) []envelope {
+	var out []envelope
+	for _, m := range r.node.Heartbeats(ready) {
+		out = append(out, r.address(m))
+	}
+	return out
+}
+
+func (r *Replica) heartbeatResponse(ready raft.Ready) *envelope {
+	m, ok := r.node.HeartbeatResponse(ready)
+	if !ok {
+		return nil
+	}
+	e := r.address(m)
+	return &e
+}
+
 func (r *Replica) sendAll(messages []record.Message) {
-	members := r.node.Membership()
 	for _, m := range messages {
-		m.Address = r.cfg.Address
-		c, ok := members.Find(m.To)
-		if !ok {
-			c = record.Member{ID: m.To, Address: r.addresses[m.To]}
-		}
-		r.transport.Send(c, m)
+		e := r.address(m)
+		r.transport.Send(e.to, e.Message)
+	}
+}
+
+// address adds the address of the member that a message is for, and that of this one.
+func (r *Replica) address(m record.Message) envelope {
+	m.Address = r.cfg.Address
+	to, ok := r.node.Membership().Find(m.To)
+	if !ok {
+		to = record.Member{ID: m.To, Address: r.addresses[m.To]}
 	}
+	return envelope{to: to, Message: m}
 }
 
 func (r *Replica) apply(ctx context.Context, ready raft.Ready) error {
@@ -138,7 +186,7 @@
 		Index: applied, Term: r.node.TermAt(applied),
 		Membership: r.node.MembershipAt(applied), Data: data,
 	}
-	if err := r.retryStorage(ctx, func() error { return r.journal.SaveSnapshot(s, false) }); err != nil {
+	if err := r.save(ctx, raft.Ready{}, func() error { return r.journal.SaveSnapshot(s, false) }); err != nil {
 		return err
 	}
 	r.snapshot = s
--- a/internal/agreement/replica/replica.go
+++ b/internal/agreement/replica/replica.go
@@ -139,6 +139,10 @@
 	// addresses holds the addresses of message senders, to reach those that
 	// are not in the membership.
 	addresses map[id.Keeper]string
+	// syncing takes part in heartbeats while Run waits for the disk.
+	syncing syncWait
+	// slowSyncs is set if the last sync took longer than a heartbeat.
+	slowSyncs bool
 
 	mu sync.Mutex
 	// status is replaced after each step.
@@ -174,6 +178,7 @@
 		addresses:         map[id.Keeper]string{},
 		snapshot:          snap,
 		appliedChanged:    make(chan struct{}),
+		syncing:           syncWait{transport: t},
 	}
 	if snap != nil && len(snap.Data) > 0 {
 		if err := m.Restore(snap.Data); err != nil {
--- a/internal/agreement/replica/requests.go
+++ b/internal/agreement/replica/requests.go
@@ -19,6 +19,7 @@
 // Deliver queues a message from another member. It drops the message if the
 // queue is full, which Raft tolerates.
 func (r *Replica) Deliver(m record.Message) {
+	r.syncing.respond(m)
 	select {
 	case r.inbox <- m:
 	default:
--- a/internal/agreement/replica/storage_test.go
+++ b/internal/agreement/replica/storage_test.go
@@ -70,6 +70,13 @@
 }
 
 func startGroup(ctx context.Context, t *testing.T, disks []*faultdisk.Disk) *group {
+	t.Helper()
+	g := newGroup(t, disks, 1)
+	g.run(ctx)
+	return g
+}
+
+func newGroup(t *testing.T, disks []*faultdisk.Disk, seed uint64) *group {
 	t.Helper()
 	g := &group{disks: disks}
 	var members []record.Member
@@ -91,7 +98,7 @@
 		}
 		v := &values{}
 		r, err := replica.New(replica.Config{
-			Raft:            raft.Config{ID: identity.BootstrapID(g.names[i]), Rand: rand.New(rand.NewPCG(1, uint64(i)))},
+			Raft:            raft.Config{ID: identity.BootstrapID(g.names[i]), Rand: rand.New(rand.NewPCG(seed, uint64(i)))},
 			SnapshotEntries: 16,
 		}, j, v, g)
 		if err != nil {
@@ -99,10 +106,13 @@
 		}
 		g.replicas, g.values, g.ended = append(g.replicas, r), append(g.values, v), append(g.ended, make(chan error, 1))
 	}
+	return g
+}
+
+func (g *group) run(ctx context.Context) {
 	for i, r := range g.replicas {
 		go func() { g.ended[i] <- r.Run(ctx) }()
 	}
-	return g
 }
 
 // propose submits a value until a member acknowledges it, for 3 s at most.
