node: make a call of the leader once for as long as it leads

Cause: a keeper gave its leader 1 s for a proposal and then made it again, for 2.5 s, although the first copy was in the log. Together with the keepers to which operators turned next this kept the leader's disk busy, so that each order waited for the sync in progress and then for its own.

Change: a call lasts for as long as the keeper follows the leader that it calls. It is made again once another member leads, or if it fails.

--- a/internal/agreement/node/calls.go
+++ b/internal/agreement/node/calls.go
@@ -10,6 +10,7 @@
 
 	"egretproxy/internal/agreement/record"
 	"egretproxy/internal/agreement/replica"
+	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/wire/api"
 	"egretproxy/internal/wire/rpc"
 )
@@ -166,7 +167,8 @@
 
 // callLeader runs the call for the leader's address, or for an empty address if
 // this member leads. It retries until the call succeeds, the context ends or this
-// member stops, as the caller can then try another keeper.
+// member stops, as the caller can then try another keeper. A call goes on for as long as
+// its leader leads: a proposal that is made again would only add to a slow disk's work.
 func (n *Node) callLeader(ctx context.Context, call func(ctx context.Context, leader string) error) error {
 	err := error(replica.ErrNotLeader)
 	for ctx.Err() == nil {
@@ -178,7 +180,7 @@
 			if st.IsLeader {
 				address = ""
 			}
-			callCtx, cancel := context.WithTimeout(ctx, forwardTimeout)
+			callCtx, cancel := n.whileLeading(ctx, st.Leader)
 			err = call(callCtx, address)
 			cancel()
 			if err == nil {
@@ -195,6 +197,24 @@
 	return errors.Wrap(err, "leader does not answer")
 }
 
+// whileLeading returns a context that ends once this member follows another leader or none.
+func (n *Node) whileLeading(ctx context.Context, leader id.Keeper) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		ticker := time.NewTicker(tick)
+		defer ticker.Stop()
+		for n.Status().Leader == leader {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+		}
+		cancel()
+	}()
+	return ctx, cancel
+}
+
 func (n *Node) handleRaft(_ context.Context, params json.RawMessage) (any, error) {
 	var m record.Message
 	if err := json.Unmarshal(params, &m); err != nil {
@@ -209,8 +229,6 @@
 	if err := json.Unmarshal(params, &in); err != nil {
 		return nil, rpc.InvalidParams(err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
-	defer cancel()
 	response, err := n.replica.Propose(ctx, in.Command)
 	if err != nil {
 		return nil, rpc.NewError(rpc.CodeNotLeader, err.Error())
