--- a/internal/kernel/build/build.go
+++ b/internal/kernel/build/build.go
@@ -7,6 +7,7 @@
 	"runtime/debug"
 	"strconv"
 	"strings"
+	"sync"
 
 	"k8s.io/klog/v2"
 )
@@ -36,7 +37,11 @@
 }
 
 // Read returns what identifies the running program.
-func Read() Info {
+func Read() Info { return readOnce() }
+
+var readOnce = sync.OnceValue(read)
+
+func read() Info {
 	out := Info{Revision: unknown, ID: unknown, Go: unknown}
 	if id, err := readID(runningProgram); err != nil {
 		klog.V(1).InfoS("Build id can't be read", "Error", err.Error())
