sitekeeper: ask the sender for the age of a departure that came undated

What callers saw, by a test of the calls: a target that had started anew got no requests for a minute. Its earlier departure was told by one keeper to another one, which had not answered when it was asked for the target, and read the call late.

Cause: that keeper took the call for as old as the sender had named, plus the pauses of its own process. The time on the way counted for nothing.

Change: a keeper that knows an incarnation which the sender lacks, and has given no time, asks the sender for the age of the departure when it reads the call. The answer holds however late that is. Without one the call has no effect.

--- a/internal/agreement/node/calls.go
+++ b/internal/agreement/node/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -107,6 +108,15 @@
 	return nil
 }
 
+// CallMember calls a method of the member at an address.
+func (n *Node) CallMember(ctx context.Context, address, method string, params, result any) error {
+	isMember := func(m record.Member) bool { return m.Address == address }
+	if !slices.ContainsFunc(n.Status().Membership.Members, isMember) {
+		return errors.Errorf("%q is no member", address)
+	}
+	return n.client(address).Call(ctx, method, params, result)
+}
+
 // AskOthers calls a method of the other members at once and returns the results of those
 // that answer without an error in time, and whether all have. The other calls go on, since
 // a call that is given up closes its connection.
--- a/internal/role/sitekeeper/departure.go
+++ b/internal/role/sitekeeper/departure.go
@@ -34,14 +34,19 @@
 	youngest := k.youngest(ctx, target, sentAfter)
 	age := boottime.Now() - sentAfter
 	known := k.Targets.Record(target)
+	tell := func(t discovery.Target) error {
+		return k.spread(ctx, leaveParams{
+			Target: t, Age: age, SentAfter: youngest.sentAfter, Sender: k.address, Departure: departureKey{k.epoch, k.departures.add(sentAfter)},
+		})
+	}
 	switch {
 	case youngest.live && youngest.firstSeen <= sentAfter:
 		t := youngest.Target
 		t.Stage = discovery.Gone
-		return k.Targets.Announce(t), k.spread(ctx, leaveParams{Target: t, Age: age, SentAfter: youngest.sentAfter})
+		return k.Targets.Announce(t), tell(t)
 	case !youngest.live && youngest.complete && known.Stage == discovery.Gone:
 		// It says so again.
-		return false, k.spread(ctx, leaveParams{Target: known, Age: age, SentAfter: youngest.sentAfter})
+		return false, tell(known)
 	case youngest.live, age > callerPatience:
 		klog.InfoS("Departure was not recorded", "Target", target, "Known", youngest.live, "Born", youngest.Born,
 			"SentAfterMs", sentAfter.Milliseconds(), "FirstSeenMs", youngest.firstSeen.Milliseconds(), "AgeMs", age.Milliseconds())
@@ -51,7 +56,7 @@
 	if changed, err = k.Targets.Leave(target, sentAfter); err != nil {
 		return false, err
 	}
-	return changed, k.spread(ctx, leaveParams{Target: k.Targets.Record(target), Age: age, SentAfter: youngest.sentAfter})
+	return changed, tell(k.Targets.Record(target))
 }
 
 // incarnation is the youngest incarnation of a target that is live at a keeper.
--- a/internal/role/sitekeeper/leave.go
+++ b/internal/role/sitekeeper/leave.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
 
 	"egretproxy/internal/fleet/id"
@@ -20,6 +21,9 @@
 	// spreadTimeout limits the time for a quorum to learn of it. Targets wait for one
 	// second for a response.
 	spreadTimeout = 600 * time.Millisecond
+	// ageMethod tells a keeper how long ago a target left of which this one told it.
+	ageMethod  = "site.departureAge"
+	ageTimeout = time.Second
 	// maxSpread bounds the number of targets of which spreadLog knows.
 	maxSpread = 4096
 )
@@ -74,8 +78,13 @@
 	// that did not send it.
 	Age time.Duration
 	// SentAfter holds a time before the target said so for each keeper that the sender
-	// has asked since, by its epoch and its boottime clock.
+	// has asked since, by its epoch and its boottime clock. It is nil from keepers of
+	// versions that did not send it.
 	SentAfter map[string]time.Duration
+	// Sender is the address at which the others are told how long ago that was.
+	Sender string
+	// Departure is the departure's entry in the sender's departureLog.
+	Departure departureKey
 }
 
 // spread tells the other keepers of a target that leaves, once for each stage.
@@ -94,17 +103,24 @@
 }
 
 // handleLeave records what another keeper was told by a target that leaves.
-func (k *Keeper) handleLeave(_ context.Context, params json.RawMessage) (any, error) {
+func (k *Keeper) handleLeave(ctx context.Context, params json.RawMessage) (any, error) {
 	var in leaveParams
 	if err := json.Unmarshal(params, &in); err != nil {
 		return nil, rpc.InvalidParams(err)
 	}
 	t, changed := in.Target, false
-	sentAfter, asked := in.SentAfter[k.epoch]
-	if !asked {
-		sentAfter = k.callSentAfter() - in.Age
+	live, firstSeen, ok := k.Targets.Live(t.ID)
+	// An incarnation that the sender lacks may be newer than the departure.
+	later := ok && live.Born > t.Born
+	var sentAfter time.Duration
+	if t.Stage == discovery.Gone && later {
+		var err error
+		if sentAfter, err = k.dateLeave(ctx, in); err != nil {
+			klog.InfoS("Departure was not dated", "Target", t.ID, "Sender", in.Sender, "Error", err.Error())
+			return nil, rpc.NewError(rpc.CodeUnavailable, err.Error())
+		}
 	}
-	switch live, firstSeen, ok := k.Targets.Live(t.ID); {
+	switch {
 	case t.Stage == discovery.Gone && t.Born == 0:
 		// The other keeper knows no incarnation of the target.
 		var err error
@@ -112,7 +128,7 @@
 			klog.InfoS("Departure was not recorded", "Target", t.ID, "Error", err.Error())
 			return nil, rpc.NewError(rpc.CodeUnavailable, err.Error())
 		}
-	case t.Stage == discovery.Gone && in.Age > 0 && ok && live.Born > t.Born && firstSeen <= sentAfter:
+	case t.Stage == discovery.Gone && in.Age > 0 && later && firstSeen <= sentAfter:
 		// It knows an earlier one only.
 		live.Stage = discovery.Gone
 		changed = k.Targets.Announce(live)
@@ -125,6 +141,27 @@
 	return struct{}{}, nil
 }
 
+// dateLeave returns a time of the boottime clock after which a target said to another
+// keeper that it leaves. The call of that may have waited here or on its way, so the
+// sender is asked if it had no answer from this keeper.
+func (k *Keeper) dateLeave(ctx context.Context, in leaveParams) (time.Duration, error) {
+	if sentAfter, asked := in.SentAfter[k.epoch]; asked {
+		return sentAfter, nil
+	}
+	if in.SentAfter == nil {
+		return k.callSentAfter() - in.Age, nil
+	}
+	// The sender may have given up the call, which ends ctx.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ageTimeout)
+	defer cancel()
+	askedAt := boottime.Now()
+	var age time.Duration
+	if err := k.raftNode.CallMember(ctx, in.Sender, ageMethod, in.Departure, &age); err != nil {
+		return 0, errors.Wrap(err, "ask for the age of a departure")
+	}
+	return askedAt - age, nil
+}
+
 // callSentAfter returns a time of the boottime clock after which a call from another
 // keeper was sent that is read now. It may have waited here while this process did not
 // run.
--- a/internal/role/sitekeeper/leave_test.go
+++ b/internal/role/sitekeeper/leave_test.go
@@ -253,6 +253,56 @@
 	}
 }
 
+// TestHoldsDelayedLeaveIsDatedByItsSender guards against the same at a keeper that did not
+// answer when it was asked for the target: it took the call for as old as the sender had
+// named, however late it read it.
+func TestHoldsDelayedLeaveIsDatedByItsSender(t *testing.T) {
+	next := discovery.Target{ID: "t", Service: "s", Address: "10.0.0.1:80", Domain: "z", Stage: discovery.Ready, Born: 7, Sequence: 1}
+	gone := next
+	gone.Stage = discovery.Gone
+	keepers := startKeepers(t, 3)
+	sender, reader := keepers[0], keepers[1]
+	for len(reader.keeperAddresses()) < len(keepers) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	for name, told := range map[string]discovery.Target{
+		"none":    {ID: "t", Stage: discovery.Gone},
+		"earlier": {ID: "t", Service: "s", Address: "10.0.0.1:80", Domain: "z", Stage: discovery.Gone, Born: 5, Sequence: 9},
+	} {
+		// read plays a call of which the reader learns after the sender has given it up.
+		read := func(key departureKey) error {
+			ctx, cancel := context.WithCancel(t.Context())
+			cancel()
+			_, err := reader.handleLeave(ctx, encode(t, leaveParams{
+				Target: told, Age: time.Nanosecond, SentAfter: map[string]time.Duration{}, Sender: sender.address, Departure: key,
+			}))
+			return err
+		}
+		depart := func() departureKey { return departureKey{sender.epoch, sender.departures.add(boottime.Now())} }
+		reader.Targets = discovery.Registry{}
+		before := depart()
+		reader.Targets.Announce(next)
+		err := read(before)
+		if diff := cmp.Diff(next, reader.Targets.Record("t")); diff != "" {
+			t.Errorf("%s, announced after the departure, error %v (-want +got):\n%s", name, err, diff)
+		}
+		for _, unknown := range []departureKey{{"restarted", before.Number}, {sender.epoch, before.Number + 1}} {
+			err = read(unknown)
+			if diff := cmp.Diff(next, reader.Targets.Record("t")); diff != "" || err == nil {
+				t.Errorf("%s, sender does not know the departure, error %v (-want +got):\n%s", name, err, diff)
+			}
+		}
+		for deadline := time.Now().Add(30 * time.Second); reader.Targets.Record("t") != gone && time.Now().Before(deadline); {
+			// The answer dates the departure too early by the time that it takes.
+			time.Sleep(20 * time.Millisecond)
+			err = read(depart())
+		}
+		if diff := cmp.Diff(gone, reader.Targets.Record("t")); diff != "" {
+			t.Errorf("%s, announced before the departure, error %v (-want +got):\n%s", name, err, diff)
+		}
+	}
+}
+
 func encode(t *testing.T, v any) json.RawMessage {
 	t.Helper()
 	data, err := json.Marshal(v)
--- a/internal/role/sitekeeper/sitekeeper.go
+++ b/internal/role/sitekeeper/sitekeeper.go
@@ -45,8 +45,8 @@
 )
 
 // Keeper is one running keeper of a site. It is safe for concurrent use. Lock
-// order: mu before the locks of Machine, Targets, left, pauses and marks, which never call
-// back.
+// order: mu before the locks of Machine, Targets, left, departures, pauses and marks, which
+// never call back.
 type Keeper struct {
 	// Machine holds the replicated state.
 	Machine sitestate.Machine
@@ -58,6 +58,8 @@
 	metrics  *metrics.Set
 	epoch    string
 	region   id.Region
+	// address is that at which other keepers reach this one.
+	address string
 	// lookupTimeout replaces defaultLookupTimeout if it is not 0.
 	lookupTimeout time.Duration
 	// stopping is set when Run is asked to stop or has failed.
@@ -65,6 +67,8 @@
 
 	// left holds the targets that leave of which other keepers know.
 	left spreadLog
+	// departures holds when targets said that they leave.
+	departures departureLog
 	// pauses detects times in which this process did not run.
 	pauses pauseLog
 	// marks dates the connections of the server of orders.
@@ -96,10 +100,10 @@
 func New(cfg node.Config, region id.Region, set *metrics.Set) (*Keeper, error) {
 	var b [epochBytes]byte
 	_, _ = rand.Read(b[:])
-	k := &Keeper{metrics: set, region: region, epoch: hex.EncodeToString(b[:]), watchers: map[watcher]watcherState{}}
+	k := &Keeper{metrics: set, region: region, address: cfg.Address, epoch: hex.EncodeToString(b[:]), watchers: map[watcher]watcherState{}}
 	cfg.Machine = &k.Machine
 	cfg.Handlers = map[string]rpc.Handler{
-		watch.Method: k.handleWatch, leaveMethod: k.handleLeave, lookupMethod: k.handleLookup, evidence.ReportMethod: k.handleEvidence,
+		watch.Method: k.handleWatch, leaveMethod: k.handleLeave, lookupMethod: k.handleLookup, ageMethod: k.handleDepartureAge, evidence.ReportMethod: k.handleEvidence,
 		evidence.TestMethod: k.handleTest, evidence.QuarantineMethod: k.handleQuarantine,
 	}
 	cfg.OnLeadershipChange = func(leads bool) {
