raft: bound the wait of a candidate whose disk hung

Found by reading the change of slow syncs: a candidate added twice the time of its own sync to its election timeout. One whose disk had hung for half a minute, or was full for as long, would have waited a minute for votes that were lost.

Change: it waits for syncs of a second at most, as long as a member takes part in heartbeats during one.

Measured: TestHoldsCandidateWithHungDiskTriesAgain finds no election within 100 ticks without the bound and passes with it.

--- a/internal/agreement/node/calls.go
+++ b/internal/agreement/node/calls.go
@@ -77,6 +77,9 @@
 			index, err = n.currentReplica().ReadIndex(ctx)
 			return err
 		}
+		// A confirmation that is asked for again costs no sync.
+		ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+		defer cancel()
 		var out confirmResponse
 		err := n.client(leader).Call(ctx, methodConfirm, struct{}{}, &out)
 		index = out.Index
--- a/internal/agreement/raft/node.go
+++ b/internal/agreement/raft/node.go
@@ -33,6 +33,8 @@
 	// votesPerSync is the number of syncs that a voter may need before it responds: the
 	// one in progress and that of its vote.
 	votesPerSync = 2
+	// maxSyncTicks is the longest sync of a voter for which a candidate waits.
+	maxSyncTicks = 20
 	// maxEntriesPerAppend bounds the number of entries in one message.
 	maxEntriesPerAppend = 512
 	// maxBytesPerAppend bounds the bytes of entry data in one message.
@@ -399,7 +401,7 @@
 // voters whose disks are as slow as its own.
 func (n *Node) SyncTook(ticks int) {
 	if n.role == candidate {
-		n.electionTimeout += votesPerSync * ticks
+		n.electionTimeout += votesPerSync * min(ticks, maxSyncTicks)
 	}
 }
 
--- a/internal/agreement/raft/slowsync_test.go
+++ b/internal/agreement/raft/slowsync_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -89,3 +90,29 @@
 		}
 	}
 }
+
+// TestHoldsCandidateWithHungDiskTriesAgain guards against a group without a leader: a
+// candidate whose own disk had hung waited for lost votes for as long again.
+func TestHoldsCandidateWithHungDiskTriesAgain(t *testing.T) {
+	n := newMember(membersOf([]id.Keeper{"a", "b", "c"}, nil))
+	requests := func(kind record.MessageKind) bool {
+		r := n.Ready()
+		n.Advance(r)
+		return slices.ContainsFunc(r.Messages, func(m record.Message) bool { return m.Kind == kind })
+	}
+	for !requests(record.PreVoteRequest) {
+		n.Tick()
+	}
+	n.Step(record.Message{Kind: record.PreVoteResponse, From: "b", To: "a", Term: 2})
+	if !requests(record.VoteRequest) {
+		t.Fatal("no candidate after a quorum of pre-votes")
+	}
+	const hung, bound = 10_000, 100
+	n.SyncTook(hung)
+	for ticks := 0; !requests(record.PreVoteRequest); ticks++ {
+		if ticks > bound {
+			t.Fatalf("no further election within %d ticks", bound)
+		}
+		n.Tick()
+	}
+}
