--- a/internal/agreement/replica/slowdisk_test.go
+++ b/internal/agreement/replica/slowdisk_test.go
@@ -95,8 +95,10 @@
 func TestHoldsSlowDisksKeepTheirLeader(t *testing.T) {
 	const fast = time.Millisecond
 	for _, c := range []struct {
-		name            string
-		start, led, ful time.Duration
+		name string
+		// start is the time of a sync before the first change, leader and follower that
+		// after it.
+		start, leader, follower time.Duration
 	}{
 		{"all slow from the start", 250 * time.Millisecond, 250 * time.Millisecond, 250 * time.Millisecond},
 		{"all slower than an election from the start", 600 * time.Millisecond, 600 * time.Millisecond, 600 * time.Millisecond},
@@ -110,9 +112,9 @@
 					g.awaitChange(t, electionBound, "first")
 					leader, before := g.leading()
 					for i, d := range g.disks {
-						d.SyncNanos.Store(int64(c.ful))
+						d.SyncNanos.Store(int64(c.follower))
 						if i == leader {
-							d.SyncNanos.Store(int64(c.led))
+							d.SyncNanos.Store(int64(c.leader))
 						}
 					}
 					missed := 0
