wakeup: one type for channels that are closed at the next change

The same pair of pieces, make a channel if there is none, close it and forget it, stood for marks, orders, effects, confirmations, targets, suspects, reports, witnesses, pieces of weights and applied entries. Behaviour is unchanged.

--- a/internal/agreement/replica/replica.go
+++ b/internal/agreement/replica/replica.go
@@ -13,6 +13,7 @@
 	"egretproxy/internal/agreement/raft"
 	"egretproxy/internal/agreement/record"
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/wakeup"
 )
 
 // Errors returned by the methods of Replica.
@@ -147,8 +148,8 @@
 	mu sync.Mutex
 	// status is replaced after each step.
 	status Status
-	// appliedChanged is closed and replaced whenever the applied index grows.
-	appliedChanged chan struct{}
+	// appliedChanged is sent whenever the applied index grows.
+	appliedChanged wakeup.Signal
 }
 
 type membershipChange struct {
@@ -177,7 +178,6 @@
 		pendingReads:      map[uint64]readRequest{},
 		addresses:         map[id.Keeper]string{},
 		snapshot:          snap,
-		appliedChanged:    make(chan struct{}),
 		syncing:           syncWait{transport: t},
 	}
 	if snap != nil && len(snap.Data) > 0 {
@@ -318,8 +318,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if applied > r.status.Applied {
-		close(r.appliedChanged)
-		r.appliedChanged = make(chan struct{})
+		r.appliedChanged.Send()
 	}
 	r.status = Status{
 		ID: r.cfg.Raft.ID, Leader: r.node.Leader(), IsLeader: r.node.IsLeader(),
--- a/internal/agreement/replica/requests.go
+++ b/internal/agreement/replica/requests.go
@@ -66,7 +66,7 @@
 func (r *Replica) WaitApplied(ctx context.Context, index uint64) error {
 	for {
 		r.mu.Lock()
-		applied, changed := r.status.Applied, r.appliedChanged
+		applied, changed := r.status.Applied, r.appliedChanged.Next()
 		r.mu.Unlock()
 		if applied >= index {
 			return nil
--- a/internal/role/sitekeeper/marks.go
+++ b/internal/role/sitekeeper/marks.go
@@ -8,6 +8,8 @@
 
 	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
+
+	"egretproxy/internal/kernel/wakeup"
 )
 
 const (
@@ -34,25 +36,7 @@
 	peers map[string]bool
 	// accepted is signalled at each connection that is accepted while a mark is on its
 	// way, marked at each mark that is, and wanted when another one is needed.
-	accepted, marked, wanted signal
-}
-
-// signal wakes its waiters. The zero value is ready to use.
-type signal struct{ c chan struct{} }
-
-// next returns a channel that is closed when the signal is sent.
-func (s *signal) next() <-chan struct{} {
-	if s.c == nil {
-		s.c = make(chan struct{})
-	}
-	return s.c
-}
-
-func (s *signal) send() {
-	if s.c != nil {
-		close(s.c)
-		s.c = nil
-	}
+	accepted, marked, wanted wakeup.Signal
 }
 
 // accept returns a date that a connection can't precede. It must be called for each
@@ -62,7 +46,7 @@
 	defer m.mu.Unlock()
 	if m.peers != nil {
 		m.peers[peer.String()] = true
-		m.accepted.send()
+		m.accepted.Send()
 	}
 	return m.last
 }
@@ -112,10 +96,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.peers[local.String()] {
-		return false, m.accepted.next()
+		return false, m.accepted.Next()
 	}
 	m.last = date
-	m.marked.send()
+	m.marked.Send()
 	return true, nil
 }
 
@@ -146,15 +130,15 @@
 	if !m.placing || m.last.at >= after {
 		return true, nil
 	}
-	m.wanted.send()
-	return false, m.marked.next()
+	m.wanted.Send()
+	return false, m.marked.Next()
 }
 
 // nextWanted returns a channel that is closed when another mark is needed.
 func (m *markLog) nextWanted() <-chan struct{} {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.wanted.next()
+	return m.wanted.Next()
 }
 
 func (m *markLog) setPlacing(placing bool) {
--- a/internal/role/sitekeeper/sitekeeper.go
+++ b/internal/role/sitekeeper/sitekeeper.go
@@ -17,6 +17,7 @@
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/kernel/boottime"
 	"egretproxy/internal/kernel/metrics"
+	"egretproxy/internal/kernel/wakeup"
 	"egretproxy/internal/site/discovery"
 	"egretproxy/internal/site/evidence"
 	"egretproxy/internal/site/sitestate"
@@ -78,9 +79,8 @@
 	// confirmedAt is when the newest successful confirmation began, by the
 	// boottime clock. Zero means never.
 	confirmedAt time.Duration
-	// confirmed is closed and replaced at each confirmation. It is nil until it
-	// is used.
-	confirmed chan struct{}
+	// confirmed is sent at each confirmation.
+	confirmed wakeup.Signal
 	watchers  map[watcher]watcherState
 }
 
@@ -212,10 +212,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.confirmedAt = max(k.confirmedAt, began)
-	if k.confirmed != nil {
-		close(k.confirmed)
-		k.confirmed = nil
-	}
+	k.confirmed.Send()
 }
 
 // nextConfirmation returns a channel that is closed at the next confirmation,
@@ -223,10 +220,7 @@
 func (k *Keeper) nextConfirmation() (next <-chan struct{}, recent bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.confirmed == nil {
-		k.confirmed = make(chan struct{})
-	}
-	return k.confirmed, k.confirmedAt > 0 && boottime.Now()-k.confirmedAt < recentConfirmation
+	return k.confirmed.Next(), k.confirmedAt > 0 && boottime.Now()-k.confirmedAt < recentConfirmation
 }
 
 func errorText(err error) string {
--- a/internal/site/discovery/discovery.go
+++ b/internal/site/discovery/discovery.go
@@ -13,6 +13,7 @@
 
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/kernel/boottime"
+	"egretproxy/internal/kernel/wakeup"
 )
 
 const (
@@ -108,7 +109,7 @@
 	mu       sync.Mutex
 	targets  map[id.Target]*record
 	position uint64
-	changed  chan struct{}
+	changed  wakeup.Signal
 }
 
 // Announce records an announcement. It reports whether the announcement changes
@@ -189,10 +190,7 @@
 func (r *Registry) recordChange(rec *record) {
 	r.position++
 	rec.position = r.position
-	if r.changed != nil {
-		close(r.changed)
-		r.changed = nil
-	}
+	r.changed.Send()
 }
 
 // Since returns the targets that changed after the position, sorted by ID, and
@@ -215,10 +213,7 @@
 func (r *Registry) Changed() <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.changed == nil {
-		r.changed = make(chan struct{})
-	}
-	return r.changed
+	return r.changed.Next()
 }
 
 // expire marks targets as silent and removes old records. The caller holds mu.
--- a/internal/site/sitestate/sitestate.go
+++ b/internal/site/sitestate/sitestate.go
@@ -17,6 +17,7 @@
 
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/kernel/boottime"
+	"egretproxy/internal/kernel/wakeup"
 	"egretproxy/internal/site/plan"
 	"egretproxy/internal/site/quarantine"
 )
@@ -96,9 +97,8 @@
 type Machine struct {
 	mu    sync.Mutex
 	state State
-	// changed is closed and reset at each effect, ordered at each order that is
-	// acknowledged.
-	changed, ordered chan struct{}
+	// changed is sent at each effect, ordered at each order that is acknowledged.
+	changed, ordered wakeup.Signal
 	// weightsVersions holds the newest versions of weights in the order in
 	// which this keeper learnt of them. It is not part of the replicated state.
 	weightsVersions []weightsVersion
@@ -185,10 +185,7 @@
 func (m *Machine) Changed() <-chan struct{} {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.changed == nil {
-		m.changed = make(chan struct{})
-	}
-	return m.changed
+	return m.changed.Next()
 }
 
 // Ordered returns a channel that is closed at the next order for a failure domain that is
@@ -196,10 +193,7 @@
 func (m *Machine) Ordered() <-chan struct{} {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.ordered == nil {
-		m.ordered = make(chan struct{})
-	}
-	return m.ordered
+	return m.ordered.Next()
 }
 
 // Apply implements replica.StateMachine.
@@ -216,7 +210,7 @@
 			return []byte(ErrOutdated.Error())
 		}
 		m.state.trackOrder(index, *in.Withdraw)
-		m.notifyOrdered()
+		m.ordered.Send()
 	}
 	if !m.state.apply(index, in) {
 		return nil
@@ -225,7 +219,7 @@
 	if in.Weights != nil {
 		m.recordWeights(*in.Weights)
 	}
-	m.notify()
+	m.changed.Send()
 	return nil
 }
 
@@ -335,23 +329,7 @@
 	for model, v := range s.Weights {
 		m.recordWeights(WeightsChange{Model: model, Version: v, NamedMs: s.NamedMs[model]})
 	}
-	m.notify()
-	m.notifyOrdered()
+	m.changed.Send()
+	m.ordered.Send()
 	return nil
 }
-
-// notifyOrdered wakes the waiters of Ordered. The caller holds mu.
-func (m *Machine) notifyOrdered() {
-	if m.ordered != nil {
-		close(m.ordered)
-		m.ordered = nil
-	}
-}
-
-// notify wakes the waiters of Changed. The caller holds mu.
-func (m *Machine) notify() {
-	if m.changed != nil {
-		close(m.changed)
-		m.changed = nil
-	}
-}
--- a/internal/site/suspicion/announce.go
+++ b/internal/site/suspicion/announce.go
@@ -47,10 +47,7 @@
 		klog.InfoS("Suspected parts of prompts and requests have changed", "Suspects", len(found), "Ends", len(j.ends))
 	}
 	j.position++
-	if j.changed != nil {
-		close(j.changed)
-		j.changed = nil
-	}
+	j.changed.Send()
 }
 
 // Suspects returns the suspects, those with most ends first, and the position of
@@ -76,8 +73,5 @@
 func (j *Judge) Changed() <-chan struct{} {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.changed == nil {
-		j.changed = make(chan struct{})
-	}
-	return j.changed
+	return j.changed.Next()
 }
--- a/internal/site/suspicion/report.go
+++ b/internal/site/suspicion/report.go
@@ -51,10 +51,7 @@
 		j.addBegun(now, b)
 	}
 	j.forget(now)
-	if j.reported != nil {
-		close(j.reported)
-		j.reported = nil
-	}
+	j.reported.Send()
 }
 
 // timeOf returns the time of what an entry reports with an age. What is older than
--- a/internal/site/suspicion/suspicion.go
+++ b/internal/site/suspicion/suspicion.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/wakeup"
 	"egretproxy/internal/request/digest"
 	"egretproxy/internal/site/quarantine"
 )
@@ -69,8 +70,8 @@
 	// accused holds the parts of the verdicts in force at the last look.
 	accused  map[id.PromptPart]bool
 	position uint64
-	// changed is closed when the suspects change, reported at each report.
-	changed, reported chan struct{}
+	// changed is sent when the suspects change, reported at each report.
+	changed, reported wakeup.Signal
 	loggedAt          time.Time
 }
 
@@ -136,10 +137,7 @@
 func (j *Judge) Reported() <-chan struct{} {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.reported == nil {
-		j.reported = make(chan struct{})
-	}
-	return j.reported
+	return j.reported.Next()
 }
 
 // acquit lets the ends so far no longer count against parts that are in no verdict
--- a/internal/site/witness/alive.go
+++ b/internal/site/witness/alive.go
@@ -28,5 +28,5 @@
 	w.size++
 	w.pending.Alive = append(w.pending.Alive, evidence.Alive{Target: target, Born: born})
 	w.aliveAt = append(w.aliveAt, at)
-	w.notify()
+	w.changed.Send()
 }
--- a/internal/site/witness/request.go
+++ b/internal/site/witness/request.go
@@ -32,7 +32,7 @@
 	if e == nil || w.size >= maxPartsPerReport || slices.Contains(e.Requests, request) {
 		return
 	}
-	w.notify()
+	w.changed.Send()
 	w.size++
 	e.Requests = append(e.Requests, request)
 	if w.requests.Get(request) != nil {
--- a/internal/site/witness/witness.go
+++ b/internal/site/witness/witness.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"egretproxy/internal/fleet/id"
+	"egretproxy/internal/kernel/wakeup"
 	"egretproxy/internal/request/digest"
 	"egretproxy/internal/request/ends"
 	"egretproxy/internal/request/recent"
@@ -40,8 +41,8 @@
 	// signs of life in pending.
 	endedAt, begunAt, aliveAt []time.Time
 	size                      int
-	// changed is closed when there is something to report.
-	changed chan struct{}
+	// changed is sent when there is something to report.
+	changed wakeup.Signal
 }
 
 // Begun records that a response began on the parts. Its target may still end with one.
@@ -88,7 +89,7 @@
 		w.size++
 		w.pending.Begun = append(w.pending.Begun, evidence.Begun{Part: p, Harmless: harmless})
 		w.begunAt = append(w.begunAt, at)
-		w.notify()
+		w.changed.Send()
 	}
 }
 
@@ -153,7 +154,7 @@
 			e.Known = append(e.Known, p)
 		}
 	}
-	w.notify()
+	w.changed.Send()
 }
 
 // EndedBegun records that a target ended after the response to a request with the parts
@@ -174,7 +175,7 @@
 			e.Begun = append(e.Begun, p)
 		}
 	}
-	w.notify()
+	w.changed.Send()
 }
 
 // pendingEnd returns the end of the incarnation in the report, or nil if the report is
@@ -240,16 +241,5 @@
 		out.Alive[i].AgeMs = time.Since(at).Milliseconds()
 	}
 	w.pending, w.endedAt, w.begunAt, w.aliveAt, w.size = evidence.Report{}, nil, nil, nil, 0
-	if w.changed == nil {
-		w.changed = make(chan struct{})
-	}
-	return out, w.changed
-}
-
-// notify wakes the waiter. The caller holds mu.
-func (w *Witness) notify() {
-	if w.changed != nil {
-		close(w.changed)
-		w.changed = nil
-	}
+	return out, w.changed.Next()
 }
--- a/internal/weights/relay/fetch.go
+++ b/internal/weights/relay/fetch.go
@@ -309,7 +309,7 @@
 	for requested := false; ; requested = true {
 		r.mu.Lock()
 		st := r.state(b)
-		data, changed, fetching = st.pieces[n], st.changed, st.fetching
+		data, changed, fetching = st.pieces[n], st.changed.Next(), st.fetching
 		r.mu.Unlock()
 		if data != nil || fetching || requested || r.OnMissing == nil {
 			return data, changed, fetching
--- a/internal/weights/relay/manifest.go
+++ b/internal/weights/relay/manifest.go
@@ -53,7 +53,7 @@
 	defer r.mu.Unlock()
 	st := r.state(b)
 	st.manifest = &m
-	st.notify()
+	st.changed.Send()
 	return m
 }
 
--- a/internal/weights/relay/relay.go
+++ b/internal/weights/relay/relay.go
@@ -17,6 +17,7 @@
 
 	"egretproxy/internal/fleet/id"
 	"egretproxy/internal/kernel/clock"
+	"egretproxy/internal/kernel/wakeup"
 	"egretproxy/internal/weights/succession"
 )
 
@@ -194,8 +195,8 @@
 	// arrived, waited the time of earlier transfers since that piece.
 	waitingSince time.Time
 	waited       time.Duration
-	// changed is closed and replaced when a piece or the manifest arrives.
-	changed chan struct{}
+	// changed is sent when a piece or the manifest arrives.
+	changed wakeup.Signal
 }
 
 // state returns the state of the bundle and creates it if necessary, which
@@ -208,7 +209,7 @@
 	if st != nil {
 		return st
 	}
-	st = &bundleState{pieces: map[int][]byte{}, changed: make(chan struct{})}
+	st = &bundleState{pieces: map[int][]byte{}}
 	r.bundles[b] = st
 	r.bundleOrder = append(r.bundleOrder, b)
 	if len(r.bundleOrder) > keptVersions {
@@ -218,11 +219,6 @@
 	return st
 }
 
-func (st *bundleState) notify() {
-	close(st.changed)
-	st.changed = make(chan struct{})
-}
-
 // StageBundle fetches every piece of the bundle and stages it at the local
 // engine. It retries failed pieces until the context ends.
 func (r *Relay) StageBundle(ctx context.Context, b Bundle) error {
@@ -372,5 +368,5 @@
 		st.waitingSince, st.waited = time.Now(), 0
 	}
 	st.pieces[n] = data
-	st.notify()
+	st.changed.Send()
 }
