--- a/internal/role/siteentry/endless_test.go
+++ b/internal/role/siteentry/endless_test.go
@@ -60,8 +60,12 @@
 	{"trailer", "Transfer-Encoding: chunked", "1\r\nx\r\n0\r\n", "X: y\r\n"},
 }
 
-func checkTaken(t *testing.T, taken <-chan int) {
+// checkTaken checks how much of its response the first target got rid of.
+func checkTaken(t *testing.T, first *fakeTarget, taken <-chan int) {
 	t.Helper()
+	if len(first.requests()) == 0 {
+		t.Fatal("the first target was not asked")
+	}
 	if n := <-taken; n > kernelBytes {
 		t.Errorf("read about %d MiB of the response", n>>20)
 	}
@@ -86,7 +90,7 @@
 		} {
 			t.Run(c.name+" "+host, func(t *testing.T) {
 				taken := make(chan int, 1)
-				_, a1 := startTarget(t, flood(taken, c.prefix, c.part))
+				first, a1 := startTarget(t, flood(taken, c.prefix, c.part))
 				second, a2 := startTarget(t, func(w io.Writer, r *http.Request) {
 					_, _ = io.WriteString(w, head(r, "200 OK")+event(1))
 				})
@@ -97,7 +101,7 @@
 				if want != http.StatusOK && (res.Header.Get("Signature") != "" || len(second.requests()) > 0) {
 					t.Errorf("got header %v, %d requests at the second target", res.Header, len(second.requests()))
 				}
-				checkTaken(t, taken)
+				checkTaken(t, first, taken)
 			})
 		}
 	}
@@ -121,20 +125,20 @@
 		for _, status := range []string{"200 OK", "404 Not Found", "500 Failed"} {
 			t.Run(b.name+" "+status, func(t *testing.T) {
 				taken := make(chan int, 1)
-				_, a1 := startTarget(t, endless(taken, status, []string{b.fields}, b.prefix, b.part))
+				first, a1 := startTarget(t, endless(taken, status, []string{b.fields}, b.prefix, b.part))
 				second, a2 := startTarget(t, respondWith("ok"))
 				te := startPatientEntry(t, a1, a2)
 				res, body, err := te.call(t, "read")
 				if err != nil || res.StatusCode != http.StatusOK || body != "ok" {
 					t.Errorf("repeatable: got response %v, %d bytes, error %v", res, len(body), err)
 				}
-				checkTaken(t, taken)
+				checkTaken(t, first, taken)
 				te = startPatientEntry(t, a1, a2)
 				res, body, err = te.call(t, "once")
 				if err != nil || res.StatusCode != http.StatusBadGateway || res.Header.Get("Signature") != "" {
 					t.Errorf("once: got response %v, %d bytes, error %v", res, len(body), err)
 				}
-				checkTaken(t, taken)
+				checkTaken(t, first, taken)
 				if n := len(second.requests()); n != 1 {
 					t.Errorf("second target got %d requests, want the repeatable one", n)
 				}
@@ -148,14 +152,14 @@
 func TestHoldsDeclinedRequestDoesNotAwaitBody(t *testing.T) {
 	for _, b := range endlessBodies {
 		taken := make(chan int, 1)
-		_, a1 := startTarget(t, endless(taken, "503 Full", []string{"Not-Run: 1", b.fields}, b.prefix, b.part))
+		first, a1 := startTarget(t, endless(taken, "503 Full", []string{"Not-Run: 1", b.fields}, b.prefix, b.part))
 		_, a2 := startTarget(t, respondWith("ok"))
 		te := startEntry(t, a1, a2)
 		res, body, err := te.call(t, "once")
 		if err != nil || res.StatusCode != http.StatusOK || body != "ok" {
 			t.Errorf("%s: got response %v, %d bytes, error %v", b.name, res, len(body), err)
 		}
-		checkTaken(t, taken)
+		checkTaken(t, first, taken)
 	}
 	// The target sends nothing more and keeps the connection.
 	silent := func(w io.Writer, r *http.Request) {
@@ -212,7 +216,7 @@
 	} {
 		t.Run(b.name, func(t *testing.T) {
 			taken := make(chan int, 1)
-			_, a1 := startTarget(t, endless(taken, "200 OK", nil, b.prefix, b.part))
+			first, a1 := startTarget(t, endless(taken, "200 OK", nil, b.prefix, b.part))
 			_, a2 := startTarget(t, func(w io.Writer, r *http.Request) {
 				_, _ = io.WriteString(w, head(r, "200 OK"))
 				if r.Header.Get("Last-Event-Id") == "" {
@@ -228,13 +232,13 @@
 			if d := cmp.Diff(event(1)+event(2), body); d != "" {
 				t.Errorf("resumable (-want +got):\n%.500s", d)
 			}
-			checkTaken(t, taken)
+			checkTaken(t, first, taken)
 			te = startEntry(t, a1, a2)
 			res, body, err = te.call(t, "cut")
 			if err == nil && res.StatusCode != http.StatusBadGateway || !strings.HasPrefix(event(1), body) && err != nil {
 				t.Errorf("not resumable: got response %v, body %.200q, error %v", res, body, err)
 			}
-			checkTaken(t, taken)
+			checkTaken(t, first, taken)
 		})
 	}
 }
