replica: fire timers of a bubble on one thread in tests

Cause: timers of a synctest bubble run with one race context for the bubble (timers.raceCtx, runtime/time.go of Go 1.26). A timer channel that is due when a goroutine polls it fires on the thread of that goroutine, so that two threads push to and pop from the same shadow stack. The ticks of members that stand in a sync are due that way when it ends. A test without any code of ours (goroutines of one bubble that poll due timers) ends with a SIGSEGV or a report of a race that is none in 5 of 10 and 3 of 20 processes, and with GOMAXPROCS=1 in 0 of 40. Ruled out: a want of memory, and other packages with bubbles: 15 of them, 60 processes each, no crash.

Change: the tests with groups of replicas run their bubbles on one processor, as only there is a crash seen.

--- a/internal/agreement/replica/slowdisk_test.go
+++ b/internal/agreement/replica/slowdisk_test.go
@@ -6,7 +6,6 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"egretproxy/internal/agreement/faultdisk"
@@ -72,7 +71,7 @@
 // runGroup runs a group of three members for the time of a call.
 func runGroup(t *testing.T, seed uint64, syncTime time.Duration, call func(t *testing.T, g *group)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		g := newGroup(t, []*faultdisk.Disk{{}, {}, {}}, seed)
 		for _, d := range g.disks {
--- a/internal/agreement/replica/storage_test.go
+++ b/internal/agreement/replica/storage_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -69,6 +70,15 @@
 	}
 }
 
+// inBubble runs a call in a bubble, on one processor: threads that fire timers of a bubble
+// at the same time crash the race detector of Go 1.26, and members whose ticks fall due
+// during a sync do so.
+func inBubble(t *testing.T, call func(t *testing.T)) {
+	t.Helper()
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	synctest.Test(t, call)
+}
+
 func startGroup(ctx context.Context, t *testing.T, disks []*faultdisk.Disk) *group {
 	t.Helper()
 	g := newGroup(t, disks, 1)
@@ -135,7 +145,7 @@
 // although all its members run: their disks were full for some seconds, one after the
 // other. Each member must take part again once its disk has room, without a restart.
 func TestHoldsFullDisksComeBack(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
 		disks := []*faultdisk.Disk{{}, {}, {}}
 		ctx, cancel := context.WithCancel(t.Context())
 		g := startGroup(ctx, t, disks)
