siteentry: call again if a request was refused before it was sent

Cause: the test process stood still while the entry connected to its only target, for longer than the entry waits for a connection (0.5 s). The request is refused then, rightly, and nothing is known of the target's response.

Change: the test calls again, through a new entry, after a 503 if the target got no request, at most 5 times. A 503 after the target got the request fails as before, and so does one in all tries.

--- a/internal/role/siteentry/broken_test.go
+++ b/internal/role/siteentry/broken_test.go
@@ -7,6 +7,9 @@
 	"testing"
 )
 
+// maxUnsentTries limits the calls until a request reaches its target.
+const maxUnsentTries = 5
+
 // TestHoldsBrokenAnswerIsNoAnswer guards against a target that stops at any byte of
 // the head or the body of its first answer, which its caller then gets as a whole
 // one.
@@ -19,7 +22,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			cut := 0
-			_, address := startTarget(t, func(w io.Writer, r *http.Request) {
+			target, address := startTarget(t, func(w io.Writer, r *http.Request) {
 				whole := head(r, "200 OK", c.fields) + c.rest
 				_, _ = io.WriteString(w, whole[:max(len(whole)-cut, 0)])
 			})
@@ -28,9 +31,7 @@
 					continue
 				}
 				for cut = 0; cut < 100+len(c.rest); cut++ {
-					te := startEntry(t, address)
-					res, body, err := te.call(t, host)
-					te.Close()
+					res, body, err := callUntilSent(t, target, address, host)
 					complete := err == nil && res.StatusCode == http.StatusOK && body == c.body
 					refused := err == nil && res.StatusCode == http.StatusBadGateway
 					if complete != (cut == 0) || cut > 0 && !refused && (err == nil || !strings.HasPrefix(c.body, body)) {
@@ -41,3 +42,20 @@
 		})
 	}
 }
+
+// callUntilSent calls through a new entry, and again through another one if the request
+// was refused before it reached the target: a process that stands still for longer than
+// the entry waits for a connection shows nothing about the target's response.
+func callUntilSent(t *testing.T, target *fakeTarget, address, host string) (*http.Response, string, error) {
+	t.Helper()
+	for try := 1; ; try++ {
+		sent := len(target.requests())
+		te := startEntry(t, address)
+		res, body, err := te.call(t, host)
+		te.Close()
+		refused := err == nil && res.StatusCode == http.StatusServiceUnavailable && len(target.requests()) == sent
+		if !refused || try == maxUnsentTries {
+			return res, body, err
+		}
+	}
+}
