--- a/internal/role/siteentry/endless_test.go
+++ b/internal/role/siteentry/endless_test.go
@@ -60,11 +60,12 @@
 	{"trailer", "Transfer-Encoding: chunked", "1\r\nx\r\n0\r\n", "X: y\r\n"},
 }
 
-// checkTaken checks how much of its response the first target got rid of.
-func checkTaken(t *testing.T, first *fakeTarget, taken <-chan int) {
+// checkTaken checks that the first target was asked that often, and how much of its last
+// response it got rid of.
+func checkTaken(t *testing.T, first *fakeTarget, asked int, taken <-chan int) {
 	t.Helper()
-	if len(first.requests()) == 0 {
-		t.Fatal("the first target was not asked")
+	if n := len(first.requests()); n != asked {
+		t.Fatalf("the first target got %d requests, want %d", n, asked)
 	}
 	if n := <-taken; n > kernelBytes {
 		t.Errorf("read about %d MiB of the response", n>>20)
@@ -101,7 +102,7 @@
 				if want != http.StatusOK && (res.Header.Get("Signature") != "" || len(second.requests()) > 0) {
 					t.Errorf("got header %v, %d requests at the second target", res.Header, len(second.requests()))
 				}
-				checkTaken(t, first, taken)
+				checkTaken(t, first, 1, taken)
 			})
 		}
 	}
@@ -132,13 +133,13 @@
 				if err != nil || res.StatusCode != http.StatusOK || body != "ok" {
 					t.Errorf("repeatable: got response %v, %d bytes, error %v", res, len(body), err)
 				}
-				checkTaken(t, first, taken)
+				checkTaken(t, first, 1, taken)
 				te = startPatientEntry(t, a1, a2)
 				res, body, err = te.call(t, "once")
 				if err != nil || res.StatusCode != http.StatusBadGateway || res.Header.Get("Signature") != "" {
 					t.Errorf("once: got response %v, %d bytes, error %v", res, len(body), err)
 				}
-				checkTaken(t, first, taken)
+				checkTaken(t, first, 2, taken)
 				if n := len(second.requests()); n != 1 {
 					t.Errorf("second target got %d requests, want the repeatable one", n)
 				}
@@ -159,7 +160,7 @@
 		if err != nil || res.StatusCode != http.StatusOK || body != "ok" {
 			t.Errorf("%s: got response %v, %d bytes, error %v", b.name, res, len(body), err)
 		}
-		checkTaken(t, first, taken)
+		checkTaken(t, first, 1, taken)
 	}
 	// The target sends nothing more and keeps the connection.
 	silent := func(w io.Writer, r *http.Request) {
@@ -232,13 +233,13 @@
 			if d := cmp.Diff(event(1)+event(2), body); d != "" {
 				t.Errorf("resumable (-want +got):\n%.500s", d)
 			}
-			checkTaken(t, first, taken)
+			checkTaken(t, first, 1, taken)
 			te = startEntry(t, a1, a2)
 			res, body, err = te.call(t, "cut")
 			if err == nil && res.StatusCode != http.StatusBadGateway || !strings.HasPrefix(event(1), body) && err != nil {
 				t.Errorf("not resumable: got response %v, body %.200q, error %v", res, body, err)
 			}
-			checkTaken(t, first, taken)
+			checkTaken(t, first, 2, taken)
 		})
 	}
 }
