entry: be ready only once the targets are known

What callers saw: 503 "no target serves this now" for the first requests that a load balancer sends to an entry that has just become ready.

Cause: renewOnce stored confirmedAt, which makes the entry ready, together with the view, and handed policy and targets to the target pool after it. Ruled out: a connection that timed out, as in the test of the same name in siteentry; it gives another reason, and the log shows no pause.

Change: confirmedAt is stored last.

--- a/internal/role/entry/renew.go
+++ b/internal/role/entry/renew.go
@@ -52,7 +52,6 @@
 	before := e.view
 	e.view = e.view.With(out.Delta)
 	after := e.view
-	e.confirmedAt = sent
 	e.mu.Unlock()
 	if after.Policy.Routing != before.Policy.Routing {
 		e.usePolicy(after.Policy.Routing)
@@ -60,6 +59,10 @@
 	if d := out.Delta; d.Full || len(d.Targets)+len(d.Removed)+len(d.Domains) > 0 {
 		e.targetPool.SetView(after)
 	}
+	// The entry is ready from now on, so requests must find their targets.
+	e.mu.Lock()
+	e.confirmedAt = sent
+	e.mu.Unlock()
 	return nil
 }
 
--- a/internal/role/entry/shutdown_test.go
+++ b/internal/role/entry/shutdown_test.go
@@ -125,6 +125,12 @@
 		target.Start, target.Slots, target.Phase, target.Changed = "1", 16, view.PhaseServing, 1
 		keeper.view.Targets[target.ID] = target
 	}
+	return startEntryOf(t, l, keeper)
+}
+
+// startEntryOf starts an entry that serves the listener, with the view of a keeper.
+func startEntryOf(t *testing.T, l net.Listener, keeper *fakeKeeper) *runningEntry {
+	t.Helper()
 	keys := filepath.Join(t.TempDir(), "keys.json")
 	if err := os.WriteFile(keys, []byte(`{"Organisations": [{"ID": "huts", "Key": "key-of-huts"}]}`), 0o600); err != nil {
 		t.Fatal(err)
